--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+# Tasks of carawayroute. `make demo` and `make test` need nothing but Python 3.11 and a package registry.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := packages/schema packages/library packages/daemon packages/ctl packages/standins
+SOURCES := packages tests tools examples bench
+
+export DEPLOYMENT ?= deckmali
+
+.PHONY: help setup demo test test-fast lint format schema bench capacity lock clean
+
+help:  ## Show the tasks.
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
+
+setup: $(VENV)/.ready  ## Create .venv from the lock file.
+
+$(VENV)/.ready: requirements.lock $(addsuffix /pyproject.toml,$(PACKAGES))
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(addprefix -e ,$(PACKAGES))
+	touch $@
+
+demo: setup  ## Serve a deployment end to end (DEPLOYMENT=deckmali or cornice).
+	$(BIN)/python -m carawayroute_standins.demo
+
+test: setup  ## Run every test.
+	$(BIN)/python -m pytest -q
+
+test-fast: setup  ## Run the tests that start no processes.
+	$(BIN)/python -m pytest -q -m "not slow"
+
+lint: setup  ## Check format and style.
+	$(BIN)/black --check --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet $(SOURCES)
+
+format: setup  ## Format the code.
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/ruff check --fix --quiet $(SOURCES)
+
+schema: setup  ## Generate the schema package from schema/.
+	$(BIN)/python tools/generate.py
+	$(BIN)/black --quiet packages/schema/carawayroute_schema/settings.py
+
+bench: setup  ## Run the benchmarks; tables, CSV and plots go to out/.
+	$(BIN)/python -m bench
+
+capacity: setup  ## Recompute the table of docs/CAPACITY.md from the measured points.
+	$(BIN)/python -m bench.capacity
+
+lock: setup  ## Resolve requirements.in anew and write requirements.lock.
+	$(BIN)/pip install --quiet --upgrade -r requirements.in
+	$(BIN)/pip freeze --exclude-editable --all | grep -v '^pip==' > requirements.lock
+
+clean:  ## Remove what the tasks made.
+	rm -rf $(VENV) out .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions."""
--- /dev/null
+++ b/packages/ctl/carawayctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command of carawayroute."""
--- /dev/null
+++ b/packages/daemon/carawayrouted/__init__.py
@@ -0,0 +1,1 @@
+"""The carawayroute daemon, the same on every entry instance."""
--- /dev/null
+++ b/packages/daemon/carawayrouted/callers.py
@@ -0,0 +1,318 @@
+"""The callers' HTTP: quick requests and gang jobs."""
+
+import asyncio
+import hashlib
+import hmac
+import json
+import re
+from collections.abc import Awaitable, Callable
+
+import structlog
+from aiohttp import web
+from carawayroute.clock import Clock
+from carawayroute.dispatch import QuickRequest
+from carawayroute.exceptions import LogError, RefusedError
+from carawayroute.jobs import (
+    ImpossibleShapeError,
+    JobConflictError,
+    JobService,
+    JobUncertainError,
+)
+from carawayroute.log import LogFollower
+from carawayroute.misc import new_id
+from carawayroute.quick import QuickResult, QuickService
+from carawayroute.state import Job
+from carawayroute_schema import carawayroute_pb2 as pb
+from google.protobuf import json_format
+
+from carawayrouted.exceptions import BadRequestError
+from carawayrouted.logs import get_logger
+from carawayrouted.metrics import Metrics
+
+MAX_JOB_BODY_BYTES = 64 * 1024
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_WATCH_MS = 60_000
+DEFAULT_ACCEPT_MS = 5_000
+TOKEN_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
+REGION_OF_JOB = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+
+OUTCOME_NAMES = {
+    pb.DONE: "done",
+    pb.NOT_RUN: "not_run",
+    pb.UNKNOWN: "unknown",
+    pb.CANCELLED: "cancelled",
+    pb.FAILED: "failed",
+}
+
+log = get_logger()
+
+
+def error_response(
+    status: int, outcome: str, code: str, reason: str, retry_after_ms: int = 0
+) -> web.Response:
+    """Return an error with a machine-readable body."""
+    body: dict[str, object] = {"outcome": outcome, "error": code, "reason": reason}
+    headers = {}
+    if retry_after_ms:
+        body["retry_after_ms"] = retry_after_ms
+        headers["Retry-After"] = str(max(1, round(retry_after_ms / 1000)))
+    return web.json_response(body, status=status, headers=headers)
+
+
+class CallerService:
+    """Answer callers.
+
+    :ivar open_requests: requests that are being answered, for draining.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        region: str,
+        follower: LogFollower,
+        quick: QuickService,
+        jobs: JobService,
+        metrics: Metrics,
+    ) -> None:
+        self._clock = clock
+        self._region = region
+        self._follower = follower
+        self._quick = quick
+        self._jobs = jobs
+        self._metrics = metrics
+        self.open_requests = 0
+        self.draining = False
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[self._middleware])
+        app.router.add_post("/v1/kinds/{kind}/requests", self.quick_request)
+        app.router.add_post("/v1/jobs", self.submit_job)
+        app.router.add_get("/v1/jobs/{job}", self.watch_job)
+        app.router.add_post("/v1/jobs/{job}/cancel", self.cancel_job)
+        return app
+
+    @web.middleware
+    async def _middleware(
+        self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.Response]]
+    ) -> web.StreamResponse:
+        """Turn errors into answers; nothing reaches the caller as a stack trace."""
+        self.open_requests += 1
+        try:
+            response = await handler(request)
+        except BadRequestError as error:
+            self._metrics.bad_requests.labels(error.code).inc()
+            response = error_response(error.status, "not_run", error.code, error.reason)
+        except web.HTTPException as error:
+            response = error_response(error.status, "not_run", "http", error.reason)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            log.exception("request_failed", path=request.path)
+            response = error_response(500, "unknown", "internal", "the entry failed")
+        finally:
+            self.open_requests -= 1
+            structlog.contextvars.unbind_contextvars("request_id", "team", "kind", "job")
+        if self.draining:
+            response.force_close()
+        return response
+
+    # ------------------------------------------------------------------ checks
+
+    def _team(self, request: web.Request) -> pb.Team:
+        """Return the team that the request proves to be from."""
+        team = self._follower.state.team(request.headers.get("Carawayroute-Team", ""))
+        scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        # An unknown team costs the same comparison, so that its absence cannot be timed.
+        expected = team.key_sha256 if team is not None else "0" * 64
+        matches = hmac.compare_digest(digest, expected)
+        if team is None or scheme != "Bearer" or not matches:
+            raise BadRequestError(401, "wrong_key", "the team or its key is wrong")
+        return team
+
+    def _kind(self, kind_id: str, service: pb.Service) -> pb.Kind:
+        kind = self._follower.state.kind(kind_id)
+        if kind is None or kind.service != service:
+            raise BadRequestError(404, "unknown_kind", f"no kind {kind_id!r} of this service")
+        return kind
+
+    @staticmethod
+    def _token(request: web.Request, header: str, default: str) -> str:
+        value = request.headers.get(header, default)
+        if not TOKEN_PATTERN.fullmatch(value):
+            raise BadRequestError(
+                400, "bad_header", f"{header} must be 1 to 128 visible characters"
+            )
+        return value
+
+    @staticmethod
+    def _wait_ms(request: web.Request, kind: pb.Kind) -> float:
+        """Return how long the caller waits."""
+        text = request.headers.get("Carawayroute-Deadline-Ms")
+        if text is None:
+            return kind.max_wait_ms
+        if not re.fullmatch(r"-?\d{1,12}", text):
+            raise BadRequestError(400, "bad_deadline", "Carawayroute-Deadline-Ms must be a number")
+        if int(text) <= 0:
+            raise BadRequestError(400, "deadline_passed", "the deadline has passed")
+        return min(int(text), kind.max_wait_ms)
+
+    async def _body(self, request: web.Request, limit: int) -> bytes:
+        if request.content_length is not None and request.content_length > limit:
+            raise BadRequestError(413, "too_large", f"the body may have {limit} bytes")
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge as error:
+            raise BadRequestError(413, "too_large", f"the body may have {limit} bytes") from error
+        except Exception as error:
+            raise BadRequestError(400, "truncated", "the body did not arrive whole") from error
+        if len(body) > limit:
+            raise BadRequestError(413, "too_large", f"the body may have {limit} bytes")
+        return body
+
+    # ------------------------------------------------------------------ quick requests
+
+    async def quick_request(self, request: web.Request) -> web.Response:
+        """Answer a quick request on its connection."""
+        team = self._team(request)
+        kind = self._kind(request.match_info["kind"], pb.QUICK)
+        request_id = self._token(request, "Carawayroute-Request-Id", new_id("q"))
+        caller = self._token(request, "Carawayroute-Caller", "-")
+        began_ms = self._clock.now_ms()
+        deadline_ms = began_ms + self._wait_ms(request, kind)
+        body = await self._body(request, kind.max_body_bytes)
+        structlog.contextvars.bind_contextvars(request_id=request_id, team=team.id, kind=kind.id)
+        quick = QuickRequest(team.id, caller, kind, request_id, body, deadline_ms)
+        result = await self._quick.handle(quick)
+        outcome = OUTCOME_NAMES[result.outcome]
+        took_ms = self._clock.now_ms() - began_ms
+        self._metrics.requests.labels(team.id, kind.id, outcome).inc()
+        self._metrics.seconds.labels(kind.id).observe(took_ms / 1000)
+        log.info("request_ended", outcome=outcome, reason=result.reason, ms=round(took_ms))
+        return self._quick_response(result, request_id)
+
+    @staticmethod
+    def _quick_response(result: QuickResult, request_id: str) -> web.Response:
+        headers = {"Carawayroute-Request-Id": request_id}
+        if result.answer is not None:
+            headers["Carawayroute-Outcome"] = "done"
+            return web.Response(
+                body=result.answer.body, content_type=result.answer.content_type, headers=headers
+            )
+        outcome = OUTCOME_NAMES[result.outcome]
+        if result.outcome == pb.DONE:
+            return error_response(200, outcome, "answer_not_kept", result.reason)
+        status = 503 if result.outcome == pb.NOT_RUN else 504
+        return error_response(status, outcome, outcome, result.reason, result.retry_after_ms)
+
+    # ------------------------------------------------------------------ jobs
+
+    async def submit_job(self, request: web.Request) -> web.Response:
+        """Accept a gang job."""
+        team = self._team(request)
+        body = await self._body(request, MAX_JOB_BODY_BYTES)
+        accepted = self._read_job(body, team, request)
+        structlog.contextvars.bind_contextvars(
+            request_id=accepted.request_id, team=team.id, kind=accepted.kind
+        )
+        try:
+            self._jobs.check_shape(accepted.shape, accepted.region)
+            job = await self._jobs.accept(accepted, DEFAULT_ACCEPT_MS)
+        except ImpossibleShapeError as error:
+            raise BadRequestError(422, "impossible_shape", str(error)) from error
+        except JobConflictError as error:
+            raise BadRequestError(409, "request_id_used", str(error)) from error
+        except RefusedError as error:
+            return error_response(503, "not_run", "not_run", error.reason, error.retry_after_ms)
+        except JobUncertainError as error:
+            return error_response(504, "unknown", "unknown", str(error), 1000)
+        log.info("job_accepted", job=job.accepted.job_id)
+        return web.json_response(self._job_view(job), status=202)
+
+    def _read_job(self, body: bytes, team: pb.Team, request: web.Request) -> pb.JobAccepted:
+        try:
+            tree = json.loads(body)
+            shape = json_format.ParseDict(tree.pop("shape"), pb.Shape())
+        except KeyError as error:
+            raise BadRequestError(400, "bad_job", "shape is missing") from error
+        except json_format.ParseError as error:
+            raise BadRequestError(400, "bad_job", f"shape: {error}") from error
+        except (ValueError, AttributeError, TypeError) as error:
+            raise BadRequestError(400, "bad_json", "the body is not a JSON object") from error
+        text = {name: tree.pop(name, "") for name in ("kind", "region", "request_id", "payload")}
+        numbers = {name: tree.pop(name, 0) for name in ("deadline_ms", "run_ms")}
+        if tree:
+            raise BadRequestError(400, "bad_job", f"unknown field {sorted(tree)[0]!r}")
+        for name, value in text.items():
+            if not isinstance(value, str):
+                raise BadRequestError(400, "bad_job", f"{name} must be text")
+        for name, value in numbers.items():
+            if not isinstance(value, int) or not 0 <= value < 2**53:
+                raise BadRequestError(400, "bad_job", f"{name} must be a number of ms")
+        kind = self._kind(text["kind"], pb.GANG)
+        if numbers["deadline_ms"] and numbers["deadline_ms"] <= self._clock.wall_ms():
+            raise BadRequestError(400, "deadline_passed", "the deadline has passed")
+        region = text["region"] or self._home_region(team)
+        if not REGION_OF_JOB.fullmatch(region):
+            raise BadRequestError(400, "bad_job", "region is not a name")
+        request_id = text["request_id"] or new_id("q")
+        if not TOKEN_PATTERN.fullmatch(request_id):
+            raise BadRequestError(400, "bad_job", "request_id must be 1 to 128 visible characters")
+        return pb.JobAccepted(
+            team=team.id,
+            caller=self._token(request, "Carawayroute-Caller", "-"),
+            kind=kind.id,
+            region=region,
+            shape=shape,
+            request_id=request_id,
+            deadline_ms=numbers["deadline_ms"],
+            run_ms=numbers["run_ms"],
+            payload=text["payload"],
+        )
+
+    def _home_region(self, team: pb.Team) -> str:
+        """Return the region of a team's first guarantee, or the entry's own."""
+        return team.guarantees[0].region if team.guarantees else self._region
+
+    def _own_job(self, request: web.Request) -> Job:
+        team = self._team(request)
+        job = self._jobs.find(request.match_info["job"])
+        if job is None or job.accepted.team != team.id:
+            raise BadRequestError(404, "unknown_job", "the team has no such job")
+        return job
+
+    async def watch_job(self, request: web.Request) -> web.Response:
+        """Show a job, after waiting for its end as long as the caller asks."""
+        job = self._own_job(request)
+        text = request.query.get("wait_ms", "0")
+        if not re.fullmatch(r"\d{1,9}", text):
+            raise BadRequestError(400, "bad_wait", "wait_ms must be a number")
+        wait_ms = min(int(text), MAX_WATCH_MS)
+        ended = await self._jobs.wait_finished(job.accepted.job_id, wait_ms)
+        return web.json_response(self._job_view(ended or job))
+
+    async def cancel_job(self, request: web.Request) -> web.Response:
+        """Record that a job is to be cancelled."""
+        job = self._own_job(request)
+        try:
+            await self._jobs.cancel(job.accepted.job_id, job.accepted.team)
+        except LogError:
+            reason = "the wish to cancel was not confirmed; repeat it"
+            return error_response(503, "unknown", "not_confirmed", reason, 1000)
+        return web.json_response(self._job_view(job), status=202)
+
+    @staticmethod
+    def _job_view(job: Job) -> dict[str, object]:
+        view: dict[str, object] = {
+            "job": job.accepted.job_id,
+            "request_id": job.accepted.request_id,
+            "kind": job.accepted.kind,
+            "region": job.accepted.region,
+            "outcome": "open",
+        }
+        if job.finished is not None:
+            view["outcome"] = OUTCOME_NAMES[job.finished.outcome]
+            view["reason"] = job.finished.reason
+            view["result"] = job.finished.result
+        return view
--- /dev/null
+++ b/packages/daemon/carawayrouted/logs.py
@@ -0,0 +1,33 @@
+"""Log lines by structlog."""
+
+import logging
+import sys
+
+import structlog
+
+
+def configure(log_format: str, level: str, instance: str) -> None:
+    """Write log lines to standard error as JSON or for a console.
+
+    :param log_format: ``json`` or ``console``.
+    """
+    renderer = (
+        structlog.processors.JSONRenderer()
+        if log_format == "json"
+        else structlog.dev.ConsoleRenderer(colors=False)
+    )
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    structlog.contextvars.bind_contextvars(instance=instance)
+
+
+get_logger = structlog.get_logger
--- /dev/null
+++ b/packages/daemon/carawayrouted/metrics.py
@@ -0,0 +1,75 @@
+"""Metrics by prometheus_client, with health and readiness."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+WAIT_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 15, 30, 60)
+
+
+class Metrics:
+    """The daemon's metrics, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "carawayroute_requests",
+            "Ended requests of callers.",
+            ["team", "kind", "outcome"],
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            "carawayroute_request_seconds",
+            "Time from a request's arrival to its answer.",
+            ["kind"],
+            buckets=WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.bad_requests = Counter(
+            "carawayroute_bad_requests",
+            "Requests refused for what they ask.",
+            ["code"],
+            registry=self.registry,
+        )
+        self.jobs = Counter(
+            "carawayroute_jobs",
+            "Ended jobs, as read from the log.",
+            ["team", "kind", "outcome"],
+            registry=self.registry,
+        )
+        self.peer_bytes = Counter(
+            "carawayroute_peer_bytes",
+            "Payload bytes of the messages between daemons.",
+            ["direction"],
+            registry=self.registry,
+        )
+
+    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when the metrics are."""
+        Gauge(f"carawayroute_{name}", text, registry=self.registry).set_function(read)
+
+
+def metrics_app(metrics: Metrics, is_ready: Callable[[], str]) -> web.Application:
+    """Return the HTTP application of metrics, health and readiness.
+
+    :param is_ready: returns why the instance is not ready, or empty.
+    """
+
+    async def show(request: web.Request) -> web.Response:
+        return web.Response(body=generate_latest(metrics.registry), content_type="text/plain")
+
+    async def health(request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def ready(request: web.Request) -> web.Response:
+        reason = is_ready()
+        if reason:
+            return web.Response(text=reason + "\n", status=503)
+        return web.Response(text="ready\n")
+
+    app = web.Application()
+    app.router.add_get("/metrics", show)
+    app.router.add_get("/health", health)
+    app.router.add_get("/ready", ready)
+    return app
--- /dev/null
+++ b/packages/daemon/carawayrouted/operators.py
@@ -0,0 +1,275 @@
+"""The operators' remote procedure calls."""
+
+import grpc
+from carawayroute.config import check_configuration
+from carawayroute.exceptions import ConfigurationError, FieldProblem, LogError, LogUncertainError
+from carawayroute.jobs import JobService
+from carawayroute.log import LogFollower
+from carawayroute.membership import Membership
+from carawayroute.packing import ShapeCount, Space, fits_all
+from carawayroute.placement import GuaranteeUse
+from carawayroute.planner import Planner
+from carawayroute.state import Job
+from carawayroute_schema import carawayroute_pb2 as pb
+from carawayroute_schema import carawayroute_pb2_grpc as pb_grpc
+
+APPEND_TIMEOUT_MS = 5_000
+
+
+class OperatorService(pb_grpc.OperatorsServicer):
+    """Publish configuration and explain what the system does.
+
+    What runs where is known to the instance that plans for a region; the others say so.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        follower: LogFollower,
+        membership: Membership,
+        jobs: JobService,
+        planner: Planner,
+    ) -> None:
+        self._instance = instance
+        self._follower = follower
+        self._membership = membership
+        self._jobs = jobs
+        self._planner = planner
+
+    # ------------------------------------------------------------------ configuration
+
+    async def Publish(self, request: pb.PublishRequest, context) -> pb.PublishReply:
+        """Check a configuration and publish it unless another operator was first."""
+        state = self._follower.state
+        try:
+            self._check(request.configuration)
+        except ConfigurationError as error:
+            return pb.PublishReply(version=state.change.version, errors=_to_messages(error))
+        if request.based_on != state.change.version:
+            await context.abort(grpc.StatusCode.ABORTED, _conflict(state.change.version))
+        change = pb.ConfigurationChange(
+            version=request.based_on + 1,
+            based_on=request.based_on,
+            configuration=request.configuration,
+            author=request.author,
+        )
+        record = self._follower.make_record(configuration=change)
+        await self._append(record, context)
+        state = self._follower.state
+        if state.change_record_id != record.record_id and state.change.version <= change.version:
+            await context.abort(grpc.StatusCode.ABORTED, _conflict(state.change.version))
+        return pb.PublishReply(version=change.version, offset=state.offset)
+
+    async def _append(self, record: pb.LogRecord, context) -> None:
+        """Append a record; the operator is told whether it may yet appear."""
+        try:
+            await self._follower.append(record, APPEND_TIMEOUT_MS)
+        except LogUncertainError:
+            await context.abort(
+                grpc.StatusCode.UNKNOWN, "the log did not confirm the change; read before repeating"
+            )
+        except LogError:
+            await context.abort(
+                grpc.StatusCode.UNAVAILABLE, "the log cannot be reached; nothing was changed"
+            )
+
+    def _check(self, configuration: pb.Configuration) -> None:
+        """Check fields, then whether all guarantees fit beside the work that cannot be stopped."""
+        capacity_by_region: dict[str, int] = {}
+        workers = self._membership.live("worker")
+        for worker in workers:
+            before = capacity_by_region.get(worker.region, 0)
+            capacity_by_region[worker.region] = before + worker.capacity
+        check_configuration(configuration, capacity_by_region)
+        for region in capacity_by_region:
+            self._check_packing(configuration, region)
+
+    def _check_packing(self, configuration: pb.Configuration, region: str) -> None:
+        workers_by_id = {worker.id: worker for worker in self._membership.live("worker", region)}
+        capacity = {name: worker.capacity for name, worker in workers_by_id.items()}
+        counts = []
+        for team_index, team in enumerate(configuration.teams):
+            for index, guarantee in enumerate(team.guarantees):
+                if guarantee.region != region:
+                    continue
+                counts.append(ShapeCount(guarantee.shape, guarantee.count))
+                if not fits_all(Space(workers_by_id, dict(capacity)), counts):
+                    path = f"teams[{team_index}].guarantees[{index}]"
+                    reason = f"does not fit on the workers of {region} beside those before it"
+                    raise ConfigurationError([FieldProblem(path, reason)])
+        self._check_running(configuration, region)
+
+    def _check_running(self, configuration: pb.Configuration, region: str) -> None:
+        """Refuse a raise that work which cannot be stopped stands in the way of."""
+        if region != self._planner.region or not self._planner.acting:
+            return
+        if not self._planner.fleet.would_be_reclaimable(configuration, region):
+            reason = f"running work in {region} that cannot be stopped leaves too little room"
+            raise ConfigurationError([FieldProblem("teams", reason)])
+
+    async def ReadConfiguration(self, request, context) -> pb.ReadConfigurationReply:
+        """Return the configuration in force on this instance."""
+        state = self._follower.state
+        return pb.ReadConfigurationReply(
+            version=state.change.version,
+            offset=state.offset,
+            instance=self._instance,
+            configuration=state.configuration,
+        )
+
+    # ------------------------------------------------------------------ views
+
+    async def Teams(self, request: pb.ListRequest, context) -> pb.TeamsReply:
+        """List teams with what they have queued and running."""
+        state = self._follower.state
+        reply = pb.TeamsReply()
+        for team in state.configuration.teams:
+            if request.id not in ("", team.id):
+                continue
+            open_jobs = [
+                job.accepted.job_id
+                for job in state.jobs_by_id.values()
+                if job.finished is None and job.accepted.team == team.id
+            ]
+            running = sum(1 for job_id in open_jobs if self._is_running(job_id))
+            reply.teams.add(
+                id=team.id,
+                weight=team.weight,
+                guarantees=len(team.guarantees),
+                jobs_queued=len(open_jobs) - running,
+                jobs_running=running,
+            )
+        return reply
+
+    def _is_running(self, job_id: str) -> bool:
+        gang = self._planner.gangs_by_job.get(job_id)
+        return gang is not None and gang.running
+
+    async def Guarantees(self, request: pb.ListRequest, context) -> pb.GuaranteesReply:
+        """List guarantees, who uses them, and how many could be reclaimed now."""
+        await self._require_planner(context)
+        fleet = self._planner.fleet
+        reclaimable_by_key = fleet.reclaimable_by_key()
+        reply = pb.GuaranteesReply()
+        for use in fleet.guarantees_by_key.values():
+            if request.id in ("", use.team, use.key):
+                view = self._guarantee_view(use, reclaimable_by_key.get(use.key, 0))
+                reply.guarantees.append(view)
+        return reply
+
+    def _guarantee_view(self, use: GuaranteeUse, reclaimable: int) -> pb.GuaranteeView:
+        return pb.GuaranteeView(
+            team=use.team,
+            id=use.id,
+            region=use.region,
+            shape=use.shape,
+            count=use.count,
+            in_use=len(use.used_by),
+            reclaimable=reclaimable,
+            holders=use.used_by,
+        )
+
+    async def _require_planner(self, context) -> None:
+        if self._planner.acting:
+            return
+        region = self._planner.region
+        term = self._follower.state.terms_by_region.get(region)
+        holder = term.holder if term else "no instance"
+        await context.abort(
+            grpc.StatusCode.FAILED_PRECONDITION, f"{holder} plans for {region}; ask there"
+        )
+
+    async def Workers(self, request: pb.ListRequest, context) -> pb.WorkersReply:
+        """List the region's workers and what runs on them."""
+        await self._require_planner(context)
+        planner = self._planner
+        reply = pb.WorkersReply()
+        for worker in sorted(planner.fleet.workers_by_id.values(), key=lambda item: item.id):
+            if request.id not in ("", worker.id):
+                continue
+            jobs = [
+                placement.job_id
+                for placement in planner.fleet.placements_by_job.values()
+                if worker.id in placement.workers
+            ]
+            reply.workers.add(
+                id=worker.id,
+                region=worker.region,
+                data_centre=worker.data_centre,
+                rack=worker.rack,
+                accelerators=worker.capacity,
+                free=planner.fleet.free_on(worker.id),
+                status=self._worker_status(worker.id),
+                jobs=jobs,
+            )
+        return reply
+
+    def _worker_status(self, worker: str) -> str:
+        if self._membership.is_leaving(worker):
+            return "leaving"
+        if self._planner.health.is_quarantined(worker):
+            return "quarantined"
+        return "ready" if self._planner.is_held(worker) else "unreachable"
+
+    async def Jobs(self, request: pb.ListRequest, context) -> pb.JobsReply:
+        """List jobs, or explain one: where it runs, or why it waits."""
+        reply = pb.JobsReply()
+        for job in self._follower.state.jobs_by_id.values():
+            accepted = job.accepted
+            if request.id in ("", accepted.job_id, accepted.team):
+                reply.jobs.append(self._job_view(job))
+        return reply
+
+    def _job_view(self, job: Job) -> pb.JobView:
+        accepted = job.accepted
+        view = pb.JobView(
+            id=accepted.job_id,
+            team=accepted.team,
+            kind=accepted.kind,
+            region=accepted.region,
+            shape=accepted.shape,
+        )
+        if job.finished is not None:
+            view.status = pb.Outcome.Name(job.finished.outcome).lower()
+            view.reason = job.finished.reason
+            return view
+        gang = self._planner.gangs_by_job.get(accepted.job_id)
+        if gang is not None:
+            view.status = "running" if gang.running else "starting"
+            view.workers.extend(gang.parts)
+            return view
+        view.status = "queued"
+        if accepted.region != self._planner.region or not self._planner.acting:
+            term = self._follower.state.terms_by_region.get(accepted.region)
+            holder = term.holder if term else "no instance yet"
+            view.status = "open"
+            view.reason = f"planned by {holder}; ask there"
+        else:
+            view.reason = self._planner.waits_by_job.get(accepted.job_id, "not yet considered")
+        return view
+
+    # ------------------------------------------------------------------ orders
+
+    async def CancelJob(self, request: pb.CancelRequest, context) -> pb.Empty:
+        """Cancel a job."""
+        if self._jobs.find(request.job_id) is None:
+            await context.abort(grpc.StatusCode.NOT_FOUND, f"no job {request.job_id!r}")
+        cancel = pb.CancelRequested(job_id=request.job_id, by="operator")
+        await self._append(self._follower.make_record(cancel_requested=cancel), context)
+        return pb.Empty()
+
+    async def Drain(self, request: pb.DrainRequest, context) -> pb.Empty:
+        """Take an instance out of service, or put it back."""
+        if request.instance not in self._membership.by_id:
+            await context.abort(grpc.StatusCode.NOT_FOUND, f"no instance {request.instance!r}")
+        drain = pb.InstanceDrain(instance=request.instance, draining=not request.undo)
+        await self._append(self._follower.make_record(drain=drain), context)
+        return pb.Empty()
+
+
+def _conflict(version: int) -> str:
+    return f"version {version} is in force; read it and publish again"
+
+
+def _to_messages(error: ConfigurationError) -> list[pb.FieldError]:
+    return [pb.FieldError(path=item.path, reason=item.reason) for item in error.errors]
--- /dev/null
+++ b/packages/daemon/carawayrouted/peers.py
@@ -0,0 +1,137 @@
+"""Links to the other daemons by pynng: one task for each peer, one for each served request."""
+
+import asyncio
+import time
+
+import pynng
+from carawayroute.clock import Clock
+from carawayroute.gossip import Gossip
+from carawayroute.membership import Membership
+from carawayroute.misc import TaskGroup
+from carawayroute.types import Instance
+from carawayroute_schema import carawayroute_pb2 as pb
+from google.protobuf.message import DecodeError
+
+from carawayrouted.logs import get_logger
+from carawayrouted.metrics import Metrics
+from carawayrouted.settings import Settings
+
+SERVING_CONTEXTS = 8
+MIN_URGENT_INTERVAL_MS = 40
+
+log = get_logger()
+
+
+class PeerLinks:
+    """Keep one link to every other daemon and answer theirs.
+
+    :param on_reply: called after each reply, when slots may have been borrowed.
+    :param urgent: set when requests wait here, to send before the interval is over.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        gossip: Gossip,
+        membership: Membership,
+        metrics: Metrics,
+        on_reply,
+        urgent: asyncio.Event,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._gossip = gossip
+        self._membership = membership
+        self._metrics = metrics
+        self._on_reply = on_reply
+        self._urgent = urgent
+        self._tasks = TaskGroup()
+        self._links_by_peer: dict[str, asyncio.Task] = {}
+        self._server: pynng.Rep0 | None = None
+
+    async def run(self) -> None:
+        """Serve peers and keep links to the listed ones until cancelled."""
+        address = f"tcp://{self._settings.host}:{self._settings.peer_port}"
+        self._server = pynng.Rep0(listen=address)
+        for _ in range(SERVING_CONTEXTS):
+            self._tasks.start(self._serve(self._server.new_context()), "serve peers")
+        try:
+            while True:
+                self._match_links()
+                await self._clock.sleep_ms(self._settings.list_interval_ms)
+        finally:
+            await self._tasks.cancel()
+            self._server.close()
+
+    def _match_links(self) -> None:
+        """Start links to new peers and end those to peers that are no longer listed."""
+        wanted = {
+            f"{entry.id}@{entry.peer_address}": entry
+            for entry in self._membership.by_id.values()
+            if entry.role == "entry" and entry.id != self._settings.instance
+        }
+        for key in list(self._links_by_peer):
+            if key not in wanted or self._links_by_peer[key].done():
+                self._links_by_peer.pop(key).cancel()
+        for key, entry in wanted.items():
+            if key not in self._links_by_peer:
+                self._links_by_peer[key] = self._tasks.start(self._link(entry), f"link {key}")
+
+    async def _serve(self, context: pynng.Context) -> None:
+        while True:
+            try:
+                data = await context.arecv()
+                request = pb.PeerRequest.FromString(data)
+                reply = self._gossip.reply(request).SerializeToString()
+                await context.asend(reply)
+            except (pynng.NNGException, DecodeError) as error:
+                log.warning("peer_request_failed", error=str(error))
+                await self._clock.sleep_ms(MIN_URGENT_INTERVAL_MS)
+                continue
+            self._count(received=len(data), sent=len(reply))
+
+    async def _link(self, peer: Instance) -> None:
+        """Send messages to one peer; a link that stays silent is closed and dialled again."""
+        while True:
+            socket = pynng.Req0(
+                recv_timeout=self._settings.peer_timeout_ms,
+                send_timeout=self._settings.peer_timeout_ms,
+                resend_time=-1,
+            )
+            try:
+                socket.dial(f"tcp://{peer.peer_address}", block=False)
+                await self._exchange_until_silent(socket, peer)
+            except (pynng.NNGException, DecodeError) as error:
+                log.debug("peer_link_closed", peer=peer.id, error=str(error))
+            finally:
+                socket.close()
+            await self._clock.sleep_ms(self._settings.gossip_interval_ms)
+
+    async def _exchange_until_silent(self, socket: pynng.Req0, peer: Instance) -> None:
+        same_region = peer.region == self._settings.region
+        while True:
+            message = self._gossip.request(peer.id, same_region).SerializeToString()
+            await socket.asend(message)
+            data = await socket.arecv()
+            self._gossip.take_reply(pb.PeerReply.FromString(data))
+            self._count(received=len(data), sent=len(message))
+            self._on_reply()
+            await self._pause(same_region)
+
+    async def _pause(self, same_region: bool) -> None:
+        if not same_region:
+            await self._clock.sleep_ms(self._settings.far_gossip_interval_ms)
+            return
+        began = time.monotonic()
+        try:
+            await asyncio.wait_for(self._urgent.wait(), self._settings.gossip_interval_ms / 1000)
+        except TimeoutError:
+            return
+        self._urgent.clear()
+        spent_ms = (time.monotonic() - began) * 1000
+        await self._clock.sleep_ms(MIN_URGENT_INTERVAL_MS - spent_ms)
+
+    def _count(self, received: int, sent: int) -> None:
+        self._metrics.peer_bytes.labels("received").inc(received)
+        self._metrics.peer_bytes.labels("sent").inc(sent)
--- /dev/null
+++ b/packages/library/carawayroute/__init__.py
@@ -0,0 +1,52 @@
+"""Coordination parts for schedulers.
+
+Every module can be imported by itself; the names below are the public interface.
+"""
+
+from carawayroute.clock import Clock, ManualClock
+from carawayroute.config import check_configuration, read_configuration
+from carawayroute.estimates import RunTimes
+from carawayroute.exceptions import CarawayrouteError
+from carawayroute.health import HealthTracker
+from carawayroute.limits import FairQueue
+from carawayroute.log import LogFollower
+from carawayroute.membership import Membership
+from carawayroute.placement import Fleet, Placement, Plan, Wait
+from carawayroute.retries import Backoff, RetryBudget
+from carawayroute.routing import (
+    LeastOutstandingRouter,
+    RandomRouter,
+    Router,
+    Slot,
+    SlotLeaseRouter,
+    TwoChoicesRouter,
+)
+from carawayroute.state import State
+from carawayroute.terms import TermWatch
+
+__all__ = [
+    "Backoff",
+    "CarawayrouteError",
+    "Clock",
+    "FairQueue",
+    "Fleet",
+    "HealthTracker",
+    "LeastOutstandingRouter",
+    "LogFollower",
+    "ManualClock",
+    "Membership",
+    "Placement",
+    "Plan",
+    "RandomRouter",
+    "RetryBudget",
+    "Router",
+    "RunTimes",
+    "Slot",
+    "SlotLeaseRouter",
+    "State",
+    "TermWatch",
+    "TwoChoicesRouter",
+    "Wait",
+    "check_configuration",
+    "read_configuration",
+]
--- /dev/null
+++ b/packages/library/carawayroute/claims.py
@@ -0,0 +1,109 @@
+"""Claims on the log, so that a request that is not idempotent is dispatched at most once."""
+
+from carawayroute_schema import carawayroute_pb2 as pb
+
+from carawayroute.clock import Clock
+from carawayroute.exceptions import LogError, LogUncertainError, RefusedError
+from carawayroute.log import LogFollower
+from carawayroute.misc import TaskGroup, new_id
+from carawayroute.state import ClaimEntry
+
+APPEND_TIMEOUT_MS = 5_000
+# Larger answers are not kept for repeated requests.
+MAX_KEPT_ANSWER_BYTES = 16 * 1024
+
+
+class Claims:
+    """Take, finish and look up claims.
+
+    :param tasks: runs the appends of outcomes in the background.
+    """
+
+    def __init__(
+        self, follower: LogFollower, clock: Clock, instance: str, tasks: TaskGroup
+    ) -> None:
+        self._follower = follower
+        self._clock = clock
+        self._instance = instance
+        self._tasks = tasks
+
+    def _entry(self, key: str) -> ClaimEntry | None:
+        return self._follower.state.claims_by_key.get(key)
+
+    async def take(self, key: str, deadline_ms: float) -> pb.Claim | None:
+        """Claim a request, or return ``None`` when another claim stands.
+
+        :raises RefusedError: the claim could not be confirmed; nothing was or will be dispatched.
+        """
+        entry = self._entry(key)
+        ended_unrun = _ended_unrun(entry)
+        if entry is not None and not ended_unrun:
+            return None
+        rounds = entry.claim.round + 1 if entry is not None else 1
+        claim_id = new_id("c")
+        claim = pb.Claim(key=key, claim_id=claim_id, instance=self._instance, round=rounds)
+        record = self._follower.make_record(claim=claim)
+        try:
+            await self._follower.append(record, deadline_ms - self._clock.now_ms())
+        except LogUncertainError as error:
+            # The claim may yet appear; its outcome says that nothing was dispatched under it.
+            self.finish(claim, pb.NOT_RUN, "the claim was not confirmed in time")
+            raise RefusedError("the log did not confirm the claim in time") from error
+        except LogError as error:
+            raise RefusedError("the log cannot be reached, so no claim can be made") from error
+        entry = self._entry(key)
+        if entry is None or entry.claim.claim_id != claim_id:
+            return None
+        return claim
+
+    async def wait_outcome(self, key: str, deadline_ms: float) -> pb.ClaimOutcome | None:
+        """Return the outcome of the claim that stands, or ``None`` when time is up."""
+        while True:
+            entry = self._entry(key)
+            if entry is not None and entry.outcome is not None:
+                return entry.outcome
+            left_ms = deadline_ms - self._clock.now_ms()
+            if left_ms <= 0 or not await self._follower.wait_change(left_ms):
+                return None
+
+    def finish(
+        self,
+        claim: pb.Claim,
+        outcome: pb.Outcome,
+        reason: str = "",
+        answer: bytes = b"",
+        content_type: str = "",
+    ) -> None:
+        """Record how a claim ended, trying until the log has taken it."""
+        if len(answer) > MAX_KEPT_ANSWER_BYTES:
+            reason, answer = "the answer was too large to be kept", b""
+        record = self._follower.make_record(
+            claim_outcome=pb.ClaimOutcome(
+                key=claim.key,
+                claim_id=claim.claim_id,
+                outcome=outcome,
+                reason=reason,
+                answer=answer,
+                content_type=content_type,
+            )
+        )
+        self._tasks.start(self._append_until_taken(record), f"outcome {claim.key}")
+
+    async def _append_until_taken(self, record: pb.LogRecord) -> None:
+        while True:
+            try:
+                await self._follower.append(record, APPEND_TIMEOUT_MS)
+                return
+            except LogError:
+                continue
+
+    async def close_orphans(self, memory_ms: int) -> None:
+        """Record as unknown the claims whose owner never said how they ended."""
+        state = self._follower.state
+        for entry in list(state.claims_by_key.values()):
+            if entry.outcome is None and state.log_ms - entry.claimed_ms > memory_ms:
+                self.finish(entry.claim, pb.UNKNOWN, "the instance that held the claim is gone")
+
+
+def _ended_unrun(entry: ClaimEntry | None) -> bool:
+    return entry is not None and entry.outcome is not None and entry.outcome.outcome == pb.NOT_RUN
--- /dev/null
+++ b/packages/library/carawayroute/dispatch.py
@@ -0,0 +1,254 @@
+"""Bringing quick requests to runners: queue, slot, attempt, retry."""
+
+import asyncio
+from typing import Protocol
+
+from carawayroute_schema import carawayroute_pb2 as pb
+
+from carawayroute.clock import Clock
+from carawayroute.estimates import RunTimes
+from carawayroute.exceptions import (
+    EndpointLeavingError,
+    EndpointNotReachedError,
+    EndpointUncertainError,
+    RefusedError,
+)
+from carawayroute.health import HealthTracker
+from carawayroute.limits import FairQueue, Path
+from carawayroute.membership import Membership
+from carawayroute.misc import new_id
+from carawayroute.platform import Endpoints
+from carawayroute.retries import RetryBudget
+from carawayroute.routing import Router, Slot
+from carawayroute.types import Answer
+
+# An idempotent attempt that takes this many times its expected run time is tried elsewhere.
+SILENCE_FACTOR = 5
+MIN_ATTEMPT_MS = 500
+URGENCY_FACTOR = {pb.CAN_WAIT: 1, pb.ORDINARY: 2, pb.URGENT: 4}
+
+
+class QuickRequest:
+    """A request that a runner answers.
+
+    :param deadline_ms: time of the loop's clock at which the caller stops waiting.
+    """
+
+    __slots__ = ("body", "caller", "deadline_ms", "kind", "request_id", "team")
+
+    def __init__(
+        self,
+        team: str,
+        caller: str,
+        kind: pb.Kind,
+        request_id: str,
+        body: bytes,
+        deadline_ms: float,
+    ) -> None:
+        self.team = team
+        self.caller = caller
+        self.kind = kind
+        self.request_id = request_id
+        self.body = body
+        self.deadline_ms = deadline_ms
+
+    @property
+    def path(self) -> Path:
+        """Return the request's place in the fair queue."""
+        return (self.kind.id, self.team, self.caller)
+
+
+class ConfigurationSource(Protocol):
+    """Look up teams and kinds in the configuration in force."""
+
+    def team(self, team_id: str) -> pb.Team | None:
+        """Return a team."""
+
+    def kind(self, kind_id: str) -> pb.Kind | None:
+        """Return a kind."""
+
+
+class _Ticket:
+    """A request that waits for a slot."""
+
+    __slots__ = ("avoid", "request", "slot")
+
+    def __init__(self, request: QuickRequest, avoid: set[str], slot: asyncio.Future[Slot]) -> None:
+        self.request = request
+        self.avoid = avoid
+        self.slot = slot
+
+
+class Dispatcher:
+    """Queue requests fairly and run each on a runner's slot.
+
+    :ivar on_queue: called when requests begin to wait, so that slots can be borrowed.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        membership: Membership,
+        router: Router,
+        endpoints: Endpoints,
+        configuration: ConfigurationSource,
+        runner_timeout_ms: float,
+    ) -> None:
+        self._clock = clock
+        self._membership = membership
+        self._endpoints = endpoints
+        self._configuration = configuration
+        self._runner_timeout_ms = runner_timeout_ms
+        self.router = router
+        self.health = HealthTracker(clock)
+        self.run_times = RunTimes()
+        self.budget = RetryBudget(clock)
+        self.queue: FairQueue[_Ticket] = FairQueue(self._weights)
+        self.running = 0
+        self.on_queue = asyncio.Event()
+
+    def _weights(self, path: Path) -> tuple[float, float, float]:
+        kind = self._configuration.kind(path[0])
+        team = self._configuration.team(path[1])
+        kind_weight = kind.weight * URGENCY_FACTOR[kind.urgency] if kind else 1
+        return (kind_weight, team.weight if team else 1, 1)
+
+    def expected_ms(self, kind: pb.Kind) -> float:
+        """Return the expected run time of a kind."""
+        return self.run_times.expect_ms(kind.id, kind.expected_run_ms)
+
+    async def run(self, request: QuickRequest) -> Answer:
+        """Return the whole answer to a request.
+
+        :raises RefusedError: the request certainly did not run.
+        :raises EndpointUncertainError: it may have run.
+        """
+        self.budget.earn()
+        avoid: set[str] = set()
+        uncertain: EndpointUncertainError | None = None
+        while True:
+            try:
+                slot = await self._acquire(request, avoid)
+            except RefusedError:
+                if uncertain is not None:
+                    raise uncertain from None
+                raise
+            try:
+                return await self._attempt(request, slot, first=not avoid)
+            except EndpointLeavingError:
+                self._membership.observe_leaving(slot.runner)
+            except EndpointNotReachedError as error:
+                if not self.budget.spend():
+                    if uncertain is not None:
+                        raise uncertain from None
+                    raise RefusedError(f"no runner could be reached: {error}", 1000) from error
+            except EndpointUncertainError as error:
+                uncertain = error
+                if not request.kind.idempotent or not self.budget.spend():
+                    raise
+            avoid.add(slot.runner)
+
+    async def _acquire(self, request: QuickRequest, avoid: set[str]) -> Slot:
+        """Wait for a slot within the time that leaves room to run the request."""
+        cost_ms = self.expected_ms(request.kind)
+        remaining_ms = request.deadline_ms - self._clock.now_ms()
+        if remaining_ms <= 0:
+            raise RefusedError("the deadline passed before the request could run")
+        if not self.queue:
+            slot = self.router.acquire(avoid | self._unusable())
+            if slot is not None:
+                return slot
+        servers = max(1.0, float(self.running))
+        self.queue.check(request.path, cost_ms, servers, remaining_ms)
+        ticket = _Ticket(request, avoid, asyncio.get_running_loop().create_future())
+        self.queue.push(request.path, ticket)
+        self.on_queue.set()
+        try:
+            return await asyncio.wait_for(ticket.slot, remaining_ms / 1000)
+        except TimeoutError:
+            self.queue.remove(request.path, ticket)
+            raise RefusedError("no slot became free within the caller's wait", 1000) from None
+        except asyncio.CancelledError:
+            self._give_up(ticket)
+            raise
+
+    def _give_up(self, ticket: _Ticket) -> None:
+        """Take a ticket whose caller went away out of the queue, or hand its slot on."""
+        self.queue.remove(ticket.request.path, ticket)
+        slot = ticket.slot
+        if slot.done() and not slot.cancelled() and slot.exception() is None:
+            self.router.release(slot.result())
+            self.pump()
+
+    def _unusable(self) -> set[str]:
+        return {
+            runner.id
+            for runner in self._membership.by_id.values()
+            if runner.role == "runner"
+            and (self._membership.is_leaving(runner.id) or self.health.is_quarantined(runner.id))
+        }
+
+    def pump(self) -> None:
+        """Give idle slots to the requests that wait."""
+        unusable = self._unusable() if self.queue else set()
+        while self.queue:
+            slot = self.router.acquire(unusable)
+            if slot is None:
+                return
+            ticket = self._next_ticket(slot)
+            if ticket is None:
+                self.router.release(slot)
+                return
+            ticket.slot.set_result(self._other_runner(slot, ticket, unusable))
+
+    def _other_runner(self, slot: Slot, ticket: _Ticket, unusable: set[str]) -> Slot:
+        """Swap the slot of a runner that failed this request for another one, if there is one."""
+        if slot.runner not in ticket.avoid:
+            return slot
+        other = self.router.acquire(unusable | ticket.avoid)
+        if other is None:
+            return slot
+        self.router.release(slot)
+        return other
+
+    def _next_ticket(self, slot: Slot) -> _Ticket | None:
+        """Return the next request that still has time to run."""
+        while self.queue:
+            ticket = self.queue.pop(lambda item: self.expected_ms(item.request.kind))
+            if ticket is None or ticket.slot.done():
+                continue
+            if self._clock.now_ms() >= ticket.request.deadline_ms:
+                ticket.slot.set_exception(RefusedError("the deadline passed in the queue", 1000))
+                continue
+            return ticket
+        return None
+
+    async def _attempt(self, request: QuickRequest, slot: Slot, first: bool) -> Answer:
+        remaining_ms = request.deadline_ms - self._clock.now_ms()
+        timeout_ms = min(remaining_ms, self._runner_timeout_ms)
+        if request.kind.idempotent and first:
+            patience_ms = max(MIN_ATTEMPT_MS, SILENCE_FACTOR * self.expected_ms(request.kind))
+            timeout_ms = min(timeout_ms, patience_ms)
+        runner = self._membership.by_id.get(slot.runner)
+        self.running += 1
+        began_ms = self._clock.now_ms()
+        try:
+            if timeout_ms <= 0:
+                raise RefusedError("the deadline passed before the request could run")
+            if runner is None:
+                raise EndpointNotReachedError("the runner is no longer listed")
+            answer = await self._endpoints.run(
+                runner, new_id("a"), request.kind.id, request.body, timeout_ms
+            )
+        except EndpointLeavingError:
+            raise
+        except (EndpointNotReachedError, EndpointUncertainError):
+            self.health.failed(slot.runner)
+            raise
+        finally:
+            self.running -= 1
+            self.router.release(slot)
+            self.pump()
+        self.health.succeeded(slot.runner)
+        self.run_times.observe(request.kind.id, self._clock.now_ms() - began_ms)
+        return answer
--- /dev/null
+++ b/packages/library/carawayroute/gangs.py
@@ -0,0 +1,173 @@
+"""Starting a gang whole or not at all, and stopping it."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from carawayroute_schema import carawayroute_pb2 as pb
+
+from carawayroute.exceptions import LogError, WorkerError, WorkerRefusedError
+from carawayroute.misc import new_id
+from carawayroute.retries import Backoff
+from carawayroute.types import Attempt
+
+if TYPE_CHECKING:
+    from carawayroute.placement import Plan, QueueEntry
+    from carawayroute.planner import Planner
+
+STARTED_APPEND_TIMEOUT_MS = 3_000
+RELEASE_TRIES = 3
+FIRST_REST_MS = 200
+MAX_REST_MS = 5_000
+
+
+class Gang:
+    """One attempt to run a job.
+
+    :param workers: one entry for each member.
+    :ivar parts: the distinct workers.
+    :ivar running: every part was started.
+    """
+
+    __slots__ = (
+        "attempt_id",
+        "job",
+        "kind",
+        "parts",
+        "progress_ms",
+        "result",
+        "running",
+        "started_ms",
+        "status_by_worker",
+        "workers",
+    )
+
+    def __init__(
+        self, job: pb.JobAccepted, kind: pb.Kind, attempt_id: str, workers: list[str]
+    ) -> None:
+        self.job = job
+        self.kind = kind
+        self.attempt_id = attempt_id
+        self.workers = workers
+        self.parts = sorted(set(workers))
+        self.running = False
+        self.started_ms = 0.0
+        self.progress_ms = 0
+        self.result = ""
+        self.status_by_worker: dict[str, str] = {}
+
+
+class GangRunner:
+    """Carry out a planner's decisions on the workers."""
+
+    def __init__(self, planner: "Planner") -> None:
+        self._planner = planner
+        self._progress_ms_by_job: dict[str, int] = {}
+        self._backoff_by_job: dict[str, Backoff] = {}
+        self._rest_until_ms_by_job: dict[str, float] = {}
+
+    def new_gang(self, entry: "QueueEntry", plan: "Plan") -> Gang:
+        """Return a new attempt for a plan."""
+        gang = Gang(entry.accepted, entry.kind, new_id("g"), plan.workers)
+        gang.progress_ms = self._progress_ms_by_job.get(entry.accepted.job_id, 0)
+        return gang
+
+    def is_resting(self, job_id: str) -> bool:
+        """Return whether a job waits a moment after a launch that failed."""
+        return self._rest_until_ms_by_job.get(job_id, 0.0) > self._planner.clock.now_ms()
+
+    async def launch(self, gang: Gang, victims: list[Gang]) -> None:
+        """Reserve every part, then start every part; after any failure release all."""
+        try:
+            await asyncio.gather(*(self.preempt(victim) for victim in victims))
+            await self._on_all_parts(gang, self._reserve)
+            if not gang.kind.idempotent:
+                await self._record_start(gang)
+            await self._on_all_parts(gang, self._start)
+        except (WorkerError, LogError) as error:
+            await self._abort(gang, str(error))
+            return
+        gang.started_ms = self._planner.clock.now_ms()
+        gang.running = True
+        self._backoff_by_job.pop(gang.job.job_id, None)
+
+    async def _on_all_parts(self, gang: Gang, operation) -> None:
+        """Do one thing on every worker at once and raise the first failure after all ended."""
+        results = await asyncio.gather(
+            *(operation(gang, worker) for worker in gang.parts), return_exceptions=True
+        )
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
+
+    def _attempt(self, gang: Gang, worker: str) -> Attempt:
+        members = gang.workers.count(worker)
+        accelerators = members * gang.job.shape.accelerators
+        attempt = Attempt(gang.attempt_id, gang.job.job_id, worker, accelerators, len(gang.parts))
+        attempt.progress_ms = gang.progress_ms
+        return attempt
+
+    def _target(self, worker: str):
+        """Return the arguments that every order to a worker begins with."""
+        planner = self._planner
+        instance = planner.membership.by_id.get(worker)
+        if instance is None or planner.token is None:
+            raise WorkerRefusedError(f"worker {worker} is not ours to give orders to")
+        return (instance, planner.instance, planner.token)
+
+    async def _reserve(self, gang: Gang, worker: str) -> None:
+        await self._planner.workers.reserve(*self._target(worker), self._attempt(gang, worker))
+
+    async def _start(self, gang: Gang, worker: str) -> None:
+        attempt = self._attempt(gang, worker)
+        await self._planner.workers.start(*self._target(worker), attempt, gang.job)
+
+    async def _record_start(self, gang: Gang) -> None:
+        started = pb.JobStarted(job_id=gang.job.job_id, attempt_id=gang.attempt_id)
+        follower = self._planner.follower
+        record = follower.make_record(job_started=started)
+        await follower.append(record, STARTED_APPEND_TIMEOUT_MS)
+        job = follower.state.jobs_by_id.get(gang.job.job_id)
+        if job is None or job.started is None or job.started.attempt_id != gang.attempt_id:
+            raise WorkerRefusedError("another attempt was recorded first")
+
+    async def _abort(self, gang: Gang, reason: str) -> None:
+        planner = self._planner
+        await self.release(gang)
+        job_id = gang.job.job_id
+        current = planner.gangs_by_job.get(job_id)
+        if current is gang:
+            planner.gangs_by_job.pop(job_id)
+            planner.fleet.remove(job_id)
+        backoff = self._backoff_by_job.setdefault(job_id, Backoff(FIRST_REST_MS, MAX_REST_MS))
+        self._rest_until_ms_by_job[job_id] = planner.clock.now_ms() + backoff.next_ms()
+        planner.waits_by_job[job_id] = f"the last launch failed: {reason}"
+        planner.wake.set()
+
+    async def preempt(self, victim: Gang) -> None:
+        """Stop a borrowed gang, keeping a checkpoint where its kind has one."""
+        while not victim.running and victim.job.job_id in self._planner.gangs_by_job:
+            await self._planner.clock.sleep_ms(20)
+        progress_ms = await self.release(victim, checkpoint=victim.kind.checkpoint)
+        if victim.kind.checkpoint:
+            self._progress_ms_by_job[victim.job.job_id] = progress_ms
+
+    async def release(self, gang: Gang, checkpoint: bool = False) -> int:
+        """Stop every part; return the progress that all parts kept."""
+        kept = await asyncio.gather(
+            *(self.release_part(worker, gang.attempt_id, checkpoint) for worker in gang.parts)
+        )
+        return min(kept, default=0)
+
+    async def release_part(self, worker: str, attempt_id: str, checkpoint: bool = False) -> int:
+        """Stop one part; one that cannot be reached is stopped by its lapsing lease."""
+        backoff = Backoff(50, 500)
+        for _ in range(RELEASE_TRIES):
+            try:
+                return await self._planner.workers.release(
+                    *self._target(worker), attempt_id, checkpoint
+                )
+            except WorkerRefusedError:
+                return 0
+            except WorkerError:
+                await self._planner.clock.sleep_ms(backoff.next_ms())
+        return 0
--- /dev/null
+++ b/packages/library/carawayroute/jobs.py
@@ -0,0 +1,116 @@
+"""Accepting, watching and cancelling gang jobs."""
+
+from carawayroute_schema import carawayroute_pb2 as pb
+
+from carawayroute.clock import Clock
+from carawayroute.config import check_shape
+from carawayroute.exceptions import (
+    CarawayrouteError,
+    FieldProblem,
+    LogError,
+    LogUncertainError,
+    RefusedError,
+)
+from carawayroute.log import LogFollower
+from carawayroute.membership import Membership
+from carawayroute.misc import new_id
+from carawayroute.packing import Space, choose
+from carawayroute.state import Job
+from carawayroute.types import describe_shape
+
+APPEND_TIMEOUT_MS = 5_000
+
+
+class JobUncertainError(CarawayrouteError):
+    """The job may have been accepted; repeating the request with its id tells."""
+
+
+class JobConflictError(CarawayrouteError):
+    """The request id was used for another job."""
+
+
+class ImpossibleShapeError(CarawayrouteError):
+    """No set of workers can hold the shape."""
+
+
+class JobService:
+    """Write accepted jobs to the log and tell what became of them."""
+
+    def __init__(self, follower: LogFollower, membership: Membership, clock: Clock) -> None:
+        self._follower = follower
+        self._membership = membership
+        self._clock = clock
+
+    def check_shape(self, shape: pb.Shape, region: str) -> None:
+        """Check that the workers of a region could hold a gang.
+
+        :raises ImpossibleShapeError: with the reason.
+        """
+        problems: list[FieldProblem] = []
+        check_shape("shape", shape, problems)
+        if problems:
+            raise ImpossibleShapeError("; ".join(str(problem) for problem in problems))
+        workers_by_id = {worker.id: worker for worker in self._membership.live("worker", region)}
+        if not workers_by_id:
+            raise ImpossibleShapeError(f"region {region!r} has no workers")
+        capacity = {name: worker.capacity for name, worker in workers_by_id.items()}
+        if choose(Space(workers_by_id, capacity), shape) is None:
+            raise ImpossibleShapeError(
+                f"no set of workers in {region} can hold {describe_shape(shape)}"
+            )
+
+    async def accept(self, accepted: pb.JobAccepted, timeout_ms: float) -> Job:
+        """Record a job and return it; a repeated request id returns the first one's job.
+
+        :raises RefusedError: the job was certainly not accepted.
+        :raises JobUncertainError: the job may have been accepted.
+        :raises JobConflictError: the request id belongs to a job of another kind or shape.
+        """
+        known = self._follower.state.job_by_request(accepted.team, accepted.request_id)
+        if known is not None:
+            return _same_job(known, accepted)
+        accepted.job_id = new_id("j")
+        accepted.accepted_ms = self._clock.wall_ms()
+        record = self._follower.make_record(job_accepted=accepted)
+        try:
+            await self._follower.append(record, min(timeout_ms, APPEND_TIMEOUT_MS))
+        except LogUncertainError as error:
+            raise JobUncertainError("the log did not confirm the job in time") from error
+        except LogError as error:
+            raise RefusedError("the log cannot be reached, so no job is accepted", 1000) from error
+        job = self._follower.state.job_by_request(accepted.team, accepted.request_id)
+        if job is None:
+            raise JobUncertainError("the job was accepted and has ended meanwhile")
+        return _same_job(job, accepted)
+
+    def find(self, job_id: str) -> Job | None:
+        """Return a job by its id."""
+        return self._follower.state.jobs_by_id.get(job_id)
+
+    async def wait_finished(self, job_id: str, timeout_ms: float) -> Job | None:
+        """Return a job once it has ended, or as it is when time is up."""
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        while True:
+            job = self.find(job_id)
+            left_ms = deadline_ms - self._clock.now_ms()
+            if job is None or job.finished is not None or left_ms <= 0:
+                return job
+            await self._follower.wait_change(left_ms)
+
+    async def cancel(self, job_id: str, by: str) -> None:
+        """Record that a job is to be cancelled.
+
+        :raises LogError: the wish could not be recorded.
+        """
+        cancel = pb.CancelRequested(job_id=job_id, by=by)
+        record = self._follower.make_record(cancel_requested=cancel)
+        await self._follower.append(record, APPEND_TIMEOUT_MS)
+
+
+def _same_job(job: Job, accepted: pb.JobAccepted) -> Job:
+    """Return the job if it is what the request asks for."""
+    first = job.accepted
+    same = first.kind == accepted.kind and first.shape == accepted.shape
+    if not same:
+        raise JobConflictError(f"request id {accepted.request_id!r} made job {first.job_id}")
+    return job
--- /dev/null
+++ b/packages/library/carawayroute/log.py
@@ -0,0 +1,210 @@
+"""Following the log and appending to it with a confirmation."""
+
+import asyncio
+from collections.abc import Callable
+
+from carawayroute_schema import carawayroute_pb2 as pb
+
+from carawayroute.clock import Clock
+from carawayroute.exceptions import (
+    LogError,
+    LogExpiredError,
+    LogUnavailableError,
+    LogUncertainError,
+)
+from carawayroute.misc import new_id
+from carawayroute.platform import Log
+from carawayroute.retries import Backoff
+from carawayroute.state import State
+
+READ_WAIT_MS = 500
+READ_LIMIT = 1000
+# An unanswered read may not hold an append back for long after the log returns.
+MAX_RETRY_MS = 1000
+
+
+class LogFollower:
+    """Keep a `State` up to date with the log.
+
+    A record counts once it has been read back, never by the append's answer, because the answer
+    can be lost after the write took effect.
+
+    :param retention_ms: how long the log keeps a record.
+    :param memory_ms: how long ended jobs and claims are remembered.
+    """
+
+    def __init__(
+        self, log: Log, clock: Clock, instance: str, retention_ms: int, memory_ms: int
+    ) -> None:
+        self.log = log
+        self.clock = clock
+        self.instance = instance
+        self.retention_ms = retention_ms
+        self.memory_ms = memory_ms
+        self.state = State()
+        self.reachable = False
+        self.caught_up = False
+        self.changed = asyncio.Event()
+        self.appends = 0
+        self.listeners: list[Callable[[pb.LogRecord], None]] = []
+        self._waiting_by_record_id: dict[str, asyncio.Future[None]] = {}
+        # The newest records, for peers that cannot reach the log.
+        self._recent: list[pb.OffsetRecord] = []
+
+    async def run(self) -> None:
+        """Follow the log until cancelled."""
+        backoff = Backoff(100, MAX_RETRY_MS)
+        while True:
+            try:
+                records = await self.log.read(self.state.offset, READ_WAIT_MS, READ_LIMIT)
+            except LogExpiredError as error:
+                self.reachable = True
+                await self._rebuild(error.earliest)
+                continue
+            except LogError:
+                self.reachable = False
+                await self.clock.sleep_ms(backoff.next_ms())
+                continue
+            backoff.reset()
+            self.reachable = True
+            self.apply(records)
+            if len(records) < READ_LIMIT:
+                self.caught_up = True
+
+    async def _rebuild(self, earliest: int) -> None:
+        """Read what retention has left; live records were appended again before their removal."""
+        state = State(earliest)
+        try:
+            while True:
+                records = await self.log.read(state.offset, 0, READ_LIMIT)
+                for stored in records:
+                    state.apply(stored)
+                if len(records) < READ_LIMIT:
+                    break
+        except LogError:
+            return
+        if state.change.version < self.state.change.version:
+            state.change = self.state.change
+        self.replace_state(state)
+
+    def replace_state(self, state: State) -> None:
+        """Go on from a state that was built elsewhere, never from an older offset."""
+        if state.offset < self.state.offset:
+            return
+        self.state = state
+        self._recent = []
+        self.caught_up = True
+        self._notify()
+
+    def apply(self, records: list[pb.OffsetRecord]) -> None:
+        """Apply records read from the log or received from a peer."""
+        applied = False
+        for stored in records:
+            if stored.offset < self.state.offset:
+                continue
+            record = self.state.apply(stored)
+            self._recent.append(stored)
+            applied = True
+            if record is None:
+                continue
+            self._resolve(record)
+            for listener in self.listeners:
+                listener(record)
+        if applied:
+            del self._recent[:-READ_LIMIT]
+            self.state.forget(self.memory_ms)
+            self._notify()
+
+    def _resolve(self, record: pb.LogRecord) -> None:
+        waiting = self._waiting_by_record_id.get(record.record_id)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(None)
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def wait_change(self, timeout_ms: float) -> bool:
+        """Wait until the state changes; return whether it did in time."""
+        try:
+            await asyncio.wait_for(self.changed.wait(), timeout_ms / 1000)
+        except TimeoutError:
+            return False
+        return True
+
+    def records_since(self, offset: int, limit: int) -> list[pb.OffsetRecord] | None:
+        """Return applied records from an offset on, or ``None`` when they are not all kept."""
+        if offset >= self.state.offset:
+            return []
+        if not self._recent or self._recent[0].offset > offset:
+            return None
+        return [stored for stored in self._recent if stored.offset >= offset][:limit]
+
+    def make_record(self, **body: object) -> pb.LogRecord:
+        """Return a new record with one body."""
+        return pb.LogRecord(record_id=new_id("r"), writer=self.instance, **body)
+
+    async def append(self, record: pb.LogRecord, timeout_ms: float) -> None:
+        """Append a record and wait until it has been read back.
+
+        An unanswered append is repeated with the same record id until the time is up.
+
+        :raises LogUnavailableError: the log certainly did not take the record.
+        :raises LogUncertainError: the record was not read back in time, but it may yet appear.
+        """
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        data = record.SerializeToString()
+        read_back: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting_by_record_id[record.record_id] = read_back
+        may_be_taken = False
+        backoff = Backoff(50, MAX_RETRY_MS)
+        try:
+            while True:
+                left_ms = deadline_ms - self.clock.now_ms()
+                if left_ms <= 0:
+                    break
+                try:
+                    self.appends += 1
+                    await asyncio.wait_for(self.log.append(data), left_ms / 1000)
+                    may_be_taken = True
+                except LogUnavailableError:
+                    await self._wait(read_back, min(backoff.next_ms(), left_ms))
+                except (LogUncertainError, TimeoutError):
+                    may_be_taken = True
+                    await self._wait(read_back, min(backoff.next_ms(), left_ms))
+                else:
+                    await self._wait(read_back, deadline_ms - self.clock.now_ms())
+                if read_back.done():
+                    return
+        finally:
+            del self._waiting_by_record_id[record.record_id]
+        if may_be_taken:
+            raise LogUncertainError("the record was not read back in time")
+        raise LogUnavailableError("the log did not take the record in time")
+
+    async def _wait(self, future: asyncio.Future[None], timeout_ms: float) -> None:
+        if timeout_ms > 0:
+            await asyncio.wait([future], timeout=timeout_ms / 1000)
+
+    async def repeat_live_records(self, per_second: int, is_keeper: Callable[[], bool]) -> None:
+        """Append live records again before retention removes them, at a bounded rate.
+
+        :param is_keeper: returns whether this instance is the one to do so now.
+        """
+        while True:
+            await self.clock.sleep_ms(1000)
+            if not self.reachable or not self.caught_up or not is_keeper():
+                continue
+            for stored in self.state.due_records(self.retention_ms, per_second):
+                await self._repeat(stored)
+
+    async def _repeat(self, stored: pb.OffsetRecord) -> None:
+        record = pb.LogRecord()
+        record.ParseFromString(stored.data)
+        record.repeated_state = True
+        try:
+            self.appends += 1
+            await self.log.append(record.SerializeToString())
+        except LogError:
+            # The record stays due and is tried again with the next round.
+            return
--- /dev/null
+++ b/packages/library/carawayroute/membership.py
@@ -0,0 +1,79 @@
+"""Who is alive and who is leaving, from the lagging list and from what was observed first-hand."""
+
+from carawayroute.clock import Clock
+from carawayroute.types import Instance
+
+# An observation outlives the list's lag; after that the list is believed again.
+OBSERVATION_MS = 120_000
+
+
+class Membership:
+    """Join the platform's list with observations of this instance and its peers.
+
+    An instance that is leaving by any source gets nothing new. Only a listing under a new address,
+    which is a replacement, takes an observation back early.
+    """
+
+    __slots__ = ("_address_by_id", "_clock", "_leaving_until_by_id", "_observed", "by_id")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.by_id: dict[str, Instance] = {}
+        self._leaving_until_by_id: dict[str, float] = {}
+        self._address_by_id: dict[str, str] = {}
+        self._observed: set[str] = set()
+
+    def update(self, listed: list[Instance]) -> None:
+        """Take over a new reading of the list."""
+        self.by_id = {instance.id: instance for instance in listed}
+        for instance in listed:
+            seen_at = self._address_by_id.get(instance.id)
+            if seen_at is not None and seen_at != instance.address:
+                self._forget(instance.id)
+
+    def observe_leaving(self, instance_id: str, first_hand: bool = True) -> None:
+        """Note that an instance said that it is leaving.
+
+        :param first_hand: this instance saw it itself, so its peers are told too.
+        """
+        if instance_id not in self._leaving_until_by_id or first_hand:
+            self._leaving_until_by_id[instance_id] = self._clock.now_ms() + OBSERVATION_MS
+        if first_hand:
+            self._observed.add(instance_id)
+        instance = self.by_id.get(instance_id)
+        if instance is not None:
+            self._address_by_id[instance_id] = instance.address
+
+    def observe_staying(self, instance_id: str) -> None:
+        """Note that an instance itself says that it is not leaving, as after a restart."""
+        self._forget(instance_id)
+
+    def _forget(self, instance_id: str) -> None:
+        self._leaving_until_by_id.pop(instance_id, None)
+        self._address_by_id.pop(instance_id, None)
+        self._observed.discard(instance_id)
+
+    def leaving_first_hand(self) -> list[str]:
+        """Return what this instance observed itself, to be told to its peers."""
+        return sorted(instance_id for instance_id in self._observed if self.is_leaving(instance_id))
+
+    def is_leaving(self, instance_id: str) -> bool:
+        """Return whether any source says that an instance is leaving."""
+        until_ms = self._leaving_until_by_id.get(instance_id)
+        if until_ms is not None:
+            if self._clock.now_ms() < until_ms:
+                return True
+            self._forget(instance_id)
+        instance = self.by_id.get(instance_id)
+        return instance is not None and instance.leaving
+
+    def live(self, role: str, region: str | None = None) -> list[Instance]:
+        """Return the instances of a role that may get new work, ordered by id."""
+        found = [
+            instance
+            for instance in self.by_id.values()
+            if instance.role == role
+            and (region is None or instance.region == region)
+            and not self.is_leaving(instance.id)
+        ]
+        return sorted(found, key=lambda instance: instance.id)
--- /dev/null
+++ b/packages/library/carawayroute/misc.py
@@ -0,0 +1,42 @@
+"""Small helpers."""
+
+import asyncio
+import hashlib
+import uuid
+from collections.abc import Coroutine, Iterable
+
+
+def new_id(prefix: str) -> str:
+    """Return an id that no other process makes."""
+    return f"{prefix}-{uuid.uuid4().hex[:16]}"
+
+
+def rendezvous(key: str, candidates: Iterable[str]) -> list[str]:
+    """Return the candidates in the fixed order that this key gives them, first choice first."""
+    return sorted(
+        candidates,
+        key=lambda name: hashlib.blake2b(f"{key}|{name}".encode(), digest_size=8).digest(),
+    )
+
+
+class TaskGroup:
+    """Keep background tasks alive and cancel them together."""
+
+    __slots__ = ("_tasks",)
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task] = set()
+
+    def start(self, work: Coroutine, name: str) -> asyncio.Task:
+        """Run a coroutine in the background."""
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def cancel(self) -> None:
+        """Cancel every task and wait until all have ended."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/library/carawayroute/packing.py
@@ -0,0 +1,165 @@
+"""Fitting gangs of a shape into the accelerators that are available on workers."""
+
+from carawayroute_schema import carawayroute_pb2 as pb
+
+from carawayroute.types import Instance
+
+
+class Space:
+    """Accelerators available per worker, grouped by rack.
+
+    :param workers_by_id: the workers that may be used.
+    :param available_by_worker: accelerators that may be taken on each.
+    """
+
+    __slots__ = ("available_by_worker", "workers_by_rack")
+
+    def __init__(
+        self, workers_by_id: dict[str, Instance], available_by_worker: dict[str, int]
+    ) -> None:
+        self.available_by_worker = available_by_worker
+        self.workers_by_rack: dict[str, list[str]] = {}
+        for worker in available_by_worker:
+            rack = workers_by_id[worker].rack
+            self.workers_by_rack.setdefault(rack, []).append(worker)
+
+    def take(self, workers: list[str], accelerators: int) -> None:
+        """Take accelerators on each worker, once for each time it is named."""
+        for worker in workers:
+            self.available_by_worker[worker] -= accelerators
+
+    def members_on(self, worker: str, accelerators: int) -> int:
+        """Return how many members of a gang fit on a worker."""
+        return self.available_by_worker[worker] // accelerators
+
+    def members_in(self, workers: list[str], accelerators: int) -> int:
+        """Return how many members of a gang fit on some workers."""
+        available = self.available_by_worker
+        return sum(available[worker] // accelerators for worker in workers)
+
+
+def _domains(space: Space, shape: pb.Shape) -> list[list[str]]:
+    """Return the groups of workers within which a gang may stand."""
+    if shape.adjacency == pb.WORKER:
+        return [[worker] for worker in space.available_by_worker]
+    if shape.adjacency == pb.RACK:
+        return list(space.workers_by_rack.values())
+    return [list(space.available_by_worker)]
+
+
+def choose(
+    space: Space, shape: pb.Shape, penalty_by_worker: dict[str, float] | None = None
+) -> list[str] | None:
+    """Return one worker for each member of a gang, or ``None`` when it does not fit.
+
+    The tightest place is taken, so that whole workers and racks stay free for larger gangs.
+
+    :param penalty_by_worker: places with a lower sum are preferred to tighter ones.
+    """
+    penalties = penalty_by_worker or {}
+    best: list[str] | None = None
+    best_rank: tuple[float, int] | None = None
+    for domain in _domains(space, shape):
+        room = space.members_in(domain, shape.accelerators)
+        if room < shape.members:
+            continue
+        workers = _fill(space, shape, domain, penalties)
+        penalty = sum(penalties.get(worker, 0.0) for worker in set(workers))
+        left = sum(space.available_by_worker[worker] for worker in domain)
+        rank = (penalty, left)
+        if best_rank is None or rank < best_rank:
+            best, best_rank = workers, rank
+    return best
+
+
+def _fill(
+    space: Space, shape: pb.Shape, domain: list[str], penalties: dict[str, float]
+) -> list[str]:
+    """Return the workers of a domain that hold the gang, tightest and cheapest first."""
+    available = space.available_by_worker
+    each = shape.accelerators
+
+    def rank(worker: str) -> tuple[float, int, int, str]:
+        return (penalties.get(worker, 0.0), available[worker] % each, available[worker], worker)
+
+    fitting = [worker for worker in domain if available[worker] >= each]
+    fitting.sort(key=rank)
+    chosen: list[str] = []
+    for worker in fitting:
+        count = min(space.members_on(worker, each), shape.members - len(chosen))
+        chosen.extend([worker] * count)
+        if len(chosen) == shape.members:
+            break
+    return chosen
+
+
+class ShapeCount:
+    """A number of gangs of one shape."""
+
+    __slots__ = ("count", "shape")
+
+    def __init__(self, shape: pb.Shape, count: int) -> None:
+        self.shape = shape
+        self.count = count
+
+
+def group_shapes(counts: list[ShapeCount]) -> list[ShapeCount]:
+    """Add up equal shapes and order them from the hardest to place to the easiest."""
+    by_form: dict[tuple[int, int, int], ShapeCount] = {}
+    for item in counts:
+        shape = item.shape
+        form = (shape.members, shape.accelerators, shape.adjacency)
+        grouped = by_form.setdefault(form, ShapeCount(shape, 0))
+        grouped.count += item.count
+    return sorted(by_form.values(), key=_difficulty, reverse=True)
+
+
+def _difficulty(item: ShapeCount) -> tuple[int, int, int]:
+    shape = item.shape
+    on_one_worker = shape.accelerators
+    if shape.adjacency == pb.WORKER:
+        on_one_worker *= shape.members
+    return (on_one_worker, int(shape.adjacency), shape.members)
+
+
+def pack(space: Space, counts: list[ShapeCount]) -> list[int]:
+    """Take space for gangs of many shapes and return how many of each fitted.
+
+    First-fit decreasing over groups of equal shapes: a full result proves that all fit disjointly,
+    while a shortfall does not prove that they cannot.
+
+    :param counts: as `group_shapes` returns them.
+    """
+    return [_pack_group(space, item.shape, item.count) for item in counts]
+
+
+def _pack_group(space: Space, shape: pb.Shape, count: int) -> int:
+    each = shape.accelerators
+    domains = _domains(space, shape)
+    room_by_domain = [space.members_in(domain, each) for domain in domains]
+    placed = 0
+    for index in sorted(range(len(domains)), key=room_by_domain.__getitem__):
+        gangs = min(room_by_domain[index] // shape.members, count - placed)
+        if gangs > 0:
+            _take_members(space, domains[index], each, gangs * shape.members)
+            placed += gangs
+        if placed == count:
+            break
+    return placed
+
+
+def _take_members(space: Space, domain: list[str], each: int, members: int) -> None:
+    available = space.available_by_worker
+    for worker in sorted(domain, key=lambda name: (available[name] % each, available[name])):
+        count = min(available[worker] // each, members)
+        available[worker] -= count * each
+        members -= count
+        if members == 0:
+            return
+
+
+def fits_all(space: Space, counts: list[ShapeCount]) -> bool:
+    """Return whether gangs of all shapes fit disjointly; the space is used up by the test."""
+    grouped = group_shapes(counts)
+    placed = pack(space, grouped)
+    return all(found == item.count for found, item in zip(placed, grouped, strict=True))
--- /dev/null
+++ b/packages/library/carawayroute/planner.py
@@ -0,0 +1,544 @@
+"""Planning for one region: terms, leases on workers, launching and ending gangs."""
+
+import asyncio
+
+from carawayroute_schema import carawayroute_pb2 as pb
+
+from carawayroute.clock import Clock
+from carawayroute.estimates import RunTimes
+from carawayroute.exceptions import LogError, WorkerError, WorkerRefusedError
+from carawayroute.gangs import Gang, GangRunner
+from carawayroute.health import HealthTracker
+from carawayroute.log import LogFollower
+from carawayroute.membership import Membership
+from carawayroute.misc import TaskGroup
+from carawayroute.placement import (
+    Fleet,
+    Placement,
+    Plan,
+    QueueEntry,
+    Wait,
+    may_backfill,
+    order_queue,
+)
+from carawayroute.platform import Workers
+from carawayroute.state import Job
+from carawayroute.terms import TermWatch
+from carawayroute.types import Attempt, Instance, Token
+
+TICK_MS = 200
+TERM_APPEND_TIMEOUT_MS = 3_000
+FINISH_APPEND_TIMEOUT_MS = 5_000
+# A shape that no listed workers can hold is refused after this time, in case they come back.
+IMPOSSIBLE_MS = 60_000
+
+
+class PlannerSettings:
+    """Times of a planner, in ms, and its bound on messages.
+
+    :param renewals_per_second: lease renewals sent to all workers together.
+    """
+
+    __slots__ = ("renewals_per_second", "worker_lease_ms")
+
+    def __init__(self, worker_lease_ms: float = 8_000, renewals_per_second: int = 40) -> None:
+        self.worker_lease_ms = worker_lease_ms
+        self.renewals_per_second = renewals_per_second
+
+
+class _WorkerLease:
+    """What a planner knows of its lease on one worker."""
+
+    __slots__ = ("busy", "first_failed_ms", "renewed_ms", "sent_ms")
+
+    def __init__(self) -> None:
+        self.busy = False
+        self.sent_ms = float("-inf")
+        self.renewed_ms = float("-inf")
+        self.first_failed_ms: float | None = None
+
+
+class Planner:
+    """Hold a region's term and run its gangs while this instance is the one to do so.
+
+    What runs is known to the workers, what was accepted and what ended to the log; a planner that
+    takes a term asks both and keeps nothing else.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        instance: str,
+        clock: Clock,
+        follower: LogFollower,
+        membership: Membership,
+        workers: Workers,
+        watch: TermWatch,
+        settings: PlannerSettings,
+    ) -> None:
+        self.region = region
+        self.instance = instance
+        self.clock = clock
+        self.follower = follower
+        self.membership = membership
+        self.workers = workers
+        self.watch = watch
+        self.settings = settings
+        self.fleet = Fleet()
+        self.health = HealthTracker(clock)
+        self.run_times = RunTimes()
+        self.tasks = TaskGroup()
+        self.token: Token | None = None
+        self.draining = False
+        self.recovered = False
+        self.waits_by_job: dict[str, str] = {}
+        self.gangs_by_job: dict[str, Gang] = {}
+        self.wake = asyncio.Event()
+        self._leases_by_worker: dict[str, _WorkerLease] = {}
+        self._found_by_attempt: dict[str, dict[str, Attempt]] = {}
+        self._took_ms = 0.0
+        self._finishing: set[str] = set()
+        self._impossible_since_ms: dict[str, float] = {}
+        self._change_seen: tuple[int, str] = (-1, "")
+        self.gang_runner = GangRunner(self)
+
+    # ------------------------------------------------------------------ term
+
+    @property
+    def acting(self) -> bool:
+        """Return whether this instance plans for the region now."""
+        return self.token is not None
+
+    def terms_held(self) -> list[pb.Term]:
+        """Return the term that this instance acts under, to be told to its peers."""
+        if self.token is None:
+            return []
+        return [pb.Term(region=self.region, number=self.token[0], holder=self.instance)]
+
+    async def run(self) -> None:
+        """Watch the term and plan until cancelled."""
+        while True:
+            await self.tick()
+            try:
+                await asyncio.wait_for(self.wake.wait(), TICK_MS / 1000)
+            except TimeoutError:
+                pass
+            self.wake.clear()
+
+    async def tick(self) -> None:
+        """Do what is due now."""
+        self._check_term()
+        if self.token is None:
+            await self._take_term_if_next()
+        if self.token is None:
+            return
+        self._renew_leases()
+        self._refresh_fleet()
+        if not self.recovered:
+            self._recover()
+        if self.recovered:
+            self._drop_lost_workers()
+            self._end_cancelled()
+            if not self.draining:
+                self._place_queue()
+
+    def _entries(self) -> list[str]:
+        live = self.membership.live("entry", self.region)
+        draining = self.follower.state.draining
+        return [entry.id for entry in live if entry.id not in draining]
+
+    def _check_term(self) -> None:
+        """Stop acting once another instance holds a later term."""
+        term = self.follower.state.terms_by_region.get(self.region)
+        if self.token is None or term is None:
+            return
+        if term.number > self.token[0] or (
+            term.number == self.token[0] and term.holder != self.instance and self.token[1] == 0
+        ):
+            self.step_down()
+
+    def step_down(self) -> None:
+        """Stop acting; what runs is left to the next holder."""
+        self.token = None
+        self.recovered = False
+        self.gangs_by_job.clear()
+        self.fleet = Fleet()
+        self._change_seen = (-1, "")
+        self._leases_by_worker.clear()
+        self._found_by_attempt.clear()
+        self.waits_by_job.clear()
+
+    async def _take_term_if_next(self) -> None:
+        state = self.follower.state
+        entries = self._entries()
+        if not self.follower.caught_up or self.draining or self.instance not in entries:
+            return
+        if not self.watch.should_take(state, entries, self.draining):
+            return
+        if not self.follower.reachable:
+            self._act(self.watch.token_without_log(state, entries))
+            return
+        current = state.terms_by_region.get(self.region)
+        number = (current.number if current else 0) + 1
+        term = pb.Term(region=self.region, number=number, holder=self.instance)
+        record = self.follower.make_record(term=term)
+        try:
+            await self.follower.append(record, TERM_APPEND_TIMEOUT_MS)
+        except LogError:
+            return
+        won = self.follower.state.terms_by_region.get(self.region)
+        if won is not None and won.number == number and won.holder == self.instance:
+            self._act((number, 0))
+
+    def _act(self, token: Token) -> None:
+        self.token = token
+        self.recovered = False
+        self._took_ms = self.clock.now_ms()
+
+    # ------------------------------------------------------------------ leases
+
+    def _listed_workers(self) -> list[Instance]:
+        """Return the workers of the region, also those that are leaving."""
+        return [
+            instance
+            for instance in self.membership.by_id.values()
+            if instance.role == "worker" and instance.region == self.region
+        ]
+
+    def _renew_leases(self) -> None:
+        """Start the renewals that are due, within the bound on messages."""
+        workers = self._listed_workers()
+        now_ms = self.clock.now_ms()
+        bound_ms = len(workers) * 1000 / self.settings.renewals_per_second
+        interval_ms = max(self.settings.worker_lease_ms / 16, bound_ms)
+        for worker in workers:
+            lease = self._leases_by_worker.setdefault(worker.id, _WorkerLease())
+            if not lease.busy and now_ms - lease.sent_ms >= interval_ms:
+                lease.busy = True
+                lease.sent_ms = now_ms
+                self.tasks.start(self._renew(worker, lease), f"renew {worker.id}")
+
+    def lease_ms(self) -> int:
+        """Return the length of a lease: several renewals long, however many workers there are."""
+        workers = len(self._leases_by_worker)
+        bound_ms = workers * 1000 / self.settings.renewals_per_second
+        return int(max(self.settings.worker_lease_ms, 4 * bound_ms))
+
+    async def _renew(self, worker: Instance, lease: _WorkerLease) -> None:
+        token = self.token
+        if token is None:
+            return
+        now_ms = self.clock.now_ms()
+        try:
+            attempts = await self.workers.renew(worker, self.instance, token, self.lease_ms())
+        except WorkerRefusedError:
+            # Another holder has this worker; after a later term this instance will step down.
+            lease.first_failed_ms = lease.first_failed_ms or now_ms
+            return
+        except WorkerError:
+            lease.first_failed_ms = lease.first_failed_ms or now_ms
+            return
+        finally:
+            lease.busy = False
+        if token != self.token:
+            return
+        lease.renewed_ms = now_ms
+        lease.first_failed_ms = None
+        self._take_report(worker.id, attempts)
+
+    def is_held(self, worker: str) -> bool:
+        """Return whether the lease on a worker is good for longer than an order takes."""
+        lease = self._leases_by_worker.get(worker)
+        if lease is None:
+            return False
+        return self.clock.now_ms() - lease.renewed_ms < self.lease_ms() / 2
+
+    def _is_lost(self, worker: str) -> bool:
+        """Return whether a worker has not answered for a whole lease."""
+        lease = self._leases_by_worker.get(worker)
+        if lease is None or lease.first_failed_ms is None:
+            return False
+        since_ms = max(lease.renewed_ms, self._took_ms)
+        return self.clock.now_ms() - since_ms > self.lease_ms()
+
+    # ------------------------------------------------------------------ reports
+
+    def _take_report(self, worker: str, attempts: list[Attempt]) -> None:
+        """Compare what a worker holds with what this planner knows."""
+        if not self.recovered:
+            for attempt in attempts:
+                self._found_by_attempt.setdefault(attempt.attempt_id, {})[worker] = attempt
+            return
+        for attempt in attempts:
+            gang = self.gangs_by_job.get(attempt.job_id)
+            if gang is None or gang.attempt_id != attempt.attempt_id:
+                self._release_stray(worker, attempt)
+            elif gang.running:
+                self._follow(gang, worker, attempt)
+        reported = {attempt.attempt_id for attempt in attempts}
+        for gang in list(self.gangs_by_job.values()):
+            missing = worker in gang.parts and gang.attempt_id not in reported
+            if missing and gang.running and gang.started_ms < self.clock.now_ms() - TICK_MS * 5:
+                self._lose_gang(gang, f"worker {worker} no longer holds its part")
+
+    def _release_stray(self, worker: str, attempt: Attempt) -> None:
+        """Free what no gang of this planner holds, unless its end is being recorded."""
+        if attempt.job_id in self._finishing:
+            return
+        self.tasks.start(
+            self.gang_runner.release_part(worker, attempt.attempt_id), f"stray {attempt.attempt_id}"
+        )
+
+    def _follow(self, gang: Gang, worker: str, attempt: Attempt) -> None:
+        gang.status_by_worker[worker] = attempt.status
+        gang.result = attempt.result or gang.result
+        if attempt.status == "failed":
+            self._gang_failed(gang, worker)
+        elif all(gang.status_by_worker.get(part) == "done" for part in gang.parts):
+            self._gang_done(gang)
+
+    def _gang_done(self, gang: Gang) -> None:
+        run_ms = self.clock.now_ms() - gang.started_ms
+        self.run_times.observe(f"{gang.job.team}/{gang.job.kind}", run_ms)
+        for worker in gang.parts:
+            self.health.succeeded(worker, gang.job.job_id)
+        self._remove(gang)
+        self.finish(gang.job, pb.DONE, "", gang.result, gang)
+
+    def _gang_failed(self, gang: Gang, worker: str) -> None:
+        self.health.failed(worker, gang.job.job_id)
+        self._remove(gang)
+        if not gang.kind.idempotent:
+            reason = "a task failed, and the job is not idempotent"
+            self.finish(gang.job, pb.FAILED, reason, "", gang)
+            return
+        if self.health.is_condemned(gang.job.job_id):
+            count = len(self.health.failed_on(gang.job.job_id))
+            self.finish(gang.job, pb.FAILED, f"failed on {count} workers", "", gang)
+            return
+        self.tasks.start(self.gang_runner.release(gang), f"release {gang.attempt_id}")
+
+    def _lose_gang(self, gang: Gang, reason: str) -> None:
+        """Stop the rest of a gang of which a part is gone."""
+        self._remove(gang)
+        if gang.kind.idempotent:
+            self.tasks.start(self.gang_runner.release(gang), f"release {gang.attempt_id}")
+        else:
+            self.finish(gang.job, pb.UNKNOWN, f"{reason}; it may have run in part", "", gang)
+
+    def _remove(self, gang: Gang) -> None:
+        self.gangs_by_job.pop(gang.job.job_id, None)
+        self.fleet.remove(gang.job.job_id)
+        self.wake.set()
+
+    def finish(
+        self, job: pb.JobAccepted, outcome: pb.Outcome, reason: str, result: str, gang: Gang | None
+    ) -> None:
+        """Record how a job ended, then free what its workers keep of it."""
+        if job.job_id in self._finishing:
+            return
+        self._finishing.add(job.job_id)
+        finished = pb.JobFinished(job_id=job.job_id, outcome=outcome, reason=reason, result=result)
+        self.tasks.start(self._record_finish(finished, gang), f"finish {job.job_id}")
+
+    async def _record_finish(self, finished: pb.JobFinished, gang: Gang | None) -> None:
+        if gang is not None and finished.outcome != pb.DONE:
+            await self.gang_runner.release(gang)
+        record = self.follower.make_record(job_finished=finished)
+        try:
+            while self.acting:
+                try:
+                    await self.follower.append(record, FINISH_APPEND_TIMEOUT_MS)
+                    break
+                except LogError:
+                    continue
+            if gang is not None and finished.outcome == pb.DONE:
+                await self.gang_runner.release(gang)
+        finally:
+            self._finishing.discard(finished.job_id)
+            self.health.forget_work(finished.job_id)
+            self.waits_by_job.pop(finished.job_id, None)
+
+    # ------------------------------------------------------------------ recovery
+
+    def _recover(self) -> None:
+        """Take over what the workers hold, once all have answered or had time to."""
+        leases = [self._leases_by_worker[worker.id] for worker in self._listed_workers()]
+        answered = all(lease.renewed_ms >= self._took_ms for lease in leases)
+        waited_ms = self.clock.now_ms() - self._took_ms
+        if not answered and waited_ms < self.lease_ms():
+            return
+        self.recovered = True
+        for found_by_worker in self._found_by_attempt.values():
+            self._adopt(found_by_worker)
+        self._found_by_attempt.clear()
+
+    def _adopt(self, found_by_worker: dict[str, Attempt]) -> None:
+        """Go on with a gang that is whole, and stop one that is not."""
+        sample = next(iter(found_by_worker.values()))
+        job = self.follower.state.jobs_by_id.get(sample.job_id)
+        kind = self.follower.state.kind(job.accepted.kind) if job else None
+        if job is None or kind is None or job.finished is not None:
+            for worker in found_by_worker:
+                self._release_stray(worker, sample)
+            return
+        each = max(1, job.accepted.shape.accelerators)
+        workers = [
+            worker
+            for worker, attempt in found_by_worker.items()
+            for _ in range(attempt.accelerators // each)
+        ]
+        gang = Gang(job.accepted, kind, sample.attempt_id, workers)
+        gang.running = True
+        gang.started_ms = self.clock.now_ms()
+        started = all(attempt.status != "reserved" for attempt in found_by_worker.values())
+        if len(found_by_worker) == sample.parts and started:
+            self._add(gang, guarantee="", firm=not kind.idempotent)
+            for worker, attempt in found_by_worker.items():
+                if sample.job_id in self.gangs_by_job:
+                    self._follow(gang, worker, attempt)
+            return
+        if job.started is not None and not kind.idempotent:
+            reason = "the planner changed while the job was starting; it may have run in part"
+            self.finish(job.accepted, pb.UNKNOWN, reason, "", gang)
+        else:
+            self.tasks.start(self.gang_runner.release(gang), f"release {gang.attempt_id}")
+
+    def _add(self, gang: Gang, guarantee: str, firm: bool) -> Placement:
+        key = f"{gang.job.team}/{gang.job.kind}"
+        expected_ms = self.run_times.expect_ms(key, gang.kind.expected_run_ms)
+        now_ms = self.clock.now_ms()
+        placement = Placement(
+            gang.job.job_id,
+            gang.attempt_id,
+            gang.job.team,
+            gang.workers,
+            gang.job.shape.accelerators,
+            guarantee or self.fleet.guarantee_for(gang.job.team, gang.job.shape),
+            firm,
+            now_ms,
+            now_ms + expected_ms,
+        )
+        self.gangs_by_job[gang.job.job_id] = gang
+        self.fleet.add(placement)
+        return placement
+
+    # ------------------------------------------------------------------ queue
+
+    def _refresh_fleet(self) -> None:
+        state = self.follower.state
+        workers = self._listed_workers()
+        unusable = {
+            worker.id
+            for worker in workers
+            if not self.is_held(worker.id)
+            or self.membership.is_leaving(worker.id)
+            or self.health.is_quarantined(worker.id)
+        }
+        self.fleet.set_workers(workers, unusable)
+        seen = (state.change.version, state.change_record_id)
+        if seen != self._change_seen:
+            self._change_seen = seen
+            self.fleet.set_guarantees(state.configuration, self.region)
+
+    def _drop_lost_workers(self) -> None:
+        listed = {worker.id for worker in self._listed_workers()}
+        for gang in list(self.gangs_by_job.values()):
+            for worker in gang.parts:
+                gone = worker not in listed or self._is_lost(worker)
+                if gone and gang.running:
+                    self._lose_gang(gang, f"worker {worker} is lost")
+                    break
+
+    def _end_cancelled(self) -> None:
+        for job in self.follower.state.open_jobs(self.region):
+            if not job.cancelled:
+                continue
+            gang = self.gangs_by_job.get(job.accepted.job_id)
+            if gang is not None and not gang.running:
+                continue
+            if gang is not None:
+                self._remove(gang)
+            self.finish(job.accepted, pb.CANCELLED, "cancelled", "", gang)
+
+    def _waiting_jobs(self) -> list[QueueEntry]:
+        state = self.follower.state
+        waiting = []
+        for job in state.open_jobs(self.region):
+            job_id = job.accepted.job_id
+            if job_id in self.gangs_by_job or job_id in self._finishing or job.cancelled:
+                continue
+            kind = state.kind(job.accepted.kind)
+            if kind is None:
+                self.finish(job.accepted, pb.NOT_RUN, "its kind was removed", "", None)
+            elif not self._end_unplaceable(job, kind):
+                waiting.append(QueueEntry(job.accepted, kind))
+        return waiting
+
+    def _end_unplaceable(self, job: Job, kind: pb.Kind) -> bool:
+        """End a job that must not or cannot start any more; return whether it was ended."""
+        accepted = job.accepted
+        if job.started is not None and not kind.idempotent:
+            reason = "it was started before and no worker holds it; it may have run"
+            self.finish(accepted, pb.UNKNOWN, reason, "", None)
+            return True
+        if accepted.deadline_ms and self.clock.wall_ms() > accepted.deadline_ms:
+            outcome = pb.UNKNOWN if job.started is not None else pb.NOT_RUN
+            self.finish(accepted, outcome, "its deadline passed while it waited", "", None)
+            return True
+        return self._end_impossible(accepted)
+
+    def _end_impossible(self, accepted: pb.JobAccepted) -> bool:
+        if self.fleet.can_ever_fit(accepted.shape):
+            self._impossible_since_ms.pop(accepted.job_id, None)
+            return False
+        now_ms = self.clock.now_ms()
+        since_ms = self._impossible_since_ms.setdefault(accepted.job_id, now_ms)
+        if now_ms - since_ms < IMPOSSIBLE_MS:
+            return False
+        del self._impossible_since_ms[accepted.job_id]
+        self.finish(accepted, pb.NOT_RUN, "no set of workers can hold its shape", "", None)
+        return True
+
+    def _place_queue(self) -> None:
+        """Place what fits; the first job that does not keeps its place from later ones."""
+        weight_by_team = {team.id: team.weight for team in self.follower.state.configuration.teams}
+        queue = order_queue(self._waiting_jobs(), self.fleet, weight_by_team)
+        reserved: set[str] = set()
+        reserved_until_ms = 0.0
+        now_ms = self.clock.now_ms()
+        for entry in queue:
+            if self.gang_runner.is_resting(entry.accepted.job_id):
+                continue
+            short = may_backfill(entry, self.run_times, now_ms, reserved_until_ms)
+            decision = self.fleet.plan(
+                entry.accepted,
+                entry.kind,
+                avoid=self.health.failed_on(entry.accepted.job_id),
+                reserved=set() if short else reserved,
+                now_ms=now_ms,
+            )
+            if isinstance(decision, Wait):
+                self.waits_by_job[entry.accepted.job_id] = decision.reason
+                if decision.blocked and not reserved:
+                    reserved, reserved_until_ms = self.fleet.reserve_for(entry.accepted.shape)
+                continue
+            self._launch(entry, decision)
+
+    def _launch(self, entry: QueueEntry, plan: Plan) -> None:
+        self.waits_by_job.pop(entry.accepted.job_id, None)
+        gang = self.gang_runner.new_gang(entry, plan)
+        victims = [self.gangs_by_job[job_id] for job_id in plan.preempt]
+        for victim in victims:
+            self._remove(victim)
+        self._add(gang, plan.guarantee, plan.firm)
+        self.tasks.start(self.gang_runner.launch(gang, victims), f"launch {gang.attempt_id}")
+
+    async def drain(self) -> None:
+        """Place nothing more, let launches end, and leave the term to the next instance."""
+        self.draining = True
+        while any(not gang.running for gang in self.gangs_by_job.values()):
+            await self.clock.sleep_ms(20)
+        while self._finishing and self.follower.reachable:
+            await self.clock.sleep_ms(20)
+        self.step_down()
--- /dev/null
+++ b/packages/library/carawayroute/quick.py
@@ -0,0 +1,80 @@
+"""Quick requests from admission to outcome, with claims where they are needed."""
+
+from carawayroute_schema import carawayroute_pb2 as pb
+
+from carawayroute.claims import Claims
+from carawayroute.dispatch import Dispatcher, QuickRequest
+from carawayroute.exceptions import EndpointUncertainError, RefusedError
+from carawayroute.types import Answer, job_key
+
+
+class QuickResult:
+    """What the caller of a quick request is told."""
+
+    __slots__ = ("answer", "outcome", "reason", "retry_after_ms")
+
+    def __init__(
+        self,
+        outcome: pb.Outcome,
+        reason: str = "",
+        answer: Answer | None = None,
+        retry_after_ms: int = 0,
+    ) -> None:
+        self.outcome = outcome
+        self.reason = reason
+        self.answer = answer
+        self.retry_after_ms = retry_after_ms
+
+
+class QuickService:
+    """Run quick requests; those that are not idempotent run under a claim."""
+
+    def __init__(self, dispatcher: Dispatcher, claims: Claims) -> None:
+        self._dispatcher = dispatcher
+        self._claims = claims
+
+    async def handle(self, request: QuickRequest) -> QuickResult:
+        """Return the outcome of a request: done, certainly not run, or unknown."""
+        if request.kind.idempotent:
+            return await self._run(request)
+        return await self._run_claimed(request)
+
+    async def _run(self, request: QuickRequest) -> QuickResult:
+        try:
+            answer = await self._dispatcher.run(request)
+        except RefusedError as error:
+            return QuickResult(pb.NOT_RUN, error.reason, retry_after_ms=error.retry_after_ms)
+        except EndpointUncertainError as error:
+            return QuickResult(pb.UNKNOWN, str(error))
+        return QuickResult(pb.DONE, answer=answer)
+
+    async def _run_claimed(self, request: QuickRequest) -> QuickResult:
+        key = job_key(request.team, request.request_id)
+        try:
+            claim = await self._claims.take(key, request.deadline_ms)
+        except RefusedError as error:
+            return QuickResult(pb.NOT_RUN, error.reason, retry_after_ms=1000)
+        if claim is None:
+            return await self._first_outcome(key, request.deadline_ms)
+        try:
+            result = await self._run(request)
+        except BaseException:
+            # The caller went away or the process is ending while the request may be running.
+            self._claims.finish(claim, pb.UNKNOWN, "the entry stopped waiting for the answer")
+            raise
+        answer = result.answer
+        if answer is not None:
+            self._claims.finish(claim, pb.DONE, "", answer.body, answer.content_type)
+        else:
+            self._claims.finish(claim, result.outcome, result.reason)
+        return result
+
+    async def _first_outcome(self, key: str, deadline_ms: float) -> QuickResult:
+        """Return what became of the request under the claim that came first."""
+        outcome = await self._claims.wait_outcome(key, deadline_ms)
+        if outcome is None:
+            return QuickResult(pb.UNKNOWN, "an earlier request with this id has not ended")
+        if outcome.outcome == pb.DONE and not outcome.reason:
+            answer = Answer(200, outcome.answer, outcome.content_type)
+            return QuickResult(pb.DONE, answer=answer)
+        return QuickResult(outcome.outcome, outcome.reason)
--- /dev/null
+++ b/packages/library/carawayroute/retries.py
@@ -0,0 +1,72 @@
+"""Backoff and a budget for retries."""
+
+import random
+
+from carawayroute.clock import Clock
+
+
+class Backoff:
+    """Give growing waits with full jitter.
+
+    :param first_ms: upper bound of the first wait.
+    :param max_ms: upper bound of every wait.
+    """
+
+    __slots__ = ("_bound_ms", "_first_ms", "_max_ms", "_random")
+
+    def __init__(self, first_ms: float, max_ms: float, seed: int | None = None) -> None:
+        self._first_ms = first_ms
+        self._max_ms = max_ms
+        self._bound_ms = first_ms
+        self._random = random.Random(seed)
+
+    def next_ms(self) -> float:
+        """Return the next wait."""
+        wait_ms = self._random.uniform(self._bound_ms / 2, self._bound_ms)
+        self._bound_ms = min(self._max_ms, self._bound_ms * 2)
+        return wait_ms
+
+    def reset(self) -> None:
+        """Start again from the first wait."""
+        self._bound_ms = self._first_ms
+
+
+class RetryBudget:
+    """Allow retries as a share of requests, so that a fault does not multiply the load.
+
+    :param share: retries earned by each request.
+    :param burst: retries that may be saved up.
+    :param per_second: retries earned in each second without requests.
+    """
+
+    __slots__ = ("_burst", "_clock", "_last_ms", "_per_second", "_share", "_tokens")
+
+    def __init__(
+        self, clock: Clock, share: float = 0.1, burst: float = 10.0, per_second: float = 0.5
+    ) -> None:
+        self._clock = clock
+        self._share = share
+        self._burst = burst
+        self._per_second = per_second
+        self._tokens = burst
+        self._last_ms: float | None = None
+
+    def earn(self) -> None:
+        """Count a request."""
+        self._refill()
+        self._tokens = min(self._burst, self._tokens + self._share)
+
+    def spend(self) -> bool:
+        """Take one retry if the budget allows it."""
+        self._refill()
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _refill(self) -> None:
+        now_ms = self._clock.now_ms()
+        if self._last_ms is not None:
+            earned = (now_ms - self._last_ms) / 1000 * self._per_second
+            self._tokens = min(self._burst, self._tokens + earned)
+        self._last_ms = now_ms
--- /dev/null
+++ b/packages/library/carawayroute/state.py
@@ -0,0 +1,299 @@
+"""The state that the log's records make, by offset."""
+
+from carawayroute_schema import carawayroute_pb2 as pb
+
+from carawayroute.types import job_key
+
+# A re-appended record is due once the copy on the log has used up this share of its retention.
+REPEAT_SHARE = 0.4
+
+
+class Job:
+    """An accepted job and what the log says of it.
+
+    :param finished: the final record, or ``None`` while the job is queued or running.
+    :param finished_ms: log time of the final record.
+    """
+
+    __slots__ = ("accepted", "cancelled", "finished", "finished_ms", "offset", "started")
+
+    def __init__(self, accepted: pb.JobAccepted, offset: int) -> None:
+        self.accepted = accepted
+        self.offset = offset
+        self.started: pb.JobStarted | None = None
+        self.cancelled = False
+        self.finished: pb.JobFinished | None = None
+        self.finished_ms = 0
+
+
+class ClaimEntry:
+    """A claim and its outcome, if there is one."""
+
+    __slots__ = ("claim", "claimed_ms", "outcome", "outcome_ms")
+
+    def __init__(self, claim: pb.Claim, claimed_ms: int) -> None:
+        self.claim = claim
+        self.claimed_ms = claimed_ms
+        self.outcome: pb.ClaimOutcome | None = None
+        self.outcome_ms = 0
+
+
+class State:
+    """Reduce records to configuration, jobs, claims and terms.
+
+    Every record may come more than once: an append is repeated when its answer was lost, and live
+    records are appended again before retention removes them. Each rule therefore gives the same
+    result when a record is applied a second time.
+    """
+
+    __slots__ = (
+        "change",
+        "change_record_id",
+        "claims_by_key",
+        "draining",
+        "early_by_key",
+        "job_id_by_key",
+        "jobs_by_id",
+        "live_by_key",
+        "log_ms",
+        "offset",
+        "partial",
+        "terms_by_region",
+    )
+
+    def __init__(self, offset: int = 0) -> None:
+        self.offset = offset
+        # Records before the first one were removed, so the first of a sequence cannot be checked.
+        self.partial = offset > 0
+        self.log_ms = 0
+        self.change = pb.ConfigurationChange()
+        self.change_record_id = ""
+        self.jobs_by_id: dict[str, Job] = {}
+        self.job_id_by_key: dict[str, str] = {}
+        self.claims_by_key: dict[str, ClaimEntry] = {}
+        self.terms_by_region: dict[str, pb.Term] = {}
+        self.draining: set[str] = set()
+        # The newest record of each live matter, with its log time: what must outlast retention.
+        self.live_by_key: dict[str, pb.OffsetRecord] = {}
+        # Ends that were read before the copy of the job or claim that they belong to.
+        self.early_by_key: dict[str, pb.OffsetRecord] = {}
+
+    @property
+    def configuration(self) -> pb.Configuration:
+        """Return the configuration in force."""
+        return self.change.configuration
+
+    def team(self, team_id: str) -> pb.Team | None:
+        """Return a team of the configuration in force."""
+        return next((team for team in self.configuration.teams if team.id == team_id), None)
+
+    def kind(self, kind_id: str) -> pb.Kind | None:
+        """Return a kind of the configuration in force."""
+        return next((kind for kind in self.configuration.kinds if kind.id == kind_id), None)
+
+    def job_by_request(self, team: str, request_id: str) -> Job | None:
+        """Return the job that a team's request id made."""
+        job_id = self.job_id_by_key.get(job_key(team, request_id))
+        return self.jobs_by_id.get(job_id) if job_id else None
+
+    def open_jobs(self, region: str) -> list[Job]:
+        """Return the unfinished jobs of a region in the order in which they were accepted."""
+        return [
+            job
+            for job in self.jobs_by_id.values()
+            if job.finished is None and job.accepted.region == region
+        ]
+
+    def apply(self, stored: pb.OffsetRecord) -> pb.LogRecord | None:
+        """Apply one record unless its offset was applied before; return it when it counted.
+
+        :param stored: the record as the log gave it.
+        """
+        if stored.offset < self.offset:
+            return None
+        self.offset = stored.offset + 1
+        self.log_ms = max(self.log_ms, stored.appended_ms)
+        record = pb.LogRecord()
+        try:
+            record.ParseFromString(stored.data)
+        except Exception:
+            # Other programs may write to the same stream; what does not decode is not ours.
+            return None
+        body = record.WhichOneof("body")
+        if body is None:
+            return None
+        key = getattr(self, f"_apply_{body}")(getattr(record, body), record, stored)
+        if key:
+            self.live_by_key[key] = stored
+        return record
+
+    def _apply_configuration(
+        self, change: pb.ConfigurationChange, record: pb.LogRecord, stored: pb.OffsetRecord
+    ) -> str:
+        is_next = change.based_on == self.change.version and change.version == change.based_on + 1
+        is_copy = record.repeated_state and change.version >= self.change.version
+        is_first = self.partial and change.version > self.change.version
+        if not is_next and not is_copy and not is_first:
+            return ""
+        self.change = change
+        self.change_record_id = record.record_id
+        return "configuration"
+
+    def _apply_job_accepted(
+        self, accepted: pb.JobAccepted, record: pb.LogRecord, stored: pb.OffsetRecord
+    ) -> str:
+        key = job_key(accepted.team, accepted.request_id)
+        known = self.job_id_by_key.setdefault(key, accepted.job_id)
+        if known != accepted.job_id:
+            # The same request came in at two entries; the first record makes the job. A copy is
+            # of the first record, also when that record was removed before this state began.
+            if not record.repeated_state:
+                return ""
+            self.jobs_by_id.pop(known, None)
+            self.live_by_key.pop(f"job/{known}", None)
+            self.job_id_by_key[key] = accepted.job_id
+        if accepted.job_id not in self.jobs_by_id:
+            self.jobs_by_id[accepted.job_id] = Job(accepted, stored.offset)
+            self._apply_early(f"finished/{accepted.job_id}")
+        return f"job/{accepted.job_id}"
+
+    def _apply_job_started(
+        self, started: pb.JobStarted, record: pb.LogRecord, stored: pb.OffsetRecord
+    ) -> str:
+        job = self.jobs_by_id.get(started.job_id)
+        if job is None or job.finished is not None:
+            return ""
+        if job.started is None:
+            job.started = started
+        return f"started/{started.job_id}"
+
+    def _apply_job_finished(
+        self, finished: pb.JobFinished, record: pb.LogRecord, stored: pb.OffsetRecord
+    ) -> str:
+        job = self.jobs_by_id.get(finished.job_id)
+        key = f"finished/{finished.job_id}"
+        if job is None:
+            self.early_by_key[key] = stored
+            return ""
+        if job.finished is None:
+            job.finished = finished
+            job.finished_ms = stored.appended_ms
+            self.live_by_key.pop(f"started/{finished.job_id}", None)
+            self.live_by_key.pop(f"cancel/{finished.job_id}", None)
+        return key
+
+    def _apply_early(self, key: str) -> None:
+        """Apply an end that was read before what it ends."""
+        stored = self.early_by_key.pop(key, None)
+        if stored is None:
+            return
+        record = pb.LogRecord()
+        record.ParseFromString(stored.data)
+        body = record.WhichOneof("body")
+        live_key = getattr(self, f"_apply_{body}")(getattr(record, body), record, stored)
+        if live_key:
+            self.live_by_key[live_key] = stored
+
+    def _apply_cancel_requested(
+        self, cancel: pb.CancelRequested, record: pb.LogRecord, stored: pb.OffsetRecord
+    ) -> str:
+        job = self.jobs_by_id.get(cancel.job_id)
+        if job is None or job.finished is not None:
+            return ""
+        job.cancelled = True
+        return f"cancel/{cancel.job_id}"
+
+    def _apply_claim(self, claim: pb.Claim, record: pb.LogRecord, stored: pb.OffsetRecord) -> str:
+        entry = self.claims_by_key.get(claim.key)
+        if entry is not None and entry.claim.claim_id != claim.claim_id:
+            ended_unrun = entry.outcome is not None and entry.outcome.outcome == pb.NOT_RUN
+            is_next = ended_unrun and claim.round == entry.claim.round + 1
+            is_copy = record.repeated_state and claim.round >= entry.claim.round
+            if not is_next and not is_copy:
+                return ""
+            entry = None
+        if entry is None:
+            self.claims_by_key[claim.key] = ClaimEntry(claim, stored.appended_ms)
+            self.live_by_key.pop(f"outcome/{claim.key}", None)
+            self._apply_early(f"outcome/{claim.key}/{claim.claim_id}")
+        return f"claim/{claim.key}"
+
+    def _apply_claim_outcome(
+        self, outcome: pb.ClaimOutcome, record: pb.LogRecord, stored: pb.OffsetRecord
+    ) -> str:
+        entry = self.claims_by_key.get(outcome.key)
+        if entry is None or entry.claim.claim_id != outcome.claim_id:
+            self.early_by_key[f"outcome/{outcome.key}/{outcome.claim_id}"] = stored
+            return ""
+        if entry.outcome is None:
+            entry.outcome = outcome
+            entry.outcome_ms = stored.appended_ms
+        return f"outcome/{outcome.key}"
+
+    def _apply_term(self, term: pb.Term, record: pb.LogRecord, stored: pb.OffsetRecord) -> str:
+        current = self.terms_by_region.get(term.region)
+        number = current.number if current else 0
+        unchecked = record.repeated_state or self.partial
+        if term.number == number + 1 or (unchecked and term.number > number):
+            self.terms_by_region[term.region] = term
+            return f"term/{term.region}"
+        is_copy = current is not None and term == current
+        return f"term/{term.region}" if is_copy else ""
+
+    def _apply_drain(
+        self, drain: pb.InstanceDrain, record: pb.LogRecord, stored: pb.OffsetRecord
+    ) -> str:
+        if drain.draining:
+            self.draining.add(drain.instance)
+            return f"drain/{drain.instance}"
+        self.draining.discard(drain.instance)
+        self.live_by_key.pop(f"drain/{drain.instance}", None)
+        return ""
+
+    def forget(self, memory_ms: int) -> None:
+        """Drop jobs and claims that ended longer ago than callers may repeat their requests."""
+        oldest_ms = self.log_ms - memory_ms
+        for job_id, job in list(self.jobs_by_id.items()):
+            if job.finished is not None and job.finished_ms < oldest_ms:
+                del self.jobs_by_id[job_id]
+                self.job_id_by_key.pop(job_key(job.accepted.team, job.accepted.request_id), None)
+                self.live_by_key.pop(f"job/{job_id}", None)
+                self.live_by_key.pop(f"finished/{job_id}", None)
+        for key, entry in list(self.claims_by_key.items()):
+            if entry.outcome is not None and entry.outcome_ms < oldest_ms:
+                del self.claims_by_key[key]
+                self.live_by_key.pop(f"claim/{key}", None)
+                self.live_by_key.pop(f"outcome/{key}", None)
+        for key, stored in list(self.early_by_key.items()):
+            if stored.appended_ms < oldest_ms:
+                del self.early_by_key[key]
+
+    def due_records(self, retention_ms: int, limit: int) -> list[pb.OffsetRecord]:
+        """Return the live records whose copy on the log is nearest to its removal."""
+        due_ms = self.log_ms - retention_ms * REPEAT_SHARE
+        due = [stored for stored in self.live_by_key.values() if stored.appended_ms < due_ms]
+        due.sort(key=lambda stored: stored.offset)
+        return due[:limit]
+
+    def export(self) -> list[pb.OffsetRecord]:
+        """Return the live records, from which `restore` makes the same state."""
+        return sorted(self.live_by_key.values(), key=lambda stored: stored.offset)
+
+    @classmethod
+    def restore(cls, records: list[pb.OffsetRecord], offset: int) -> "State":
+        """Return the state that another instance exported at an offset."""
+        state = cls()
+        for stored in records:
+            state.apply(as_repeated(stored))
+        state.offset = max(state.offset, offset)
+        return state
+
+
+def as_repeated(stored: pb.OffsetRecord) -> pb.OffsetRecord:
+    """Return the record marked as a copy, which does not depend on the records before it."""
+    record = pb.LogRecord()
+    record.ParseFromString(stored.data)
+    record.repeated_state = True
+    copy = pb.OffsetRecord(offset=stored.offset, appended_ms=stored.appended_ms)
+    copy.data = record.SerializeToString()
+    return copy
--- /dev/null
+++ b/packages/schema/carawayroute_schema/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and settings of carawayroute, generated from schema/."""
--- /dev/null
+++ b/packages/standins/carawayroute_standins/logstore.py
@@ -0,0 +1,78 @@
+"""The platform's log service: offsets, limited retention, and faults that can be switched."""
+
+import asyncio
+import bisect
+
+from carawayroute.clock import Clock
+from carawayroute.exceptions import LogExpiredError, LogUnavailableError, LogUncertainError
+from carawayroute_schema import carawayroute_pb2 as pb
+
+MODES = ("up", "down", "slow", "lose_answers")
+
+
+class LogStore:
+    """Keep records in memory.
+
+    :param retention_ms: age at which records are removed.
+    :ivar mode: ``up``, ``down``, ``slow`` (every call takes `slow_ms`) or ``lose_answers``
+        (appends take effect but their answers do not arrive).
+    """
+
+    def __init__(self, clock: Clock, retention_ms: int = 3_600_000) -> None:
+        self.clock = clock
+        self.retention_ms = retention_ms
+        self.mode = "up"
+        self.slow_ms = 500
+        self.records: list[pb.OffsetRecord] = []
+        self.next_offset = 0
+        self.appends = 0
+        self._grown = asyncio.Event()
+
+    def _expire(self) -> None:
+        oldest_ms = self.clock.wall_ms() - self.retention_ms
+        keep = 0
+        while keep < len(self.records) and self.records[keep].appended_ms < oldest_ms:
+            keep += 1
+        del self.records[:keep]
+
+    def expire_all(self) -> None:
+        """Remove every record, as if retention had passed."""
+        self.records.clear()
+
+    async def append(self, data: bytes) -> int:
+        """Append a record."""
+        if self.mode == "down":
+            raise LogUnavailableError("the log is down")
+        if self.mode == "slow":
+            await self.clock.sleep_ms(self.slow_ms)
+        offset = self.next_offset
+        self.next_offset += 1
+        self.appends += 1
+        stored = pb.OffsetRecord(offset=offset, appended_ms=self.clock.wall_ms(), data=data)
+        self.records.append(stored)
+        self._grown.set()
+        self._grown = asyncio.Event()
+        if self.mode == "lose_answers":
+            raise LogUncertainError("the answer was lost")
+        return offset
+
+    async def read(self, offset: int, wait_ms: int, limit: int) -> list[pb.OffsetRecord]:
+        """Return records from an offset on."""
+        if self.mode == "down":
+            raise LogUnavailableError("the log is down")
+        if self.mode == "slow":
+            await self.clock.sleep_ms(self.slow_ms)
+        self._expire()
+        earliest = self.records[0].offset if self.records else self.next_offset
+        if offset < earliest:
+            raise LogExpiredError(earliest)
+        if offset >= self.next_offset and wait_ms > 0:
+            grown = self._grown
+            try:
+                await asyncio.wait_for(grown.wait(), wait_ms / 1000)
+            except TimeoutError:
+                return []
+            if self.mode == "down":
+                raise LogUnavailableError("the log is down")
+        first = bisect.bisect_left(self.records, offset, key=lambda stored: stored.offset)
+        return self.records[first : first + limit]
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,53 @@
+"""Generate the schema package from the files in schema/."""
+
+import pathlib
+import sys
+
+import yaml
+from grpc_tools import protoc
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TARGET = ROOT / "packages" / "schema" / "carawayroute_schema"
+
+HEADER = '''"""Settings of carawayrouted. Generated from schema/settings.yaml by tools/generate.py."""
+
+from carawayroute_schema.setting import Setting
+
+BY_NAME = {
+'''
+
+
+def generate_messages() -> None:
+    """Run the protobuf compiler over schema/carawayroute.proto."""
+    arguments = [
+        "protoc",
+        f"-I{ROOT / 'schema'}",
+        f"--python_out={TARGET}",
+        f"--pyi_out={TARGET}",
+        f"--grpc_python_out={TARGET}",
+        "carawayroute.proto",
+    ]
+    if protoc.main(arguments) != 0:
+        sys.exit("protoc failed")
+    grpc_module = TARGET / "carawayroute_pb2_grpc.py"
+    text = grpc_module.read_text()
+    text = text.replace(
+        "import carawayroute_pb2 as", "from carawayroute_schema import carawayroute_pb2 as"
+    )
+    grpc_module.write_text(text)
+
+
+def generate_settings() -> None:
+    """Write one `Setting` for each entry of schema/settings.yaml."""
+    entries = yaml.safe_load((ROOT / "schema" / "settings.yaml").read_text())
+    lines = [HEADER]
+    for entry in entries:
+        arguments = ", ".join(f"{name}={value!r}" for name, value in entry.items())
+        lines.append(f"    {entry['name']!r}: Setting({arguments}),\n")
+    lines.append("}\n")
+    (TARGET / "settings.py").write_text("".join(lines))
+
+
+if __name__ == "__main__":
+    generate_messages()
+    generate_settings()
