Let a restarted holder take its term again

Cause: the fault matrix (988 cells: 19 faults at every step of quick requests and gangs) failed in 29 cells, all of them a gang with its planner killed and replaced within the 4 s term timeout. The log still named the replaced instance as holder and its peers heard it again, so nobody took the term and the accepted jobs did not end. Ruled out: the peers' silence timeout (it works when the replacement takes longer than 4 s) and the workers' leases (they lapsed as they should). Change: an instance that the log names as holder but that is not acting takes the next term at once; the higher number fences whatever its predecessor left behind.

--- a/packages/daemon/carawayrouted/callers.py
+++ b/packages/daemon/carawayrouted/callers.py
@@ -9,18 +9,16 @@
 
 import structlog
 from aiohttp import web
-from carawayroute.clock import Clock
 from carawayroute.dispatch import QuickRequest
 from carawayroute.exceptions import LogError, RefusedError
 from carawayroute.jobs import (
     ImpossibleShapeError,
     JobConflictError,
-    JobService,
     JobUncertainError,
 )
-from carawayroute.log import LogFollower
 from carawayroute.misc import new_id
-from carawayroute.quick import QuickResult, QuickService
+from carawayroute.node import Node
+from carawayroute.quick import QuickResult
 from carawayroute.state import Job
 from carawayroute_schema import carawayroute_pb2 as pb
 from google.protobuf import json_format
@@ -60,28 +58,15 @@
 
 
 class CallerService:
-    """Answer callers.
+    """Answer callers."""
 
-    :ivar open_requests: requests that are being answered, for draining.
-    """
-
-    def __init__(
-        self,
-        clock: Clock,
-        region: str,
-        follower: LogFollower,
-        quick: QuickService,
-        jobs: JobService,
-        metrics: Metrics,
-    ) -> None:
-        self._clock = clock
-        self._region = region
-        self._follower = follower
-        self._quick = quick
-        self._jobs = jobs
+    def __init__(self, node: Node, metrics: Metrics) -> None:
+        self._node = node
+        self._clock = node.clock
+        self._follower = node.follower
+        self._quick = node.quick
+        self._jobs = node.jobs
         self._metrics = metrics
-        self.open_requests = 0
-        self.draining = False
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
@@ -97,7 +82,7 @@
         self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.Response]]
     ) -> web.StreamResponse:
         """Turn errors into answers; nothing reaches the caller as a stack trace."""
-        self.open_requests += 1
+        self._node.open_requests += 1
         try:
             response = await handler(request)
         except BadRequestError as error:
@@ -111,9 +96,9 @@
             log.exception("request_failed", path=request.path)
             response = error_response(500, "unknown", "internal", "the entry failed")
         finally:
-            self.open_requests -= 1
+            self._node.open_requests -= 1
             structlog.contextvars.unbind_contextvars("request_id", "team", "kind", "job")
-        if self.draining:
+        if self._node.draining:
             response.force_close()
         return response
 
@@ -273,7 +258,7 @@
 
     def _home_region(self, team: pb.Team) -> str:
         """Return the region of a team's first guarantee, or the entry's own."""
-        return team.guarantees[0].region if team.guarantees else self._region
+        return team.guarantees[0].region if team.guarantees else self._node.settings.region
 
     def _own_job(self, request: web.Request) -> Job:
         team = self._team(request)
--- a/packages/daemon/carawayrouted/operators.py
+++ b/packages/daemon/carawayrouted/operators.py
@@ -3,12 +3,9 @@
 import grpc
 from carawayroute.config import check_configuration
 from carawayroute.exceptions import ConfigurationError, FieldProblem, LogError, LogUncertainError
-from carawayroute.jobs import JobService
-from carawayroute.log import LogFollower
-from carawayroute.membership import Membership
+from carawayroute.node import Node
 from carawayroute.packing import ShapeCount, Space, fits_all
 from carawayroute.placement import GuaranteeUse
-from carawayroute.planner import Planner
 from carawayroute.state import Job
 from carawayroute_schema import carawayroute_pb2 as pb
 from carawayroute_schema import carawayroute_pb2_grpc as pb_grpc
@@ -22,19 +19,12 @@
     What runs where is known to the instance that plans for a region; the others say so.
     """
 
-    def __init__(
-        self,
-        instance: str,
-        follower: LogFollower,
-        membership: Membership,
-        jobs: JobService,
-        planner: Planner,
-    ) -> None:
-        self._instance = instance
-        self._follower = follower
-        self._membership = membership
-        self._jobs = jobs
-        self._planner = planner
+    def __init__(self, node: Node) -> None:
+        self._instance = node.settings.instance
+        self._follower = node.follower
+        self._membership = node.membership
+        self._jobs = node.jobs
+        self._planner = node.planner
 
     # ------------------------------------------------------------------ configuration
 
--- a/packages/daemon/carawayrouted/peers.py
+++ b/packages/daemon/carawayrouted/peers.py
@@ -4,10 +4,8 @@
 import time
 
 import pynng
-from carawayroute.clock import Clock
-from carawayroute.gossip import Gossip
-from carawayroute.membership import Membership
 from carawayroute.misc import TaskGroup
+from carawayroute.node import Node
 from carawayroute.types import Instance
 from carawayroute_schema import carawayroute_pb2 as pb
 from google.protobuf.message import DecodeError
@@ -23,29 +21,17 @@
 
 
 class PeerLinks:
-    """Keep one link to every other daemon and answer theirs.
+    """Keep one link to every other daemon and answer theirs."""
 
-    :param on_reply: called after each reply, when slots may have been borrowed.
-    :param urgent: set when requests wait here, to send before the interval is over.
-    """
-
-    def __init__(
-        self,
-        settings: Settings,
-        clock: Clock,
-        gossip: Gossip,
-        membership: Membership,
-        metrics: Metrics,
-        on_reply,
-        urgent: asyncio.Event,
-    ) -> None:
+    def __init__(self, settings: Settings, node: Node, metrics: Metrics) -> None:
         self._settings = settings
-        self._clock = clock
-        self._gossip = gossip
-        self._membership = membership
+        self._node = node
+        self._clock = node.clock
+        self._gossip = node.gossip
+        self._membership = node.membership
         self._metrics = metrics
-        self._on_reply = on_reply
-        self._urgent = urgent
+        # Set when requests wait here, to send before the interval is over.
+        self._urgent = node.dispatcher.on_queue
         self._tasks = TaskGroup()
         self._links_by_peer: dict[str, asyncio.Task] = {}
         self._server: pynng.Rep0 | None = None
@@ -116,7 +102,7 @@
             data = await socket.arecv()
             self._gossip.take_reply(pb.PeerReply.FromString(data))
             self._count(received=len(data), sent=len(message))
-            self._on_reply()
+            self._node.dispatcher.pump()
             await self._pause(same_region)
 
     async def _pause(self, same_region: bool) -> None:
--- a/packages/library/carawayroute/claims.py
+++ b/packages/library/carawayroute/claims.py
@@ -17,6 +17,7 @@
     """Take, finish and look up claims.
 
     :param tasks: runs the appends of outcomes in the background.
+    :ivar recording: outcomes that the log has not taken yet.
     """
 
     def __init__(
@@ -26,6 +27,7 @@
         self._clock = clock
         self._instance = instance
         self._tasks = tasks
+        self.recording = 0
 
     def _entry(self, key: str) -> ClaimEntry | None:
         return self._follower.state.claims_by_key.get(key)
@@ -90,14 +92,18 @@
         self._tasks.start(self._append_until_taken(record), f"outcome {claim.key}")
 
     async def _append_until_taken(self, record: pb.LogRecord) -> None:
-        while True:
-            try:
-                await self._follower.append(record, APPEND_TIMEOUT_MS)
-                return
-            except LogError:
-                continue
-
-    async def close_orphans(self, memory_ms: int) -> None:
+        self.recording += 1
+        try:
+            while True:
+                try:
+                    await self._follower.append(record, APPEND_TIMEOUT_MS)
+                    return
+                except LogError:
+                    continue
+        finally:
+            self.recording -= 1
+
+    def close_orphans(self, memory_ms: int) -> None:
         """Record as unknown the claims whose owner never said how they ended."""
         state = self._follower.state
         for entry in list(state.claims_by_key.values()):
--- a/packages/library/carawayroute/misc.py
+++ b/packages/library/carawayroute/misc.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import hashlib
-import uuid
+import random
 from collections.abc import Coroutine, Iterable
 
 
 def new_id(prefix: str) -> str:
     """Return an id that no other process makes."""
-    return f"{prefix}-{uuid.uuid4().hex[:16]}"
+    return f"{prefix}-{random.getrandbits(64):016x}"
 
 
 def rendezvous(key: str, candidates: Iterable[str]) -> list[str]:
--- /dev/null
+++ b/packages/library/carawayroute/node.py
@@ -0,0 +1,233 @@
+"""One entry instance without its transports."""
+
+from carawayroute_schema import carawayroute_pb2 as pb
+
+from carawayroute.claims import Claims
+from carawayroute.clock import Clock
+from carawayroute.dispatch import Dispatcher
+from carawayroute.exceptions import CarawayrouteError
+from carawayroute.gossip import Gossip
+from carawayroute.jobs import JobService
+from carawayroute.log import LogFollower
+from carawayroute.membership import Membership
+from carawayroute.misc import TaskGroup
+from carawayroute.placement import Fleet
+from carawayroute.planner import Planner, PlannerSettings
+from carawayroute.platform import Endpoints, InstanceList, Log, Workers
+from carawayroute.quick import QuickService
+from carawayroute.routing import SlotLeaseRouter
+from carawayroute.terms import TermWatch
+
+REPEATS_PER_SECOND = 50
+UPKEEP_MS = 250
+CLOSE_ORPHANS_MS = 10_000
+# Time for the balancer and the peers to see that this instance is leaving.
+LEAVING_NOTICE_MS = 1_000
+# Records after which the planner should look again.
+PLANNER_RECORDS = ("job_accepted", "cancel_requested", "configuration", "term", "drain")
+
+
+class NodeSettings:
+    """Names and times of a node; times in ms."""
+
+    __slots__ = (
+        "claim_memory_ms",
+        "drain_ms",
+        "instance",
+        "list_interval_ms",
+        "planner",
+        "region",
+        "retention_ms",
+        "runner_timeout_ms",
+        "slot_lease_ms",
+        "term_timeout_ms",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        region: str,
+        planner: PlannerSettings | None = None,
+        list_interval_ms: float = 1_000,
+        term_timeout_ms: float = 4_000,
+        slot_lease_ms: float = 3_000,
+        runner_timeout_ms: float = 10_000,
+        drain_ms: float = 30_000,
+        retention_ms: int = 600_000,
+        claim_memory_ms: int = 300_000,
+    ) -> None:
+        self.instance = instance
+        self.region = region
+        self.planner = planner or PlannerSettings()
+        self.list_interval_ms = list_interval_ms
+        self.term_timeout_ms = term_timeout_ms
+        self.slot_lease_ms = slot_lease_ms
+        self.runner_timeout_ms = runner_timeout_ms
+        self.drain_ms = drain_ms
+        self.retention_ms = retention_ms
+        self.claim_memory_ms = claim_memory_ms
+
+
+class _Configured:
+    """Look up teams and kinds in whatever state the follower holds now."""
+
+    def __init__(self, follower: LogFollower) -> None:
+        self._follower = follower
+
+    def team(self, team_id: str) -> pb.Team | None:
+        """Return a team."""
+        return self._follower.state.team(team_id)
+
+    def kind(self, kind_id: str) -> pb.Kind | None:
+        """Return a kind."""
+        return self._follower.state.kind(kind_id)
+
+
+class Node:
+    """Serve quick requests and jobs, and plan for the region when it is this instance's turn.
+
+    Whoever embeds a node calls `start`, carries the messages of `gossip` to the other nodes, and
+    calls `drain` and `stop` at the end.
+
+    :ivar open_requests: requests that are being answered; the embedder counts them.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        log: Log,
+        instances: InstanceList,
+        workers: Workers,
+        endpoints: Endpoints,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.tasks = TaskGroup()
+        self.open_requests = 0
+        self.draining = False
+        self.list_was_read = False
+        self._instances = instances
+        self.membership = Membership(clock)
+        self.follower = LogFollower(
+            log, clock, settings.instance, settings.retention_ms, settings.claim_memory_ms
+        )
+        self.router = SlotLeaseRouter(clock, settings.instance, settings.slot_lease_ms)
+        self.dispatcher = Dispatcher(
+            clock,
+            self.membership,
+            self.router,
+            endpoints,
+            _Configured(self.follower),
+            settings.runner_timeout_ms,
+        )
+        self.claims = Claims(self.follower, clock, settings.instance, self.tasks)
+        self.quick = QuickService(self.dispatcher, self.claims)
+        self.jobs = JobService(self.follower, self.membership, clock)
+        watch = TermWatch(clock, settings.instance, settings.region, settings.term_timeout_ms)
+        self.planner = Planner(
+            settings.region,
+            settings.instance,
+            clock,
+            self.follower,
+            self.membership,
+            workers,
+            watch,
+            settings.planner,
+        )
+        self.gossip = Gossip(
+            settings.instance,
+            settings.region,
+            self.follower,
+            self.membership,
+            watch,
+            self.router,
+            lambda: len(self.dispatcher.queue),
+            self.planner.terms_held,
+        )
+        self.follower.listeners.append(self._wake_planner)
+
+    def _wake_planner(self, record: pb.LogRecord) -> None:
+        if record.WhichOneof("body") in PLANNER_RECORDS:
+            self.planner.wake.set()
+
+    @property
+    def fleet(self) -> Fleet:
+        """Return the planner's view of the region's workers."""
+        return self.planner.fleet
+
+    def not_ready(self) -> str:
+        """Return why the balancer should send no callers here, or empty."""
+        if self.draining:
+            return "draining"
+        if not self.follower.caught_up:
+            return "the log has not been read"
+        if not self.list_was_read:
+            return "the instance list has not been read"
+        if self.settings.instance in self.follower.state.draining:
+            return "drained by an operator"
+        return ""
+
+    def start(self) -> None:
+        """Start following, planning and upkeep."""
+        self.tasks.start(self.follower.run(), "follow log")
+        self.tasks.start(self._read_list(), "read list")
+        self.tasks.start(self.planner.run(), "planner")
+        self.tasks.start(self._upkeep(), "upkeep")
+        self.tasks.start(
+            self.follower.repeat_live_records(REPEATS_PER_SECOND, self._is_keeper), "repeat records"
+        )
+
+    async def _read_list(self) -> None:
+        while True:
+            try:
+                self.membership.update(await self._instances.read())
+                self.list_was_read = True
+                self._update_router()
+            except CarawayrouteError:
+                # The last reading and what was observed first-hand stay in use.
+                self._update_router()
+            await self.clock.sleep_ms(self.settings.list_interval_ms)
+
+    def _update_router(self) -> None:
+        """Share the slots of the region's runners, or of all when the region has none left."""
+        region = self.settings.region
+        runners = self.membership.live("runner", region) or self.membership.live("runner")
+        entries = [entry.id for entry in self.membership.live("entry", region)]
+        self.router.update(runners, entries)
+        self.dispatcher.pump()
+
+    async def _upkeep(self) -> None:
+        """Do what is due now and then."""
+        orphans_due_ms = self.clock.now_ms() + CLOSE_ORPHANS_MS
+        while True:
+            self.router.expire()
+            self.dispatcher.pump()
+            if self.clock.now_ms() >= orphans_due_ms and self._is_keeper():
+                orphans_due_ms = self.clock.now_ms() + CLOSE_ORPHANS_MS
+                self.claims.close_orphans(self.settings.claim_memory_ms)
+            await self.clock.sleep_ms(UPKEEP_MS)
+
+    def _is_keeper(self) -> bool:
+        """Return whether this instance keeps live records on the log: one of the planners does."""
+        regions = sorted(self.follower.state.terms_by_region)
+        return self.planner.acting and bool(regions) and regions[0] == self.settings.region
+
+    async def drain(self) -> None:
+        """Leave without cutting off a request."""
+        self.draining = True
+        self.gossip.is_leaving = True
+        self.membership.observe_leaving(self.settings.instance)
+        await self.planner.drain()
+        await self.clock.sleep_ms(LEAVING_NOTICE_MS)
+        deadline_ms = self.clock.now_ms() + self.settings.drain_ms
+        while self._has_work() and self.clock.now_ms() < deadline_ms:
+            await self.clock.sleep_ms(20)
+
+    def _has_work(self) -> bool:
+        return self.open_requests > 0 or self.claims.recording > 0
+
+    async def stop(self) -> None:
+        """End every task."""
+        await self.planner.tasks.cancel()
+        await self.tasks.cancel()
--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -1,6 +1,7 @@
 """Planning for one region: terms, leases on workers, launching and ending gangs."""
 
 import asyncio
+import contextlib
 
 from carawayroute_schema import carawayroute_pb2 as pb
 
@@ -119,10 +120,8 @@
         """Watch the term and plan until cancelled."""
         while True:
             await self.tick()
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.wake.wait(), TICK_MS / 1000)
-            except TimeoutError:
-                pass
             self.wake.clear()
 
     async def tick(self) -> None:
--- a/packages/library/carawayroute/retries.py
+++ b/packages/library/carawayroute/retries.py
@@ -12,17 +12,16 @@
     :param max_ms: upper bound of every wait.
     """
 
-    __slots__ = ("_bound_ms", "_first_ms", "_max_ms", "_random")
+    __slots__ = ("_bound_ms", "_first_ms", "_max_ms")
 
-    def __init__(self, first_ms: float, max_ms: float, seed: int | None = None) -> None:
+    def __init__(self, first_ms: float, max_ms: float) -> None:
         self._first_ms = first_ms
         self._max_ms = max_ms
         self._bound_ms = first_ms
-        self._random = random.Random(seed)
 
     def next_ms(self) -> float:
         """Return the next wait."""
-        wait_ms = self._random.uniform(self._bound_ms / 2, self._bound_ms)
+        wait_ms = random.uniform(self._bound_ms / 2, self._bound_ms)
         self._bound_ms = min(self._max_ms, self._bound_ms * 2)
         return wait_ms
 
--- a/packages/library/carawayroute/terms.py
+++ b/packages/library/carawayroute/terms.py
@@ -47,7 +47,11 @@
         if leaving:
             return False
         term = state.terms_by_region.get(self.region)
-        if term is not None and term.holder in entries and not self.is_silent(term.holder):
+        holder = term.holder if term is not None else ""
+        if holder == self.instance:
+            # This instance held the term before a restart; a new one fences what it left behind.
+            return True
+        if holder in entries and not self.is_silent(holder):
             return False
         for candidate in self.rank(entries):
             if candidate == self.instance:
--- a/packages/schema/carawayroute_schema/settings.py
+++ b/packages/schema/carawayroute_schema/settings.py
@@ -1,4 +1,4 @@
-"""Settings of carawayrouted. Generated from schema/settings.yaml by tools/generate.py."""
+"""Settings of carawayrouted, generated from schema/settings.yaml."""
 
 from carawayroute_schema.setting import Setting
 
--- /dev/null
+++ b/packages/standins/carawayroute_standins/virtual.py
@@ -0,0 +1,54 @@
+"""An event loop whose clock jumps to the next timer instead of waiting."""
+
+import asyncio
+import random
+import selectors
+from collections.abc import Coroutine
+from typing import TypeVar
+
+T = TypeVar("T")
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Advance the loop's clock by the time that a real selector would wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list:
+        if timeout is None:
+            raise RuntimeError("every task waits for something that will never come")
+        self.now_s += max(0.0, timeout)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Run tasks and timers in virtual time, in the same order every time."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+        self._clock_resolution = 1e-9
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._jumping.now_s
+
+
+def run_virtual(work: Coroutine[object, object, T], seed: int = 1) -> T:
+    """Run a coroutine in virtual time with a fixed seed and return its result."""
+    random.seed(seed)
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        _cancel_all(loop)
+        loop.close()
+
+
+def _cancel_all(loop: asyncio.AbstractEventLoop) -> None:
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,123 @@
+"""Builders of test data."""
+
+import json
+
+from carawayroute.config import read_configuration
+from carawayroute.node import NodeSettings
+from carawayroute.types import Instance
+from carawayroute_schema import carawayroute_pb2 as pb
+from carawayroute_standins.world import World
+
+KEY_SHA256 = "0" * 64
+QUICK_TIMES = {"maxWaitMs": 30_000, "expectedRunMs": 100, "maxBodyBytes": 65_536, "weight": 1}
+GANG_TIMES = {"maxWaitMs": 600_000, "expectedRunMs": 5_000, "maxBodyBytes": 65_536, "weight": 1}
+
+
+def shape_tree(members: int = 2, accelerators: int = 8, adjacency: str = "RACK") -> dict:
+    """Return a shape as a configuration has it."""
+    return {"members": members, "accelerators": accelerators, "adjacency": adjacency}
+
+
+def team_tree(name: str, guarantees: list[dict] | None = None, weight: int = 1) -> dict:
+    """Return a team as a configuration has it."""
+    return {
+        "id": name,
+        "keySha256": KEY_SHA256,
+        "weight": weight,
+        "guarantees": guarantees or [],
+    }
+
+
+def guarantee_tree(
+    shape: dict | None = None, count: int = 1, region: str = "south", name: str = "packs"
+) -> dict:
+    """Return a guarantee as a configuration has it."""
+    return {"id": name, "region": region, "shape": shape or shape_tree(), "count": count}
+
+
+def configuration_tree(owner_count: int = 1) -> dict:
+    """Return a configuration with a team that holds a guarantee and one that does not."""
+    guarantees = [guarantee_tree(count=owner_count)] if owner_count else []
+    return {
+        "teams": [team_tree("owner", guarantees), team_tree("other")],
+        "kinds": [
+            {"id": "preview", "service": "QUICK", "idempotent": True, **QUICK_TIMES},
+            {"id": "export", "service": "QUICK", "idempotent": False, **QUICK_TIMES},
+            {
+                "id": "render",
+                "service": "GANG",
+                "idempotent": True,
+                "checkpoint": True,
+                **GANG_TIMES,
+            },
+            {"id": "cut-plan", "service": "GANG", "idempotent": False, **GANG_TIMES},
+        ],
+    }
+
+
+def configuration(owner_count: int = 1) -> pb.Configuration:
+    """Return the same as a message."""
+    return read_configuration(configuration_tree(owner_count))
+
+
+def shape(members: int = 2, accelerators: int = 8, adjacency: int = pb.RACK) -> pb.Shape:
+    """Return a shape."""
+    return pb.Shape(members=members, accelerators=accelerators, adjacency=adjacency)
+
+
+def job(
+    team: str = "other",
+    kind: str = "render",
+    request_id: str = "job-1",
+    run_ms: int = 3_000,
+    gang: pb.Shape | None = None,
+    **more: object,
+) -> pb.JobAccepted:
+    """Return a job as an entry reads it."""
+    payload = json.dumps({"run_ms": run_ms, "fails": more.pop("fails", False)})
+    return pb.JobAccepted(
+        team=team,
+        kind=kind,
+        region=more.pop("region", "south"),
+        shape=gang or shape(),
+        request_id=request_id,
+        payload=payload,
+        **more,
+    )
+
+
+def worker(name: str, rack: str = "rack-1", accelerators: int = 8) -> Instance:
+    """Return a worker."""
+    return Instance(name, "worker", "south", name, "s1", rack, accelerators)
+
+
+def runner(name: str, slots: int = 8) -> Instance:
+    """Return a runner."""
+    return Instance(name, "runner", "south", name, "s1", capacity=slots)
+
+
+async def small_world(
+    entries: dict[str, str] | None = None,
+    workers: int = 4,
+    runners: int = 3,
+    retention_ms: int = 600_000,
+    owner_count: int = 1,
+    **settings: object,
+) -> World:
+    """Return a world that has settled: nodes ready, a configuration in force, terms held.
+
+    :param entries: region by name of entry.
+    """
+    world = World(retention_ms=retention_ms)
+    entries = entries or {"a": "south", "b": "south", "c": "north"}
+    for region in sorted(set(entries.values())):
+        for index in range(workers):
+            world.add_worker(f"worker-{region}-{index}", region, f"rack-{region}-{index // 4}")
+        for index in range(runners):
+            world.add_runner(f"runner-{region}-{index}", region)
+    for name, region in entries.items():
+        world.add_node(NodeSettings(name, region, retention_ms=retention_ms, **settings))
+    await world.settle(2_500)
+    await world.publish(configuration_tree(owner_count))
+    await world.settle(2_500)
+    return world
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -9,7 +9,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TARGET = ROOT / "packages" / "schema" / "carawayroute_schema"
 
-HEADER = '''"""Settings of carawayrouted. Generated from schema/settings.yaml by tools/generate.py."""
+HEADER = '''"""Settings of carawayrouted, generated from schema/settings.yaml."""
 
 from carawayroute_schema.setting import Setting
 
