--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := packages/schema packages/library packages/daemon packages/ctl packages/standins
+JOBS ?= 6
 SOURCES := packages tests tools examples bench
 
 export DEPLOYMENT ?= deckmali
@@ -25,10 +26,10 @@
 	$(BIN)/python -m carawayroute_standins.demo
 
 test: setup  ## Run every test.
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n $(JOBS) --dist worksteal
 
-test-fast: setup  ## Run the tests that start no processes.
-	$(BIN)/python -m pytest -q -m "not slow"
+test-fast: setup  ## Run the tests but for the fault matrix and those that start processes.
+	$(BIN)/python -m pytest -q -n $(JOBS) -m "not slow and not matrix"
 
 lint: setup  ## Check format and style.
 	$(BIN)/black --check --quiet $(SOURCES)
--- a/packages/ctl/carawayctl/client.py
+++ b/packages/ctl/carawayctl/client.py
@@ -1,9 +1,9 @@
 """Calling daemons: the first of several that can answer."""
 
 import grpc
-from carawayroute_schema import carawayroute_pb2_grpc as pb_grpc
 
 from carawayctl.exceptions import CommandError
+from carawayroute_schema import carawayroute_pb2_grpc as pb_grpc
 
 CALL_TIMEOUT_S = 10
 # With these another instance may be able to answer; nothing was changed by the call.
--- a/packages/ctl/carawayctl/cmdline.py
+++ b/packages/ctl/carawayctl/cmdline.py
@@ -5,13 +5,13 @@
 
 import fire
 import yaml
-from carawayroute.config import check_configuration, read_configuration
-from carawayroute.exceptions import CarawayrouteError, ConfigurationError
-from carawayroute_schema import carawayroute_pb2 as pb
 
 from carawayctl import show
 from carawayctl.client import Client
 from carawayctl.exceptions import CommandError
+from carawayroute.config import check_configuration, read_configuration
+from carawayroute.exceptions import CarawayrouteError, ConfigurationError
+from carawayroute_schema import carawayroute_pb2 as pb
 
 
 class Commands:
--- a/packages/ctl/carawayctl/show.py
+++ b/packages/ctl/carawayctl/show.py
@@ -2,11 +2,12 @@
 
 import json
 
-from carawayroute.types import describe_shape
-from carawayroute_schema import carawayroute_pb2 as pb
 from google.protobuf import json_format
 from google.protobuf.message import Message
 
+from carawayroute.types import describe_shape
+from carawayroute_schema import carawayroute_pb2 as pb
+
 
 def as_json(message: Message) -> str:
     """Return a message as JSON with all its fields."""
--- a/packages/daemon/carawayrouted/adapters.py
+++ b/packages/daemon/carawayrouted/adapters.py
@@ -6,6 +6,7 @@
 import json
 
 import aiohttp
+
 from carawayroute.exceptions import (
     CarawayrouteError,
     EndpointLeavingError,
@@ -18,6 +19,7 @@
     WorkerRefusedError,
     WorkerUnreachableError,
 )
+from carawayroute.misc import TaskGroup
 from carawayroute.types import Answer, Attempt, Instance, Token
 from carawayroute_schema import carawayroute_pb2 as pb
 
@@ -25,6 +27,7 @@
 TRANSPORT_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 WORKER_TIMEOUT_MS = 2_000
 CONNECT_TIMEOUT_MS = 1_000
+DISCARD_DELAY_S = 60
 
 
 def _timeout(total_ms: float) -> aiohttp.ClientTimeout:
@@ -162,6 +165,7 @@
 
     def __init__(self) -> None:
         self._sessions_by_runner: dict[str, aiohttp.ClientSession] = {}
+        self._tasks = TaskGroup()
 
     def _session(self, runner: Instance) -> aiohttp.ClientSession:
         key = f"{runner.id}@{runner.address}"
@@ -172,16 +176,15 @@
             self._sessions_by_runner[key] = session
         return session
 
-    async def _discard(self, runner: Instance) -> None:
+    def _discard(self, runner: Instance) -> None:
         """Use none of a runner's idle connections again; the busy ones end by themselves."""
         session = self._sessions_by_runner.pop(f"{runner.id}@{runner.address}", None)
         if session is not None:
-            asyncio.get_running_loop().call_later(
-                60, lambda: asyncio.ensure_future(_close(session))
-            )
+            self._tasks.start(_close_later(session), f"close {runner.id}")
 
     async def close(self) -> None:
         """Close every connection."""
+        await self._tasks.cancel()
         for session in self._sessions_by_runner.values():
             await session.close()
 
@@ -198,8 +201,11 @@
                 timeout=_timeout(timeout_ms),
             ) as response:
                 return _whole_answer(response, await response.read(), attempt_id)
+        except asyncio.CancelledError:
+            self._discard(runner)
+            raise
         except TRANSPORT_ERRORS as error:
-            await self._discard(runner)
+            self._discard(runner)
             if _never_sent(error):
                 raise EndpointNotReachedError(f"{runner.id}: {error}") from error
             raise EndpointUncertainError(f"{runner.id}: {error!r}") from error
@@ -221,5 +227,9 @@
     return Answer(200, body, response.headers.get("Content-Type", "application/octet-stream"))
 
 
-async def _close(session: aiohttp.ClientSession) -> None:
-    await session.close()
+async def _close_later(session: aiohttp.ClientSession) -> None:
+    """Close a session once the requests on it had time to end."""
+    try:
+        await asyncio.sleep(DISCARD_DELAY_S)
+    finally:
+        await session.close()
--- a/packages/daemon/carawayrouted/callers.py
+++ b/packages/daemon/carawayrouted/callers.py
@@ -9,6 +9,8 @@
 
 import structlog
 from aiohttp import web
+from google.protobuf import json_format
+
 from carawayroute.dispatch import QuickRequest
 from carawayroute.exceptions import LogError, RefusedError
 from carawayroute.jobs import (
@@ -21,8 +23,6 @@
 from carawayroute.quick import QuickResult
 from carawayroute.state import Job
 from carawayroute_schema import carawayroute_pb2 as pb
-from google.protobuf import json_format
-
 from carawayrouted.exceptions import BadRequestError
 from carawayrouted.logs import get_logger
 from carawayrouted.metrics import Metrics
--- a/packages/daemon/carawayrouted/daemon.py
+++ b/packages/daemon/carawayrouted/daemon.py
@@ -6,13 +6,13 @@
 import aiohttp
 import grpc
 from aiohttp import web
+
 from carawayroute.clock import Clock
 from carawayroute.misc import TaskGroup
 from carawayroute.node import Node, NodeSettings
 from carawayroute.planner import PlannerSettings
 from carawayroute_schema import carawayroute_pb2 as pb
 from carawayroute_schema import carawayroute_pb2_grpc as pb_grpc
-
 from carawayrouted.adapters import HttpEndpoints, HttpInstanceList, HttpLog, HttpWorkers
 from carawayrouted.callers import OUTCOME_NAMES, CallerService
 from carawayrouted.logs import get_logger
--- a/packages/daemon/carawayrouted/operators.py
+++ b/packages/daemon/carawayrouted/operators.py
@@ -1,6 +1,7 @@
 """The operators' remote procedure calls."""
 
 import grpc
+
 from carawayroute.config import check_configuration
 from carawayroute.exceptions import ConfigurationError, FieldProblem, LogError, LogUncertainError
 from carawayroute.node import Node
--- a/packages/daemon/carawayrouted/peers.py
+++ b/packages/daemon/carawayrouted/peers.py
@@ -4,12 +4,12 @@
 import time
 
 import pynng
+from google.protobuf.message import DecodeError
+
 from carawayroute.misc import TaskGroup
 from carawayroute.node import Node
 from carawayroute.types import Instance
 from carawayroute_schema import carawayroute_pb2 as pb
-from google.protobuf.message import DecodeError
-
 from carawayrouted.logs import get_logger
 from carawayrouted.metrics import Metrics
 from carawayrouted.settings import Settings
--- a/packages/daemon/carawayrouted/settings.py
+++ b/packages/daemon/carawayrouted/settings.py
@@ -5,7 +5,6 @@
 
 from carawayroute_schema.setting import Setting
 from carawayroute_schema.settings import BY_NAME
-
 from carawayrouted.exceptions import SettingError
 
 
--- a/packages/library/carawayroute/claims.py
+++ b/packages/library/carawayroute/claims.py
@@ -1,12 +1,11 @@
 """Claims on the log, so that a request that is not idempotent is dispatched at most once."""
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.clock import Clock
 from carawayroute.exceptions import LogError, LogUncertainError, RefusedError
 from carawayroute.log import LogFollower
 from carawayroute.misc import TaskGroup, new_id
 from carawayroute.state import ClaimEntry
+from carawayroute_schema import carawayroute_pb2 as pb
 
 APPEND_TIMEOUT_MS = 5_000
 # Larger answers are not kept for repeated requests.
--- a/packages/library/carawayroute/config.py
+++ b/packages/library/carawayroute/config.py
@@ -3,13 +3,13 @@
 import re
 from typing import Any
 
-from carawayroute_schema import carawayroute_pb2 as pb
 from google.protobuf import json_format, message_factory
 from google.protobuf.descriptor import FieldDescriptor
 from google.protobuf.message import Message
 
 from carawayroute.exceptions import ConfigurationError, FieldProblem
 from carawayroute.types import shape_total
+from carawayroute_schema import carawayroute_pb2 as pb
 
 ID_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 KEY_PATTERN = re.compile(r"[0-9a-f]{64}")
--- a/packages/library/carawayroute/dispatch.py
+++ b/packages/library/carawayroute/dispatch.py
@@ -3,8 +3,6 @@
 import asyncio
 from typing import Protocol
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.clock import Clock
 from carawayroute.estimates import RunTimes
 from carawayroute.exceptions import (
@@ -21,10 +19,11 @@
 from carawayroute.retries import RetryBudget
 from carawayroute.routing import Router, Slot
 from carawayroute.types import Answer
+from carawayroute_schema import carawayroute_pb2 as pb
 
-# An idempotent attempt that takes this many times its expected run time is tried elsewhere.
+# An idempotent attempt that takes this many times its expected run time gets a second beside it.
 SILENCE_FACTOR = 5
-MIN_ATTEMPT_MS = 500
+MIN_PATIENCE_MS = 500
 URGENCY_FACTOR = {pb.CAN_WAIT: 1, pb.ORDINARY: 2, pb.URGENT: 4}
 
 
@@ -129,24 +128,69 @@
         while True:
             try:
                 slot = await self._acquire(request, avoid)
-            except RefusedError:
-                if uncertain is not None:
-                    raise uncertain from None
-                raise
-            try:
-                return await self._attempt(request, slot, first=not avoid)
+                return await self._attempt_hedged(request, slot, avoid)
             except EndpointLeavingError:
-                self._membership.observe_leaving(slot.runner)
+                continue
             except EndpointNotReachedError as error:
                 if not self.budget.spend():
-                    if uncertain is not None:
-                        raise uncertain from None
-                    raise RefusedError(f"no runner could be reached: {error}", 1000) from error
+                    refusal = RefusedError(f"no runner could be reached: {error}", 1000)
+                    raise uncertain or refusal from None
+            except RefusedError as error:
+                raise uncertain or error from None
             except EndpointUncertainError as error:
                 uncertain = error
                 if not request.kind.idempotent or not self.budget.spend():
                     raise
-            avoid.add(slot.runner)
+
+    async def _attempt_hedged(self, request: QuickRequest, slot: Slot, avoid: set[str]) -> Answer:
+        """Make an attempt; an idempotent one that stays silent for long gets a second beside it.
+
+        The first attempt goes on, since the expected run time may be wrong.
+        """
+        avoid.add(slot.runner)
+        first = asyncio.ensure_future(self._attempt(request, slot))
+        attempts = {first}
+        try:
+            if request.kind.idempotent:
+                await asyncio.wait(attempts, timeout=self._patience_ms(request.kind) / 1000)
+                if not first.done():
+                    attempts |= self._hedge(request, avoid)
+            return await self._first_answer(attempts)
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+
+    def _patience_ms(self, kind: pb.Kind) -> float:
+        return max(MIN_PATIENCE_MS, SILENCE_FACTOR * self.expected_ms(kind))
+
+    def _hedge(self, request: QuickRequest, avoid: set[str]) -> set[asyncio.Task[Answer]]:
+        """Start a second attempt if a slot is idle and the budget allows it."""
+        slot = self.router.acquire(avoid | self._unusable())
+        if slot is None:
+            return set()
+        if not self.budget.spend():
+            self.router.release(slot)
+            return set()
+        avoid.add(slot.runner)
+        return {asyncio.ensure_future(self._attempt(request, slot))}
+
+    @staticmethod
+    async def _first_answer(attempts: set[asyncio.Task[Answer]]) -> Answer:
+        """Return the first whole answer, or raise the failure that says most.
+
+        When one attempt may have run, the request may have, whatever the other one met.
+        """
+        waiting = set(attempts)
+        failures: list[Exception] = []
+        while waiting:
+            done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            for attempt in done:
+                error = attempt.exception()
+                if error is None:
+                    return attempt.result()
+                failures.append(error)
+        failures.sort(key=lambda error: isinstance(error, EndpointUncertainError))
+        raise failures[-1]
 
     async def _acquire(self, request: QuickRequest, avoid: set[str]) -> Slot:
         """Wait for a slot within the time that leaves room to run the request."""
@@ -217,21 +261,20 @@
             ticket = self.queue.pop(lambda item: self.expected_ms(item.request.kind))
             if ticket is None or ticket.slot.done():
                 continue
-            if self._clock.now_ms() >= ticket.request.deadline_ms:
-                ticket.slot.set_exception(RefusedError("the deadline passed in the queue", 1000))
+            request = ticket.request
+            if self._clock.now_ms() + self.expected_ms(request.kind) > request.deadline_ms:
+                # Started now, it would use a slot and still be answered too late.
+                ticket.slot.set_exception(RefusedError("too little time was left to run", 1000))
                 continue
             return ticket
         return None
 
-    async def _attempt(self, request: QuickRequest, slot: Slot, first: bool) -> Answer:
-        remaining_ms = request.deadline_ms - self._clock.now_ms()
-        timeout_ms = min(remaining_ms, self._runner_timeout_ms)
-        if request.kind.idempotent and first:
-            patience_ms = max(MIN_ATTEMPT_MS, SILENCE_FACTOR * self.expected_ms(request.kind))
-            timeout_ms = min(timeout_ms, patience_ms)
+    async def _attempt(self, request: QuickRequest, slot: Slot) -> Answer:
+        """Send a request to the runner of a slot."""
+        began_ms = self._clock.now_ms()
+        timeout_ms = min(request.deadline_ms - began_ms, self._runner_timeout_ms)
         runner = self._membership.by_id.get(slot.runner)
         self.running += 1
-        began_ms = self._clock.now_ms()
         try:
             if timeout_ms <= 0:
                 raise RefusedError("the deadline passed before the request could run")
@@ -241,10 +284,15 @@
                 runner, new_id("a"), request.kind.id, request.body, timeout_ms
             )
         except EndpointLeavingError:
+            self._membership.observe_leaving(slot.runner)
             raise
         except (EndpointNotReachedError, EndpointUncertainError):
             self.health.failed(slot.runner)
             raise
+        except asyncio.CancelledError:
+            # Another attempt was answered first although this one began earlier.
+            self.health.failed(slot.runner)
+            raise
         finally:
             self.running -= 1
             self.router.release(slot)
--- a/packages/library/carawayroute/gangs.py
+++ b/packages/library/carawayroute/gangs.py
@@ -3,12 +3,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.exceptions import LogError, WorkerError, WorkerRefusedError
 from carawayroute.misc import new_id
 from carawayroute.retries import Backoff
 from carawayroute.types import Attempt
+from carawayroute_schema import carawayroute_pb2 as pb
 
 if TYPE_CHECKING:
     from carawayroute.placement import Plan, QueueEntry
--- a/packages/library/carawayroute/gossip.py
+++ b/packages/library/carawayroute/gossip.py
@@ -1,12 +1,11 @@
 """What daemons tell each other, whatever carries it."""
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.log import LogFollower
 from carawayroute.membership import Membership
 from carawayroute.routing import Slot, SlotLeaseRouter
 from carawayroute.state import State
 from carawayroute.terms import TermWatch
+from carawayroute_schema import carawayroute_pb2 as pb
 
 MAX_RECORDS = 200
 
@@ -53,7 +52,7 @@
             log_reachable=self._follower.reachable,
             leaving=self._leaving(),
             terms_held=self._terms_held(),
-            want_state=not self._follower.caught_up,
+            want_state=self._follower.wants_state or not self._follower.caught_up,
         )
         if same_region:
             message.queued = queued
@@ -75,7 +74,8 @@
             self._router.reconcile(request.sender, _to_slots(request.borrowed))
             granted = self._router.lend(request.sender, request.queued, self._queued())
             reply.granted.extend(_to_messages(granted))
-        if not request.log_reachable and request.offset < state.offset:
+        needs_help = request.want_state or not request.log_reachable
+        if needs_help and request.offset < state.offset:
             self._add_records(request, reply)
         return reply
 
--- a/packages/library/carawayroute/jobs.py
+++ b/packages/library/carawayroute/jobs.py
@@ -1,7 +1,5 @@
 """Accepting, watching and cancelling gang jobs."""
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.clock import Clock
 from carawayroute.config import check_shape
 from carawayroute.exceptions import (
@@ -17,6 +15,7 @@
 from carawayroute.packing import Space, choose
 from carawayroute.state import Job
 from carawayroute.types import describe_shape
+from carawayroute_schema import carawayroute_pb2 as pb
 
 APPEND_TIMEOUT_MS = 5_000
 
--- a/packages/library/carawayroute/log.py
+++ b/packages/library/carawayroute/log.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.clock import Clock
 from carawayroute.exceptions import (
     LogError,
@@ -16,11 +14,18 @@
 from carawayroute.platform import Log
 from carawayroute.retries import Backoff
 from carawayroute.state import State
+from carawayroute_schema import carawayroute_pb2 as pb
 
 READ_WAIT_MS = 500
 READ_LIMIT = 1000
 # An unanswered read may not hold an append back for long after the log returns.
 MAX_RETRY_MS = 1000
+# A live record is appended again once its newest copy used up this share of its retention.
+FIRST_REPEAT_SHARE = 0.4
+REPEAT_SHARE_STEP = 0.1
+LAST_REPEAT_SHARE = 0.7
+# How long an instance that missed records waits for a peer's state before it reads what is left.
+PEER_STATE_WAIT_MS = 2_000
 
 
 class LogFollower:
@@ -44,6 +49,7 @@
         self.state = State()
         self.reachable = False
         self.caught_up = False
+        self.wants_state = False
         self.changed = asyncio.Event()
         self.appends = 0
         self.listeners: list[Callable[[pb.LogRecord], None]] = []
@@ -59,7 +65,7 @@
                 records = await self.log.read(self.state.offset, READ_WAIT_MS, READ_LIMIT)
             except LogExpiredError as error:
                 self.reachable = True
-                await self._rebuild(error.earliest)
+                await self._recover(error.earliest)
                 continue
             except LogError:
                 self.reachable = False
@@ -71,6 +77,16 @@
             if len(records) < READ_LIMIT:
                 self.caught_up = True
 
+    async def _recover(self, earliest: int) -> None:
+        """Go on after records were removed unread: from a peer's state, or from what is left."""
+        self.wants_state = True
+        deadline_ms = self.clock.now_ms() + PEER_STATE_WAIT_MS
+        while self.state.offset < earliest and self.clock.now_ms() < deadline_ms:
+            await self.wait_change(deadline_ms - self.clock.now_ms())
+        if self.state.offset < earliest:
+            await self._rebuild(earliest)
+        self.wants_state = False
+
     async def _rebuild(self, earliest: int) -> None:
         """Read what retention has left; live records were appended again before their removal."""
         state = State(earliest)
@@ -85,6 +101,7 @@
             return
         if state.change.version < self.state.change.version:
             state.change = self.state.change
+            state.change_record_id = self.state.change_record_id
         self.replace_state(state)
 
     def replace_state(self, state: State) -> None:
@@ -186,16 +203,20 @@
         if timeout_ms > 0:
             await asyncio.wait([future], timeout=timeout_ms / 1000)
 
-    async def repeat_live_records(self, per_second: int, is_keeper: Callable[[], bool]) -> None:
+    async def repeat_live_records(self, per_second: int, rank: Callable[[], int]) -> None:
         """Append live records again before retention removes them, at a bounded rate.
 
-        :param is_keeper: returns whether this instance is the one to do so now.
+        Each instance begins later than the one before it in rank, so that one does the work while
+        it lives, and another does when it does not.
+
+        :param rank: returns the place of this instance among all, from 0.
         """
         while True:
             await self.clock.sleep_ms(1000)
-            if not self.reachable or not self.caught_up or not is_keeper():
+            if not self.reachable or not self.caught_up:
                 continue
-            for stored in self.state.due_records(self.retention_ms, per_second):
+            share = min(FIRST_REPEAT_SHARE + rank() * REPEAT_SHARE_STEP, LAST_REPEAT_SHARE)
+            for stored in self.state.due_records(self.retention_ms * share, per_second):
                 await self._repeat(stored)
 
     async def _repeat(self, stored: pb.OffsetRecord) -> None:
--- a/packages/library/carawayroute/node.py
+++ b/packages/library/carawayroute/node.py
@@ -1,7 +1,5 @@
 """One entry instance without its transports."""
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.claims import Claims
 from carawayroute.clock import Clock
 from carawayroute.dispatch import Dispatcher
@@ -10,13 +8,14 @@
 from carawayroute.jobs import JobService
 from carawayroute.log import LogFollower
 from carawayroute.membership import Membership
-from carawayroute.misc import TaskGroup
+from carawayroute.misc import TaskGroup, rendezvous
 from carawayroute.placement import Fleet
 from carawayroute.planner import Planner, PlannerSettings
 from carawayroute.platform import Endpoints, InstanceList, Log, Workers
 from carawayroute.quick import QuickService
 from carawayroute.routing import SlotLeaseRouter
 from carawayroute.terms import TermWatch
+from carawayroute_schema import carawayroute_pb2 as pb
 
 REPEATS_PER_SECOND = 50
 UPKEEP_MS = 250
@@ -175,7 +174,7 @@
         self.tasks.start(self.planner.run(), "planner")
         self.tasks.start(self._upkeep(), "upkeep")
         self.tasks.start(
-            self.follower.repeat_live_records(REPEATS_PER_SECOND, self._is_keeper), "repeat records"
+            self.follower.repeat_live_records(REPEATS_PER_SECOND, self._rank), "repeat records"
         )
 
     async def _read_list(self) -> None:
@@ -203,15 +202,17 @@
         while True:
             self.router.expire()
             self.dispatcher.pump()
-            if self.clock.now_ms() >= orphans_due_ms and self._is_keeper():
+            if self.clock.now_ms() >= orphans_due_ms and self._rank() == 0:
                 orphans_due_ms = self.clock.now_ms() + CLOSE_ORPHANS_MS
                 self.claims.close_orphans(self.settings.claim_memory_ms)
             await self.clock.sleep_ms(UPKEEP_MS)
 
-    def _is_keeper(self) -> bool:
-        """Return whether this instance keeps live records on the log: one of the planners does."""
-        regions = sorted(self.follower.state.terms_by_region)
-        return self.planner.acting and bool(regions) and regions[0] == self.settings.region
+    def _rank(self) -> int:
+        """Return this instance's place in the order in which instances keep the log's records."""
+        entries = [entry.id for entry in self.membership.live("entry")]
+        order = rendezvous("keeper", entries)
+        instance = self.settings.instance
+        return order.index(instance) if instance in order else len(order)
 
     async def drain(self) -> None:
         """Leave without cutting off a request."""
--- a/packages/library/carawayroute/packing.py
+++ b/packages/library/carawayroute/packing.py
@@ -1,8 +1,7 @@
 """Fitting gangs of a shape into the accelerators that are available on workers."""
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.types import Instance
+from carawayroute_schema import carawayroute_pb2 as pb
 
 
 class Space:
--- a/packages/library/carawayroute/placement.py
+++ b/packages/library/carawayroute/placement.py
@@ -1,10 +1,9 @@
 """Placing gangs on workers so that every team's guaranteed shapes stay reclaimable."""
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.estimates import RunTimes
 from carawayroute.packing import ShapeCount, Space, choose, fits_all, group_shapes, pack
 from carawayroute.types import Instance, describe_shape, shape_total
+from carawayroute_schema import carawayroute_pb2 as pb
 
 
 class Placement:
--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -3,8 +3,6 @@
 import asyncio
 import contextlib
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.clock import Clock
 from carawayroute.estimates import RunTimes
 from carawayroute.exceptions import LogError, WorkerError, WorkerRefusedError
@@ -26,6 +24,7 @@
 from carawayroute.state import Job
 from carawayroute.terms import TermWatch
 from carawayroute.types import Attempt, Instance, Token
+from carawayroute_schema import carawayroute_pb2 as pb
 
 TICK_MS = 200
 TERM_APPEND_TIMEOUT_MS = 3_000
--- a/packages/library/carawayroute/platform.py
+++ b/packages/library/carawayroute/platform.py
@@ -2,9 +2,8 @@
 
 from typing import Protocol
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.types import Answer, Attempt, Instance, Token
+from carawayroute_schema import carawayroute_pb2 as pb
 
 
 class Log(Protocol):
--- a/packages/library/carawayroute/quick.py
+++ b/packages/library/carawayroute/quick.py
@@ -1,11 +1,10 @@
 """Quick requests from admission to outcome, with claims where they are needed."""
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.claims import Claims
 from carawayroute.dispatch import Dispatcher, QuickRequest
 from carawayroute.exceptions import EndpointUncertainError, RefusedError
 from carawayroute.types import Answer, job_key
+from carawayroute_schema import carawayroute_pb2 as pb
 
 
 class QuickResult:
--- a/packages/library/carawayroute/state.py
+++ b/packages/library/carawayroute/state.py
@@ -1,11 +1,7 @@
 """The state that the log's records make, by offset."""
 
-from carawayroute_schema import carawayroute_pb2 as pb
-
 from carawayroute.types import job_key
-
-# A re-appended record is due once the copy on the log has used up this share of its retention.
-REPEAT_SHARE = 0.4
+from carawayroute_schema import carawayroute_pb2 as pb
 
 
 class Job:
@@ -268,9 +264,9 @@
             if stored.appended_ms < oldest_ms:
                 del self.early_by_key[key]
 
-    def due_records(self, retention_ms: int, limit: int) -> list[pb.OffsetRecord]:
-        """Return the live records whose copy on the log is nearest to its removal."""
-        due_ms = self.log_ms - retention_ms * REPEAT_SHARE
+    def due_records(self, age_ms: float, limit: int) -> list[pb.OffsetRecord]:
+        """Return the live records whose newest copy is older than an age, the oldest first."""
+        due_ms = self.log_ms - age_ms
         due = [stored for stored in self.live_by_key.values() if stored.appended_ms < due_ms]
         due.sort(key=lambda stored: stored.offset)
         return due[:limit]
--- a/packages/standins/carawayroute_standins/client.py
+++ b/packages/standins/carawayroute_standins/client.py
@@ -4,6 +4,7 @@
 import time
 
 import aiohttp
+
 from carawayroute.types import Instance
 
 
--- a/packages/standins/carawayroute_standins/cluster.py
+++ b/packages/standins/carawayroute_standins/cluster.py
@@ -10,8 +10,8 @@
 import time
 
 import aiohttp
-from carawayroute.types import Instance
 
+from carawayroute.types import Instance
 from carawayroute_standins.deployments import Deployment, Layout
 
 READY_TIMEOUT_S = 25
--- a/packages/standins/carawayroute_standins/demo.py
+++ b/packages/standins/carawayroute_standins/demo.py
@@ -10,7 +10,6 @@
 
 from carawayctl.cmdline import Commands
 from carawayctl.show import table
-
 from carawayroute_standins.client import Caller, Told
 from carawayroute_standins.cluster import Cluster
 from carawayroute_standins.deployments import DEPLOYMENTS_BY_NAME
--- a/packages/standins/carawayroute_standins/instances.py
+++ b/packages/standins/carawayroute_standins/instances.py
@@ -14,6 +14,7 @@
         self.clock = clock
         self.lag_ms = lag_ms
         self.down = False
+        self._shown = 0
         self._history: list[tuple[float, dict[str, Instance]]] = []
 
     def set(self, *instances: Instance) -> None:
@@ -29,10 +30,11 @@
         self._history.append((self.clock.now_ms(), current))
 
     def read(self) -> list[Instance]:
-        """Return the list as it was."""
+        """Return the list as it was; a lag that grows stops the list but does not rewind it."""
+        if not self._history:
+            return []
         seen_ms = self.clock.now_ms() - self.lag_ms
-        shown = self._history[0][1] if self._history else {}
-        for at_ms, current in self._history:
+        for index, (at_ms, _) in enumerate(self._history):
             if at_ms <= seen_ms:
-                shown = current
-        return list(shown.values())
+                self._shown = max(self._shown, index)
+        return list(self._history[self._shown][1].values())
--- a/packages/standins/carawayroute_standins/runner.py
+++ b/packages/standins/carawayroute_standins/runner.py
@@ -6,7 +6,6 @@
 
 from carawayroute.clock import Clock
 from carawayroute.types import Instance
-
 from carawayroute_standins.journal import Journal
 
 MODES = ("up", "fail", "silent", "truncate", "cross", "late", "leaving", "duplicate")
--- a/packages/standins/carawayroute_standins/servers.py
+++ b/packages/standins/carawayroute_standins/servers.py
@@ -7,6 +7,7 @@
 
 import fire
 from aiohttp import web
+
 from carawayroute.clock import Clock
 from carawayroute.exceptions import (
     CarawayrouteError,
@@ -15,7 +16,6 @@
     WorkerRefusedError,
 )
 from carawayroute.types import Attempt, Instance
-
 from carawayroute_standins.instances import InstanceTable
 from carawayroute_standins.journal import Journal
 from carawayroute_standins.logstore import LogStore
--- a/packages/standins/carawayroute_standins/worker.py
+++ b/packages/standins/carawayroute_standins/worker.py
@@ -5,7 +5,6 @@
 from carawayroute.clock import Clock
 from carawayroute.exceptions import WorkerRefusedError
 from carawayroute.types import Attempt, Instance, Token
-
 from carawayroute_standins.journal import Journal
 
 # After its lease lapsed a worker goes on with running tasks for this long, so that another holder
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from builders import configuration_tree, job
+
 from carawayroute.exceptions import CarawayrouteError
 from carawayroute_standins.world import World
 
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -12,6 +12,8 @@
 from carawayroute_standins.virtual import run_virtual
 from carawayroute_standins.world import World
 
+pytestmark = pytest.mark.matrix
+
 ENTRIES = {"a": "south", "b": "south", "c": "north", "d": "north"}
 REGION = "north"
 
