--- a/packages/daemon/carawayrouted/operators.py
+++ b/packages/daemon/carawayrouted/operators.py
@@ -3,10 +3,17 @@
 import grpc
 
 from carawayroute.config import check_configuration
-from carawayroute.exceptions import ConfigurationError, FieldProblem, LogError, LogUncertainError
+from carawayroute.exceptions import (
+    ConfigurationError,
+    FieldProblem,
+    LogError,
+    LogUncertainError,
+    VersionConflictError,
+)
+from carawayroute.guarantees import GuaranteedShape, ReservationBook
 from carawayroute.node import Node
 from carawayroute.packing import ShapeCount, Space, fits_all
-from carawayroute.placement import GuaranteeUse
+from carawayroute.publish import publish
 from carawayroute.state import Job
 from carawayroute_schema import carawayroute_pb2 as pb
 from carawayroute_schema import carawayroute_pb2_grpc as pb_grpc
@@ -36,33 +43,26 @@
             self._check(request.configuration)
         except ConfigurationError as error:
             return pb.PublishReply(version=state.change.version, errors=_to_messages(error))
-        if request.based_on != state.change.version:
-            await context.abort(grpc.StatusCode.ABORTED, _conflict(state.change.version))
-        change = pb.ConfigurationChange(
-            version=request.based_on + 1,
-            based_on=request.based_on,
-            configuration=request.configuration,
-            author=request.author,
-        )
-        record = self._follower.make_record(configuration=change)
-        await self._append(record, context)
-        state = self._follower.state
-        if state.change_record_id != record.record_id and state.change.version <= change.version:
-            await context.abort(grpc.StatusCode.ABORTED, _conflict(state.change.version))
-        return pb.PublishReply(version=change.version, offset=state.offset)
+        try:
+            version = await publish(
+                self._follower,
+                request.configuration,
+                request.based_on,
+                request.author,
+                APPEND_TIMEOUT_MS,
+            )
+        except VersionConflictError as error:
+            await context.abort(grpc.StatusCode.ABORTED, str(error))
+        except LogError as error:
+            await _abort_append(error, context)
+        return pb.PublishReply(version=version, offset=self._follower.state.offset)
 
     async def _append(self, record: pb.LogRecord, context) -> None:
         """Append a record; the operator is told whether it may yet appear."""
         try:
             await self._follower.append(record, APPEND_TIMEOUT_MS)
-        except LogUncertainError:
-            await context.abort(
-                grpc.StatusCode.UNKNOWN, "the log did not confirm the change; read before repeating"
-            )
-        except LogError:
-            await context.abort(
-                grpc.StatusCode.UNAVAILABLE, "the log cannot be reached; nothing was changed"
-            )
+        except LogError as error:
+            await _abort_append(error, context)
 
     def _check(self, configuration: pb.Configuration) -> None:
         """Check fields, then whether all guarantees fit beside the work that cannot be stopped."""
@@ -139,27 +139,13 @@
     async def Guarantees(self, request: pb.ListRequest, context) -> pb.GuaranteesReply:
         """List guarantees, who uses them, and how many could be reclaimed now."""
         await self._require_planner(context)
-        fleet = self._planner.fleet
-        reclaimable_by_key = fleet.reclaimable_by_key()
+        book = self._planner.fleet.book
         reply = pb.GuaranteesReply()
-        for use in fleet.guarantees_by_key.values():
-            if request.id in ("", use.team, use.key):
-                view = self._guarantee_view(use, reclaimable_by_key.get(use.key, 0))
-                reply.guarantees.append(view)
+        for guaranteed in book.shapes_by_key.values():
+            if request.id in ("", guaranteed.team, guaranteed.key):
+                reply.guarantees.append(_guarantee_view(guaranteed, book))
         return reply
 
-    def _guarantee_view(self, use: GuaranteeUse, reclaimable: int) -> pb.GuaranteeView:
-        return pb.GuaranteeView(
-            team=use.team,
-            id=use.id,
-            region=use.region,
-            shape=use.shape,
-            count=use.count,
-            in_use=len(use.used_by),
-            reclaimable=reclaimable,
-            holders=use.used_by,
-        )
-
     async def _require_planner(self, context) -> None:
         if self._planner.acting:
             return
@@ -258,8 +244,27 @@
         return pb.Empty()
 
 
-def _conflict(version: int) -> str:
-    return f"version {version} is in force; read it and publish again"
+def _guarantee_view(guaranteed: GuaranteedShape, book: ReservationBook) -> pb.GuaranteeView:
+    holders = book.used_by(guaranteed.key)
+    return pb.GuaranteeView(
+        team=guaranteed.team,
+        id=guaranteed.id,
+        region=guaranteed.region,
+        shape=guaranteed.shape,
+        count=guaranteed.count,
+        in_use=len(holders),
+        reclaimable=book.placed(guaranteed.key),
+        holders=holders,
+    )
+
+
+async def _abort_append(error: LogError, context) -> None:
+    """Tell the operator whether a change may yet appear."""
+    if isinstance(error, LogUncertainError):
+        reason = "the log did not confirm the change; read before repeating"
+        await context.abort(grpc.StatusCode.UNKNOWN, reason)
+    reason = "the log cannot be reached; nothing was changed"
+    await context.abort(grpc.StatusCode.UNAVAILABLE, reason)
 
 
 def _to_messages(error: ConfigurationError) -> list[pb.FieldError]:
--- a/packages/library/carawayroute/log.py
+++ b/packages/library/carawayroute/log.py
@@ -13,7 +13,7 @@
 from carawayroute.misc import new_id
 from carawayroute.platform import Log
 from carawayroute.retries import Backoff
-from carawayroute.state import State, repeated_data
+from carawayroute.state import AppliedRecord, State, repeated_data
 from carawayroute_schema import carawayroute_pb2 as pb
 
 READ_WAIT_MS = 500
@@ -24,6 +24,8 @@
 FIRST_REPEAT_SHARE = 0.4
 REPEAT_SHARE_STEP = 0.1
 LAST_REPEAT_SHARE = 0.7
+# Without any record for this share of the retention, one is appended to learn the log's time.
+QUIET_SHARE = 0.1
 # How long an instance that missed records waits for a peer's state before it reads what is left.
 PEER_STATE_WAIT_MS = 2_000
 
@@ -53,9 +55,11 @@
         self.changed = asyncio.Event()
         self.appends = 0
         self.listeners: list[Callable[[pb.LogRecord], None]] = []
-        self._waiting_by_record_id: dict[str, asyncio.Future[None]] = {}
+        self._waiting_by_record_id: dict[str, asyncio.Future[bool]] = {}
         # The newest records, for peers that cannot reach the log.
         self._recent: list[pb.OffsetRecord] = []
+        # When a record was read last, by this instance's clock.
+        self._read_ms = clock.now_ms()
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -90,15 +94,19 @@
     async def _rebuild(self, earliest: int) -> None:
         """Read what retention has left; live records were appended again before their removal."""
         state = State(earliest)
-        try:
-            while True:
+        while True:
+            try:
                 records = await self.log.read(state.offset, 0, READ_LIMIT)
-                for stored in records:
-                    state.apply(stored)
-                if len(records) < READ_LIMIT:
-                    break
-        except LogError:
-            return
+            except LogExpiredError as error:
+                # More was removed meanwhile; begin again where the log begins now.
+                state = State(error.earliest)
+                continue
+            except LogError:
+                return
+            for stored in records:
+                state.apply(stored)
+            if len(records) < READ_LIMIT:
+                break
         if state.change.version < self.state.change.version:
             state.change = self.state.change
             state.change_record_id = self.state.change_record_id
@@ -119,23 +127,24 @@
         for stored in records:
             if stored.offset < self.state.offset:
                 continue
-            record = self.state.apply(stored)
+            result = self.state.apply(stored)
             self._recent.append(stored)
             applied = True
-            if record is None:
+            if result is None:
                 continue
-            self._resolve(record)
+            self._resolve(result)
             for listener in self.listeners:
-                listener(record)
+                listener(result.record)
         if applied:
+            self._read_ms = self.clock.now_ms()
             del self._recent[:-READ_LIMIT]
             self.state.forget(self.memory_ms)
             self._notify()
 
-    def _resolve(self, record: pb.LogRecord) -> None:
-        waiting = self._waiting_by_record_id.get(record.record_id)
+    def _resolve(self, result: AppliedRecord) -> None:
+        waiting = self._waiting_by_record_id.get(result.record.record_id)
         if waiting is not None and not waiting.done():
-            waiting.set_result(None)
+            waiting.set_result(result.counted)
 
     def _notify(self) -> None:
         self.changed.set()
@@ -161,8 +170,8 @@
         """Return a new record with one body."""
         return pb.LogRecord(record_id=new_id("r"), writer=self.instance, **body)
 
-    async def append(self, record: pb.LogRecord, timeout_ms: float) -> None:
-        """Append a record and wait until it has been read back.
+    async def append(self, record: pb.LogRecord, timeout_ms: float) -> bool:
+        """Append a record, wait until it has been read back, and return whether it counted.
 
         An unanswered append is repeated with the same record id until the time is up.
 
@@ -171,7 +180,7 @@
         """
         deadline_ms = self.clock.now_ms() + timeout_ms
         data = record.SerializeToString()
-        read_back: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        read_back: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._waiting_by_record_id[record.record_id] = read_back
         may_be_taken = False
         backoff = Backoff(50, MAX_RETRY_MS)
@@ -192,14 +201,14 @@
                 else:
                     await self._wait(read_back, deadline_ms - self.clock.now_ms())
                 if read_back.done():
-                    return
+                    return read_back.result()
         finally:
             del self._waiting_by_record_id[record.record_id]
         if may_be_taken:
             raise LogUncertainError("the record was not read back in time")
         raise LogUnavailableError("the log did not take the record in time")
 
-    async def _wait(self, future: asyncio.Future[None], timeout_ms: float) -> None:
+    async def _wait(self, future: asyncio.Future[bool], timeout_ms: float) -> None:
         if timeout_ms > 0:
             await asyncio.wait([future], timeout=timeout_ms / 1000)
 
@@ -215,14 +224,29 @@
             await self.clock.sleep_ms(1000)
             if not self.reachable or not self.caught_up:
                 continue
-            share = min(FIRST_REPEAT_SHARE + rank() * REPEAT_SHARE_STEP, LAST_REPEAT_SHARE)
-            for stored in self.state.due_records(self.retention_ms * share, per_second):
-                await self._repeat(stored)
+            delay = rank() * REPEAT_SHARE_STEP
+            await self._break_silence(QUIET_SHARE + delay)
+            share = min(FIRST_REPEAT_SHARE + delay, LAST_REPEAT_SHARE)
+            before_ms = self.log_now_ms() - self.retention_ms * share
+            for stored in self.state.due_records(before_ms, per_second):
+                await self._repeat(repeated_data(stored))
+
+    def log_now_ms(self) -> float:
+        """Return the log's time, as far as the records read tell."""
+        return self.state.log_ms + self.clock.now_ms() - self._read_ms
+
+    async def _break_silence(self, share: float) -> None:
+        """Append a record when none was read for a share of the retention.
+
+        What was read last can be older than it seems, so ages are only known from a fresh record.
+        """
+        if self.clock.now_ms() - self._read_ms > self.retention_ms * share:
+            await self._repeat(self.make_record(log_time=pb.LogTime()).SerializeToString())
 
-    async def _repeat(self, stored: pb.OffsetRecord) -> None:
+    async def _repeat(self, data: bytes) -> None:
         try:
             self.appends += 1
-            await self.log.append(repeated_data(stored))
+            await self.log.append(data)
         except LogError:
-            # The record stays due and is tried again with the next round.
+            # What is due stays due and is tried again with the next round.
             return
--- a/packages/library/carawayroute/packing.py
+++ b/packages/library/carawayroute/packing.py
@@ -92,6 +92,10 @@
     return chosen
 
 
+# One worker for each member of a gang.
+PlacedShape = list[str]
+
+
 class ShapeCount:
     """A number of gangs of one shape."""
 
@@ -101,14 +105,17 @@
         self.shape = shape
         self.count = count
 
+    @property
+    def form(self) -> tuple[int, int, int]:
+        """Return what equal shapes have in common."""
+        return (self.shape.members, self.shape.accelerators, self.shape.adjacency)
+
 
 def group_shapes(counts: list[ShapeCount]) -> list[ShapeCount]:
     """Add up equal shapes and order them from the hardest to place to the easiest."""
     by_form: dict[tuple[int, int, int], ShapeCount] = {}
     for item in counts:
-        shape = item.shape
-        form = (shape.members, shape.accelerators, shape.adjacency)
-        grouped = by_form.setdefault(form, ShapeCount(shape, 0))
+        grouped = by_form.setdefault(item.form, ShapeCount(item.shape, 0))
         grouped.count += item.count
     return sorted(by_form.values(), key=_difficulty, reverse=True)
 
@@ -121,8 +128,8 @@
     return (on_one_worker, int(shape.adjacency), shape.members)
 
 
-def pack(space: Space, counts: list[ShapeCount]) -> list[int]:
-    """Take space for gangs of many shapes and return how many of each fitted.
+def pack(space: Space, counts: list[ShapeCount]) -> list[list[PlacedShape]]:
+    """Take space for gangs of many shapes and return the places of each shape that were found.
 
     First-fit decreasing over groups of equal shapes: a full result proves that all fit disjointly,
     while a shortfall does not prove that they cannot.
@@ -132,33 +139,37 @@
     return [_pack_group(space, item.shape, item.count) for item in counts]
 
 
-def _pack_group(space: Space, shape: pb.Shape, count: int) -> int:
+def _pack_group(space: Space, shape: pb.Shape, count: int) -> list[PlacedShape]:
     each = shape.accelerators
     domains = _domains(space, shape)
     room_by_domain = [space.members_in(domain, each) for domain in domains]
-    placed = 0
+    placed: list[PlacedShape] = []
     for index in sorted(range(len(domains)), key=room_by_domain.__getitem__):
-        gangs = min(room_by_domain[index] // shape.members, count - placed)
+        gangs = min(room_by_domain[index] // shape.members, count - len(placed))
         if gangs > 0:
-            _take_members(space, domains[index], each, gangs * shape.members)
-            placed += gangs
-        if placed == count:
+            workers = _take_members(space, domains[index], each, gangs * shape.members)
+            for first in range(0, len(workers), shape.members):
+                placed.append(workers[first : first + shape.members])
+        if len(placed) == count:
             break
     return placed
 
 
-def _take_members(space: Space, domain: list[str], each: int, members: int) -> None:
+def _take_members(space: Space, domain: list[str], each: int, members: int) -> list[str]:
+    """Take space for members on the tightest workers and return one worker for each."""
     available = space.available_by_worker
+    taken: list[str] = []
     for worker in sorted(domain, key=lambda name: (available[name] % each, available[name])):
-        count = min(available[worker] // each, members)
+        count = min(available[worker] // each, members - len(taken))
         available[worker] -= count * each
-        members -= count
-        if members == 0:
-            return
+        taken.extend([worker] * count)
+        if len(taken) == members:
+            break
+    return taken
 
 
 def fits_all(space: Space, counts: list[ShapeCount]) -> bool:
     """Return whether gangs of all shapes fit disjointly; the space is used up by the test."""
     grouped = group_shapes(counts)
     placed = pack(space, grouped)
-    return all(found == item.count for found, item in zip(placed, grouped, strict=True))
+    return all(len(found) == item.count for found, item in zip(placed, grouped, strict=True))
--- a/packages/library/carawayroute/placement.py
+++ b/packages/library/carawayroute/placement.py
@@ -1,8 +1,9 @@
 """Placing gangs on workers so that every team's guaranteed shapes stay reclaimable."""
 
 from carawayroute.estimates import RunTimes
-from carawayroute.packing import ShapeCount, Space, choose, fits_all, group_shapes, pack
-from carawayroute.types import Instance, describe_shape, shape_total
+from carawayroute.guarantees import GuaranteedShape, Reservation, ReservationBook
+from carawayroute.packing import Space, choose
+from carawayroute.types import Instance, describe_shape
 from carawayroute_schema import carawayroute_pb2 as pb
 
 
@@ -94,103 +95,71 @@
         self.blocked = blocked
 
 
-class GuaranteeUse:
-    """A guaranteed shape and the gangs that use it."""
-
-    __slots__ = ("count", "id", "region", "shape", "team", "used_by")
-
-    def __init__(self, team: str, guarantee: pb.Guarantee) -> None:
-        self.team = team
-        self.id = guarantee.id
-        self.region = guarantee.region
-        self.shape = guarantee.shape
-        self.count = guarantee.count
-        self.used_by: list[str] = []
-
-    @property
-    def key(self) -> str:
-        """Return what identifies the guarantee."""
-        return f"{self.team}/{self.id}"
-
-    @property
-    def unused(self) -> int:
-        """Return how many shapes the team may still demand."""
-        return max(0, self.count - len(self.used_by))
-
-    def covers(self, shape: pb.Shape) -> bool:
-        """Return whether a gang of a shape may stand in for this one."""
-        same_place = shape.adjacency <= self.shape.adjacency
-        fits = shape.members <= self.shape.members
-        return same_place and fits and shape.accelerators <= self.shape.accelerators
-
-
 class Fleet:
     """The workers of a region, the gangs on them and the guarantees over them.
 
-    Work within a guarantee is firm. Idempotent work beyond it is borrowed and can be preempted.
-    Work that is not idempotent is never stopped, so beyond a guarantee it is placed only where
-    every unused guaranteed shape still fits beside it.
+    Work within a guarantee runs on a reservation. Idempotent work beyond it is borrowed and can be
+    preempted. Work that is not idempotent is never stopped, so beyond a guarantee it is placed only
+    where no reservation stands, or where those that do find another place.
     """
 
     def __init__(self) -> None:
         self.workers_by_id: dict[str, Instance] = {}
         self.placements_by_job: dict[str, Placement] = {}
-        self.guarantees_by_key: dict[str, GuaranteeUse] = {}
+        self.book = ReservationBook()
         self._free_by_worker: dict[str, int] = {}
-        self._not_firm_by_worker: dict[str, int] = {}
-        self._blocked_workers: set[str] = set()
+        self._unstoppable_by_worker: dict[str, int] = {}
+        self._blocked_workers: frozenset[str] = frozenset()
+
+    # ------------------------------------------------------------------ what there is
 
     def set_workers(self, workers: list[Instance], unusable: set[str]) -> None:
         """Take over the live workers.
 
         :param unusable: workers that keep what they run but get nothing new.
         """
-        self.workers_by_id = {worker.id: worker for worker in workers}
-        self._blocked_workers = unusable
-        self._recount()
+        workers_by_id = {worker.id: worker for worker in workers}
+        same = (
+            workers_by_id.keys() == self.workers_by_id.keys() and unusable == self._blocked_workers
+        )
+        self.workers_by_id = workers_by_id
+        self._blocked_workers = frozenset(unusable)
+        if not same:
+            self._recount()
+            self._refresh_reservations()
 
     def set_guarantees(self, configuration: pb.Configuration, region: str) -> None:
         """Take over the guarantees of a configuration; running gangs are assigned anew."""
-        self.guarantees_by_key = {}
+        self.book = ReservationBook()
         for team in configuration.teams:
             for guarantee in team.guarantees:
                 if guarantee.region == region:
-                    use = GuaranteeUse(team.id, guarantee)
-                    self.guarantees_by_key[use.key] = use
+                    shape = GuaranteedShape(team.id, guarantee)
+                    self.book.shapes_by_key[shape.key] = shape
         by_start = sorted(self.placements_by_job.values(), key=lambda item: item.started_ms)
         for placement in by_start:
-            self._assign_guarantee(placement)
+            self._pin(placement)
         self._recount()
+        self._refresh_reservations()
 
-    def _assign_guarantee(self, placement: Placement) -> None:
-        """Keep a gang in its guarantee, or turn it into borrowed work after a cut."""
-        use = self.guarantees_by_key.get(placement.guarantee)
-        if use is not None and use.unused:
-            use.used_by.append(placement.job_id)
-            return
-        shape = pb.Shape(members=len(placement.workers), accelerators=placement.accelerators)
-        use = self._matching_guarantee(placement.team, shape)
-        if use is not None:
-            use.used_by.append(placement.job_id)
-        placement.guarantee = use.key if use else ""
+    def _refresh_reservations(self) -> None:
+        self.book.refresh(self.workers_by_id, self._available_for_guarantees())
 
     def _recount(self) -> None:
-        self._free_by_worker = {
-            name: worker.capacity for name, worker in self.workers_by_id.items()
-        }
-        self._not_firm_by_worker = dict(self._free_by_worker)
+        capacity = {name: worker.capacity for name, worker in self.workers_by_id.items()}
+        self._free_by_worker = capacity
+        self._unstoppable_by_worker = dict.fromkeys(capacity, 0)
         for placement in self.placements_by_job.values():
             self._count(placement, -1)
 
     def _count(self, placement: Placement, sign: int) -> None:
         amount = sign * placement.accelerators
-        is_firm = self.is_firm(placement)
         for worker in placement.workers:
             if worker not in self._free_by_worker:
                 continue
             self._free_by_worker[worker] += amount
-            if is_firm:
-                self._not_firm_by_worker[worker] += amount
+            if placement.firm and not placement.guarantee:
+                self._unstoppable_by_worker[worker] -= amount
 
     @staticmethod
     def is_firm(placement: Placement) -> bool:
@@ -200,72 +169,110 @@
     def add(self, placement: Placement) -> None:
         """Count a gang that holds accelerators."""
         self.placements_by_job[placement.job_id] = placement
-        use = self.guarantees_by_key.get(placement.guarantee)
-        if use is not None and placement.job_id not in use.used_by:
-            use.used_by.append(placement.job_id)
+        if placement.guarantee:
+            self._use_reservation(placement)
+        self._count(placement, -1)
+
+    def _use_reservation(self, placement: Placement) -> None:
+        """Mark the unused reservation on which a gang stands, or count the gang as borrowed."""
+        for item in self.book.unused():
+            if item.key == placement.guarantee and _stands_on(placement, item):
+                item.job_id = placement.job_id
+                return
+        placement.guarantee = ""
+
+    def _pin(self, placement: Placement) -> None:
+        """Give a running gang a reservation of its team that ends up where it stands."""
+        wanted = self.shape_of(placement)
+        placement.guarantee = ""
+        for key, guaranteed in self.book.shapes_by_key.items():
+            used = len(self.book.used_by(key))
+            if guaranteed.team != placement.team or used >= guaranteed.count:
+                continue
+            if not guaranteed.covers(wanted):
+                continue
+            workers = self._place_around(placement, guaranteed.shape)
+            if workers is not None:
+                each = guaranteed.shape.accelerators
+                item = Reservation(key, workers, each, placement.job_id)
+                self.book.reservations.append(item)
+                placement.guarantee = key
+                return
+
+    def _place_around(self, placement: Placement, shape: pb.Shape) -> list[str] | None:
+        """Return a place for a shape that contains where a gang stands."""
+        own = dict.fromkeys(placement.workers, -1.0)
+        rest = self.book.rest_beside_all(self._capacity())
+        space = Space(self.workers_by_id, rest)
+        workers = choose(space, shape, own)
+        if workers is None:
+            return None
+        item = Reservation("", workers, shape.accelerators)
+        return workers if _stands_on(placement, item) else None
+
+    @staticmethod
+    def shape_of(placement: Placement) -> pb.Shape:
+        """Return the shape of a running gang as it stands."""
+        adjacency = pb.WORKER if len(set(placement.workers)) == 1 else pb.ANY
+        return pb.Shape(
+            members=len(placement.workers),
+            accelerators=placement.accelerators,
+            adjacency=adjacency,
+        )
+
+    def adopt(self, placement: Placement) -> None:
+        """Count a gang that another planner started, in a guarantee of its team if it fits."""
+        self._pin(placement)
+        self.placements_by_job[placement.job_id] = placement
         self._count(placement, -1)
 
     def remove(self, job_id: str) -> Placement | None:
-        """Stop counting a gang."""
+        """Stop counting a gang; its reservation can be demanded again."""
         placement = self.placements_by_job.pop(job_id, None)
         if placement is None:
             return None
         self._count(placement, +1)
-        use = self.guarantees_by_key.get(placement.guarantee)
-        if use is not None and job_id in use.used_by:
-            use.used_by.remove(job_id)
+        item = self.book.reservation_of(job_id)
+        if item is not None:
+            item.job_id = ""
         return placement
 
+    # ------------------------------------------------------------------ space
+
+    def _capacity(self) -> dict[str, int]:
+        """Return the accelerators of the workers that get new work."""
+        return {
+            name: worker.capacity
+            for name, worker in self.workers_by_id.items()
+            if name not in self._blocked_workers
+        }
+
+    def _available_for_guarantees(self) -> dict[str, int]:
+        """Return what no firm work outside of a reservation holds."""
+        unstoppable = self._unstoppable_by_worker
+        return {name: total - unstoppable[name] for name, total in self._capacity().items()}
+
     def free_on(self, worker: str) -> int:
         """Return the free accelerators of a worker."""
         return self._free_by_worker.get(worker, 0)
 
-    def _space(self, available_by_worker: dict[str, int], without: set[str]) -> Space:
+    def free_space(self, without: set[str] = frozenset()) -> Space:
+        """Return what is free now on the workers that get new work."""
         usable = {
-            worker: max(0, available)
-            for worker, available in available_by_worker.items()
-            if worker not in self._blocked_workers and worker not in without
+            name: max(0, free)
+            for name, free in self._free_by_worker.items()
+            if name not in self._blocked_workers and name not in without
         }
         return Space(self.workers_by_id, usable)
 
-    def free_space(self, without: set[str] = frozenset()) -> Space:
-        """Return what is free now."""
-        return self._space(self._free_by_worker, without)
-
-    def reclaimable_space(self, without: set[str] = frozenset()) -> Space:
-        """Return what is free or can be preempted."""
-        return self._space(self._not_firm_by_worker, without)
-
     def can_ever_fit(self, shape: pb.Shape) -> bool:
         """Return whether a gang would fit if nothing else ran."""
         capacity = {name: worker.capacity for name, worker in self.workers_by_id.items()}
         return choose(Space(self.workers_by_id, capacity), shape) is not None
 
-    def unused_guarantees(self, except_key: str = "") -> list[ShapeCount]:
-        """Return the guaranteed shapes that teams may still demand.
-
-        :param except_key: a guarantee of which one shape is left out.
-        """
-        counts = []
-        for key, use in self.guarantees_by_key.items():
-            count = use.unused - (1 if key == except_key else 0)
-            if count > 0:
-                counts.append(ShapeCount(use.shape, count))
-        return counts
-
     def reclaimable(self) -> bool:
-        """Return whether every unused guaranteed shape still fits, disjointly."""
-        return fits_all(self.reclaimable_space(), self.unused_guarantees())
-
-    def reclaimable_by_key(self) -> dict[str, int]:
-        """Return how many unused shapes of each guarantee fit, beside those before it."""
-        space = self.reclaimable_space()
-        ordered = sorted(
-            self.guarantees_by_key.values(),
-            key=lambda use: (use.shape.accelerators, int(use.shape.adjacency), use.shape.members),
-            reverse=True,
-        )
-        return {use.key: pack(space, [ShapeCount(use.shape, use.unused)])[0] for use in ordered}
+        """Return whether every guaranteed shape has its place."""
+        return self.book.missing() == 0
 
     def would_be_reclaimable(self, configuration: pb.Configuration, region: str) -> bool:
         """Return whether another configuration's guarantees could all be honoured now.
@@ -279,23 +286,11 @@
         other.set_guarantees(configuration, region)
         return other.reclaimable()
 
-    def _matching_guarantee(self, team: str, shape: pb.Shape) -> GuaranteeUse | None:
-        """Return the smallest unused guarantee of a team that covers a shape."""
-        matching = [
-            use
-            for use in self.guarantees_by_key.values()
-            if use.team == team and use.unused and use.covers(shape)
-        ]
-        return min(matching, key=lambda use: shape_total(use.shape), default=None)
-
     def uses_guarantee(self, team: str, shape: pb.Shape) -> bool:
         """Return whether a job of this team and shape would run within a guarantee."""
-        return self._matching_guarantee(team, shape) is not None
+        return bool(self.book.unused_for(team, shape))
 
-    def guarantee_for(self, team: str, shape: pb.Shape) -> str:
-        """Return the key of the guarantee that a gang would use, or empty."""
-        use = self._matching_guarantee(team, shape)
-        return use.key if use else ""
+    # ------------------------------------------------------------------ planning
 
     def plan(
         self,
@@ -310,105 +305,120 @@
         :param avoid: workers that this job failed on.
         :param reserved: workers that an earlier job waits for; borrowed work stays off them.
         """
-        use = self._matching_guarantee(job.team, job.shape)
-        if use is not None:
-            plan = self._plan_guaranteed(job, kind, use, avoid, now_ms)
-            if plan is not None:
-                return plan
-        space = self.free_space(avoid | reserved)
-        workers = choose(space, job.shape)
+        plan = self._plan_guaranteed(job, kind, avoid, now_ms)
+        if plan is not None:
+            return plan
+        without = avoid | reserved
+        if not kind.idempotent:
+            return self._plan_unstoppable(job, without)
+        workers = choose(self.free_space(without), job.shape)
         if workers is None:
-            if use is not None:
-                return Wait("the guaranteed shape does not fit on the workers that are left")
             return Wait(f"no free place for {describe_shape(job.shape)}")
-        if kind.idempotent:
-            return Plan(workers, [], "", firm=False)
-        rest = self.reclaimable_space()
-        rest.take(
-            [worker for worker in workers if worker in rest.available_by_worker],
-            job.shape.accelerators,
-        )
-        if not fits_all(rest, self.unused_guarantees()):
-            reason = "not preemptible, and the free place may be demanded by a guarantee"
+        return Plan(workers, [], "", firm=False)
+
+    def _plan_unstoppable(self, job: pb.JobAccepted, without: set[str]) -> Plan | Wait:
+        """Place work that is never stopped where no guarantee can be demanded."""
+        free = self.free_space(without)
+        beside = self.book.rest_beside_all(self._available_for_guarantees())
+        both = {
+            name: min(available, beside[name])
+            for name, available in free.available_by_worker.items()
+        }
+        workers = choose(Space(self.workers_by_id, both), job.shape)
+        if workers is not None:
+            return Plan(workers, [], "", firm=True)
+        workers = choose(free, job.shape)
+        if workers is None:
+            return Wait(f"no free place for {describe_shape(job.shape)}")
+        available = self._available_for_guarantees()
+        each = job.shape.accelerators
+        if not self.book.make_room(self.workers_by_id, available, workers, each):
+            reason = "it cannot be stopped, and the free place may be demanded by a guarantee"
             return Wait(reason, blocked=False)
         return Plan(workers, [], "", firm=True)
 
     def _plan_guaranteed(
-        self,
-        job: pb.JobAccepted,
-        kind: pb.Kind,
-        use: GuaranteeUse,
-        avoid: set[str],
-        now_ms: float,
+        self, job: pb.JobAccepted, kind: pb.Kind, avoid: set[str], now_ms: float
     ) -> Plan | None:
-        others = self.unused_guarantees(except_key=use.key)
-        shape = job.shape
-        penalties = self._preemption_penalties(shape.accelerators, now_ms)
-        workers = choose(self.reclaimable_space(avoid), shape, penalties)
-        if workers is not None:
-            rest = self.reclaimable_space()
-            rest.take(workers, shape.accelerators)
-            if not fits_all(rest, others):
-                workers = None
-        if workers is None:
-            workers = self._choose_beside(shape, others, avoid, penalties)
+        """Place a job on a reservation of its team, preempting the borrowed work that is there."""
+        candidates = self.book.unused_for(job.team, job.shape)
+        candidates = [item for item in candidates if not avoid & set(item.workers)]
+        if not candidates:
+            return None
+        penalties = self._preemption_penalties(now_ms)
+        item = min(candidates, key=lambda one: _penalty(one, penalties))
+        if _penalty(item, penalties) > 0:
+            item = self._cheaper_place(item, avoid, penalties) or item
+        workers = self._place_within(item, job.shape, penalties)
+        preempt = self._victims(workers, job.shape.accelerators, now_ms)
+        return Plan(workers, preempt, item.key, firm=not kind.idempotent)
+
+    def _cheaper_place(
+        self, item: Reservation, avoid: set[str], penalties: dict[str, float]
+    ) -> Reservation | None:
+        """Move a reservation to where less work is lost, if all others still have a place."""
+        available = self._available_for_guarantees()
+        pinned = [one for one in self.book.reservations if one.job_id]
+        rest = dict(available)
+        for one in pinned:
+            for worker in one.workers:
+                if worker in rest:
+                    rest[worker] -= one.accelerators
+        usable = {name: max(0, amount) for name, amount in rest.items() if name not in avoid}
+        shape = self.book.shapes_by_key[item.key].shape
+        workers = choose(Space(self.workers_by_id, usable), shape, penalties)
         if workers is None:
             return None
-        preempt = self._victims(workers, shape.accelerators, now_ms)
-        if preempt is None:
+        moved = Reservation(item.key, workers, item.accelerators)
+        if _penalty(moved, penalties) >= _penalty(item, penalties):
             return None
-        return Plan(workers, preempt, use.key, firm=not kind.idempotent)
+        return self.book.move(self.workers_by_id, available, item.key, workers)
+
+    def _place_within(
+        self, item: Reservation, shape: pb.Shape, penalties: dict[str, float]
+    ) -> list[str]:
+        """Return where in a reservation a gang stands, where the least work is lost."""
+        room: dict[str, int] = {}
+        for worker in item.workers:
+            room[worker] = room.get(worker, 0) + item.accelerators
+        lost = {
+            worker: penalties.get(worker, 0.0)
+            for worker, amount in room.items()
+            if amount > self.free_on(worker)
+        }
+        workers = choose(Space(self.workers_by_id, room), shape, lost)
+        if workers is None:
+            raise ValueError(f"{describe_shape(shape)} does not fit its reservation")
+        return workers
 
-    def _choose_beside(
-        self,
-        shape: pb.Shape,
-        others: list[ShapeCount],
-        avoid: set[str],
-        penalties: dict[str, float],
-    ) -> list[str] | None:
-        """Place the other guarantees first and choose from what they leave."""
-        space = self.reclaimable_space()
-        pack(space, group_shapes(others))
-        for worker in avoid:
-            space.available_by_worker.pop(worker, None)
-        space = Space(self.workers_by_id, space.available_by_worker)
-        return choose(space, shape, penalties)
-
-    def _preemption_penalties(self, accelerators: int, now_ms: float) -> dict[str, float]:
-        """Return the work lost on each worker when one member is to start there."""
+    def _preemption_penalties(self, now_ms: float) -> dict[str, float]:
+        """Return the work that is lost on each worker when its borrowed gangs are preempted."""
         lost_by_worker: dict[str, float] = {}
         for placement in self.placements_by_job.values():
             if self.is_firm(placement):
                 continue
             lost_ms = 1.0 + max(0.0, now_ms - placement.started_ms) * placement.total
             for worker in set(placement.workers):
-                if self.free_on(worker) < accelerators:
-                    lost_by_worker[worker] = lost_by_worker.get(worker, 0.0) + lost_ms
+                lost_by_worker[worker] = lost_by_worker.get(worker, 0.0) + lost_ms
         return lost_by_worker
 
-    def _victims(self, workers: list[str], accelerators: int, now_ms: float) -> list[str] | None:
+    def _victims(self, workers: list[str], accelerators: int, now_ms: float) -> list[str]:
         """Return the borrowed gangs to preempt, those that lose the least work first."""
-        needed_by_worker: dict[str, int] = {}
+        short_by_worker: dict[str, int] = {}
         for worker in workers:
-            needed_by_worker[worker] = needed_by_worker.get(worker, 0) + accelerators
-        short_by_worker = {
-            worker: needed - self.free_on(worker)
-            for worker, needed in needed_by_worker.items()
-            if needed > self.free_on(worker)
-        }
+            short_by_worker[worker] = short_by_worker.get(worker, 0) + accelerators
+        for worker in short_by_worker:
+            short_by_worker[worker] -= self.free_on(worker)
         borrowed = [item for item in self.placements_by_job.values() if not self.is_firm(item)]
         borrowed.sort(key=lambda item: (now_ms - item.started_ms) * item.total)
         victims = []
         for placement in borrowed:
-            helps = [worker for worker in placement.workers if short_by_worker.get(worker, 0) > 0]
-            if not helps:
+            if not any(short_by_worker.get(worker, 0) > 0 for worker in placement.workers):
                 continue
             victims.append(placement.job_id)
             for worker in placement.workers:
                 if worker in short_by_worker:
                     short_by_worker[worker] -= placement.accelerators
-        if any(short > 0 for short in short_by_worker.values()):
-            return None
         return victims
 
     def reserve_for(self, shape: pb.Shape) -> tuple[set[str], float]:
@@ -417,11 +427,7 @@
         Later jobs use them only if they end before that, so that a long gang is not starved by
         smaller ones.
         """
-        available = {
-            worker: free
-            for worker, free in self._free_by_worker.items()
-            if worker not in self._blocked_workers
-        }
+        available = self.free_space().available_by_worker
         ending = sorted(self.placements_by_job.values(), key=lambda item: item.expected_end_ms)
         for placement in ending:
             for worker in placement.workers:
@@ -433,6 +439,22 @@
         return set(), float("inf")
 
 
+def _stands_on(placement: Placement, item: Reservation) -> bool:
+    """Return whether a gang stands within a reservation."""
+    room: dict[str, int] = {}
+    for worker in item.workers:
+        room[worker] = room.get(worker, 0) + item.accelerators
+    for worker in placement.workers:
+        room[worker] = room.get(worker, 0) - placement.accelerators
+        if room[worker] < 0:
+            return False
+    return True
+
+
+def _penalty(item: Reservation, penalties: dict[str, float]) -> float:
+    return sum(penalties.get(worker, 0.0) for worker in set(item.workers))
+
+
 class QueueEntry:
     """A job that waits to be placed."""
 
--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -391,7 +391,8 @@
         gang.started_ms = self.clock.now_ms()
         started = all(attempt.status != "reserved" for attempt in found_by_worker.values())
         if len(found_by_worker) == sample.parts and started:
-            self._add(gang, guarantee="", firm=not kind.idempotent)
+            self.gangs_by_job[sample.job_id] = gang
+            self.fleet.adopt(self._placement(gang, guarantee="", firm=not kind.idempotent))
             for worker, attempt in found_by_worker.items():
                 if sample.job_id in self.gangs_by_job:
                     self._follow(gang, worker, attempt)
@@ -402,24 +403,21 @@
         else:
             self.tasks.start(self.gang_runner.release(gang), f"release {gang.attempt_id}")
 
-    def _add(self, gang: Gang, guarantee: str, firm: bool) -> Placement:
+    def _placement(self, gang: Gang, guarantee: str, firm: bool) -> Placement:
         key = f"{gang.job.team}/{gang.job.kind}"
         expected_ms = self.run_times.expect_ms(key, gang.kind.expected_run_ms)
         now_ms = self.clock.now_ms()
-        placement = Placement(
+        return Placement(
             gang.job.job_id,
             gang.attempt_id,
             gang.job.team,
             gang.workers,
             gang.job.shape.accelerators,
-            guarantee or self.fleet.guarantee_for(gang.job.team, gang.job.shape),
+            guarantee,
             firm,
             now_ms,
             now_ms + expected_ms,
         )
-        self.gangs_by_job[gang.job.job_id] = gang
-        self.fleet.add(placement)
-        return placement
 
     # ------------------------------------------------------------------ queue
 
@@ -529,7 +527,8 @@
         victims = [self.gangs_by_job[job_id] for job_id in plan.preempt]
         for victim in victims:
             self._remove(victim)
-        self._add(gang, plan.guarantee, plan.firm)
+        self.gangs_by_job[gang.job.job_id] = gang
+        self.fleet.add(self._placement(gang, plan.guarantee, plan.firm))
         self.tasks.start(self.gang_runner.launch(gang, victims), f"launch {gang.attempt_id}")
 
     async def drain(self) -> None:
--- a/packages/library/carawayroute/state.py
+++ b/packages/library/carawayroute/state.py
@@ -34,6 +34,20 @@
         self.outcome_ms = 0
 
 
+class AppliedRecord:
+    """A record that was read, and whether it counted.
+
+    A record does not count when it lost a race: an operator's change over a version that is no
+    longer in force, a claim on a request that is claimed already, a term that was taken.
+    """
+
+    __slots__ = ("counted", "record")
+
+    def __init__(self, record: pb.LogRecord, counted: bool) -> None:
+        self.record = record
+        self.counted = counted
+
+
 class State:
     """Reduce records to configuration, jobs, claims and terms.
 
@@ -100,8 +114,8 @@
             if job.finished is None and job.accepted.region == region
         ]
 
-    def apply(self, stored: pb.OffsetRecord) -> pb.LogRecord | None:
-        """Apply one record unless its offset was applied before; return it when it counted.
+    def apply(self, stored: pb.OffsetRecord) -> AppliedRecord | None:
+        """Apply one record unless its offset was applied before.
 
         :param stored: the record as the log gave it.
         """
@@ -121,7 +135,7 @@
         key = getattr(self, f"_apply_{body}")(getattr(record, body), record, stored)
         if key:
             self.live_by_key[key] = stored
-        return record
+        return AppliedRecord(record, counted=bool(key))
 
     def _apply_configuration(
         self, change: pb.ConfigurationChange, record: pb.LogRecord, stored: pb.OffsetRecord
@@ -260,6 +274,11 @@
         self.live_by_key.pop(f"drain/{drain.instance}", None)
         return ""
 
+    def _apply_log_time(
+        self, log_time: pb.LogTime, record: pb.LogRecord, stored: pb.OffsetRecord
+    ) -> str:
+        return ""
+
     def forget(self, memory_ms: int) -> None:
         """Drop jobs and claims that ended longer ago than callers may repeat their requests."""
         oldest_ms = self.log_ms - memory_ms
@@ -278,10 +297,9 @@
             if stored.appended_ms < oldest_ms:
                 del self.early_by_key[key]
 
-    def due_records(self, age_ms: float, limit: int) -> list[pb.OffsetRecord]:
-        """Return the live records whose newest copy is older than an age, the oldest first."""
-        due_ms = self.log_ms - age_ms
-        due = [stored for stored in self.live_by_key.values() if stored.appended_ms < due_ms]
+    def due_records(self, before_ms: float, limit: int) -> list[pb.OffsetRecord]:
+        """Return the live records whose newest copy is older than a log time, the oldest first."""
+        due = [stored for stored in self.live_by_key.values() if stored.appended_ms < before_ms]
         due.sort(key=lambda stored: stored.offset)
         return due[:limit]
 
--- a/packages/standins/carawayroute_standins/world.py
+++ b/packages/standins/carawayroute_standins/world.py
@@ -19,6 +19,7 @@
 )
 from carawayroute.gossip import Gossip
 from carawayroute.node import Node, NodeSettings
+from carawayroute.publish import publish
 from carawayroute.types import Answer, Attempt, Instance, Token
 from carawayroute_schema import carawayroute_pb2 as pb
 from carawayroute_standins.instances import InstanceTable
@@ -255,13 +256,13 @@
         raise LookupError("no node is alive")
 
     async def publish(self, tree: dict, node: Node | None = None) -> None:
-        """Publish a configuration over the version in force."""
+        """Publish a configuration over the version in force.
+
+        :raises CarawayrouteError: as `publish`.
+        """
         node = node or self.live_node()
-        version = node.follower.state.change.version
-        change = pb.ConfigurationChange(
-            version=version + 1, based_on=version, configuration=read_configuration(tree)
-        )
-        await node.follower.append(node.follower.make_record(configuration=change), 60_000)
+        based_on = node.follower.state.change.version
+        await publish(node.follower, read_configuration(tree), based_on, "operator", 60_000)
 
     async def settle(self, duration_ms: float) -> None:
         """Let time pass."""
--- a/tests/judge.py
+++ b/tests/judge.py
@@ -108,3 +108,19 @@
     if not idempotent and len(ran) > 1:
         problems.append(f"{job_id} is not idempotent and was started {len(ran)} times")
     return problems
+
+
+def first_start_ms(journal: Journal, job_id: str) -> float:
+    """Return when a job first ran on all its workers, or infinity."""
+    starts = [
+        max(record.started_ms.values())
+        for record in attempts(journal).values()
+        if record.job == job_id and len(record.started_ms) == record.parts
+    ]
+    return min(starts, default=float("inf"))
+
+
+def judge_start(journal: Journal, job_id: str, submitted_ms: float, bound_ms: float) -> list[str]:
+    """Return a problem when a job did not start within a bound."""
+    wait_ms = first_start_ms(journal, job_id) - submitted_ms
+    return [] if wait_ms <= bound_ms else [f"{job_id} started after {wait_ms:.0f} ms"]
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -7,7 +7,7 @@
 
 import yaml
 from builders import configuration_tree, job, shape, small_world, team_tree
-from judge import attempts, judge_gangs, judge_job, judge_quick
+from judge import judge_gangs, judge_job, judge_quick, judge_start
 
 from carawayroute.exceptions import CarawayrouteError
 from carawayroute_schema import carawayroute_pb2 as pb
@@ -37,6 +37,7 @@
         self.submitted_ms: dict[str, float] = {}
         self.told_by_name: dict[str, dict] = {}
         self.lost: set[str] = set()
+        self.winners = 0
         self._tasks: list[asyncio.Task] = []
 
     async def run(self) -> list[str]:
@@ -200,7 +201,9 @@
         tree = configuration_tree(given.get("owner_count", 1))
         tree["teams"] += [team_tree(name) for name in given.get("more_teams", [])]
         nodes = [self.world.nodes_by_id[name] for name in given.get("racing", ["a"])]
-        await asyncio.gather(*(self._publish(tree, node) for node in nodes), return_exceptions=True)
+        publishing = (self._publish(tree, node) for node in nodes)
+        results = await asyncio.gather(*publishing, return_exceptions=True)
+        self.winners = sum(1 for result in results if result is None)
 
     async def _publish(self, tree: dict, node) -> None:
         tree = json.loads(json.dumps(tree))
@@ -240,14 +243,10 @@
         self._expect(self.job_by_name[name].startswith("refused"), f"{name} was not refused")
 
     def expect_started_within(self, given: dict) -> None:
-        job_id = self.job_by_name[given["job"]]
-        starts = [
-            max(record.started_ms.values())
-            for record in attempts(self.world.journal).values()
-            if record.job == job_id and len(record.started_ms) == record.parts
-        ]
-        wait_ms = min(starts, default=float("inf")) - self.submitted_ms[given["job"]]
-        self._expect(wait_ms <= given["ms"], f"{given['job']} started after {wait_ms:.0f} ms")
+        name = given["job"]
+        self.problems += judge_start(
+            self.world.journal, self.job_by_name[name], self.submitted_ms[name], given["ms"]
+        )
 
     def expect_never_stopped(self, name: str) -> None:
         """Expect that no part of a job was stopped or lapsed."""
@@ -308,6 +307,10 @@
         }
         self._expect(len(seen) == 1 and min(seen)[0] == version, f"versions in force: {seen}")
 
+    def expect_winners(self, count: int) -> None:
+        """Expect how many of the operators who published last were told that they won."""
+        self._expect(self.winners == count, f"{self.winners} operators were told that they won")
+
     def expect_planner(self, region: str) -> None:
         self._expect(bool(self.world.planner_of(region)), f"nobody plans for {region}")
 
--- /dev/null
+++ b/tests/test_adapters.py
@@ -0,0 +1,223 @@
+"""The HTTP adapters against the stand-ins over loopback."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from aiohttp import web
+from builders import job, runner, worker
+
+from carawayroute.clock import Clock
+from carawayroute.exceptions import (
+    EndpointLeavingError,
+    EndpointNotReachedError,
+    EndpointUncertainError,
+    LogExpiredError,
+    LogUnavailableError,
+    LogUncertainError,
+    WorkerRefusedError,
+    WorkerUnreachableError,
+)
+from carawayroute.types import Attempt
+from carawayroute_standins.journal import Journal
+from carawayroute_standins.logstore import LogStore
+from carawayroute_standins.runner import RunnerModel
+from carawayroute_standins.servers import log_app, runner_app, worker_app
+from carawayroute_standins.worker import WorkerModel
+from carawayrouted.adapters import HttpEndpoints, HttpLog, HttpWorkers
+
+TOKEN = (1, 0)
+BODY = b'{"request": "r1", "run_ms": 5}'
+
+
+class Site:
+    """An application on a free port."""
+
+    def __init__(self, app: web.Application) -> None:
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        self.address = ""
+
+    async def __aenter__(self) -> "Site":
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self._runner.cleanup()
+
+
+async def with_log(store: LogStore, use) -> None:
+    """Run something with a log adapter."""
+    async with Site(log_app(store)) as site, aiohttp.ClientSession() as session:
+        await use(HttpLog(session, f"http://{site.address}", 500))
+
+
+def test_log_appends_and_reads() -> None:
+    async def use(log: HttpLog) -> None:
+        assert await log.append(b"one") == 0
+        assert await log.append(b"two") == 1
+        records = await log.read(1, 100, 10)
+        assert [(item.offset, item.data) for item in records] == [(1, b"two")]
+
+    asyncio.run(with_log_store(use))
+
+
+async def with_log_store(use, mode: str = "up") -> None:
+    """Run something with the adapter of a new store in a mode."""
+    store = LogStore(Clock())
+    store.mode = mode
+    await with_log(store, use)
+
+
+def test_log_that_is_down_took_nothing() -> None:
+    async def use(log: HttpLog) -> None:
+        with pytest.raises(LogUnavailableError):
+            await log.append(b"one")
+
+    asyncio.run(with_log_store(use, "down"))
+
+
+def test_log_whose_answer_is_lost_may_have_taken_it() -> None:
+    async def use(log: HttpLog) -> None:
+        with pytest.raises(LogUncertainError):
+            await log.append(b"one")
+
+    asyncio.run(with_log_store(use, "lose_answers"))
+
+
+def test_log_that_is_too_slow_may_have_taken_it() -> None:
+    async def main() -> None:
+        store = LogStore(Clock())
+        store.mode, store.slow_ms = "slow", 2_000
+        await with_log(store, use)
+
+    async def use(log: HttpLog) -> None:
+        with pytest.raises(LogUncertainError):
+            await log.append(b"one")
+
+    asyncio.run(main())
+
+
+def test_log_that_is_not_there_took_nothing() -> None:
+    async def main() -> None:
+        async with aiohttp.ClientSession() as session:
+            with pytest.raises(LogUnavailableError):
+                await HttpLog(session, "http://127.0.0.1:9", 500).append(b"one")
+
+    asyncio.run(main())
+
+
+def test_log_tells_where_it_begins_after_retention() -> None:
+    async def main() -> None:
+        store = LogStore(Clock())
+        await store.append(b"one")
+        store.expire_all()
+        await with_log(store, use)
+
+    async def use(log: HttpLog) -> None:
+        with pytest.raises(LogExpiredError) as caught:
+            await log.read(0, 0, 10)
+        assert caught.value.earliest == 1
+
+    asyncio.run(main())
+
+
+async def run_on(mode: str, timeout_ms: float = 500):
+    """Send one request to a runner in a mode and return its answer."""
+    model = RunnerModel(runner("r"), Journal(Clock()), Clock())
+    endpoints = HttpEndpoints()
+    async with Site(runner_app(model)) as site:
+        target = runner("r")
+        target.address = site.address
+        try:
+            if mode == "cross":
+                await endpoints.run(target, "a0", "k", b'{"request": "r0"}', timeout_ms)
+            model.mode = mode
+            return await endpoints.run(target, "a1", "k", BODY, timeout_ms)
+        finally:
+            await endpoints.close()
+
+
+def test_whole_answer() -> None:
+    answer = asyncio.run(run_on("up"))
+    assert answer.status == 200
+    assert b'"request": "r1"' in answer.body
+
+
+@pytest.mark.parametrize("mode", ["truncate", "cross", "silent", "fail"])
+def test_answer_that_cannot_be_trusted_is_uncertain(mode: str) -> None:
+    with pytest.raises(EndpointUncertainError):
+        asyncio.run(run_on(mode))
+
+
+def test_leaving_runner_did_not_run_it() -> None:
+    with pytest.raises(EndpointLeavingError):
+        asyncio.run(run_on("leaving"))
+
+
+def test_runner_that_is_not_there_did_not_run_it() -> None:
+    async def main() -> None:
+        target = runner("r")
+        target.address = "127.0.0.1:9"
+        endpoints = HttpEndpoints()
+        try:
+            with pytest.raises(EndpointNotReachedError):
+                await endpoints.run(target, "a1", "k", BODY, 500)
+        finally:
+            await endpoints.close()
+
+    asyncio.run(main())
+
+
+def test_a_silent_answer_discards_the_connections_of_its_runner() -> None:
+    async def main() -> None:
+        model = RunnerModel(runner("r"), Journal(Clock()), Clock())
+        endpoints = HttpEndpoints()
+        async with Site(runner_app(model)) as site:
+            target = runner("r")
+            target.address = site.address
+            await endpoints.run(target, "a0", "k", BODY, 500)
+            model.mode = "silent"
+            with pytest.raises(EndpointUncertainError):
+                await endpoints.run(target, "a1", "k", BODY, 100)
+            assert not endpoints._sessions_by_runner
+            model.mode = "up"
+            assert (await endpoints.run(target, "a2", "k", BODY, 500)).status == 200
+            await endpoints.close()
+
+    asyncio.run(main())
+
+
+def test_worker_obeys_its_holder_only() -> None:
+    async def main() -> None:
+        model = WorkerModel(worker("w"), Journal(Clock()), Clock())
+        async with Site(worker_app(model)) as site, aiohttp.ClientSession() as session:
+            target = worker("w")
+            target.address = site.address
+            workers = HttpWorkers(session)
+            assert await workers.renew(target, "a", TOKEN, 5_000) == []
+            part = Attempt("g1", "j1", "w", 8, 1)
+            await workers.reserve(target, "a", TOKEN, part)
+            await workers.start(target, "a", TOKEN, part, job(run_ms=10_000))
+            [found] = await workers.renew(target, "a", TOKEN, 5_000)
+            assert (found.status, found.accelerators) == ("running", 8)
+            with pytest.raises(WorkerRefusedError):
+                await workers.release(target, "b", TOKEN, "g1", False)
+            assert await workers.release(target, "a", TOKEN, "g1", True) >= 0
+            assert model.free() == 8
+
+    asyncio.run(main())
+
+
+def test_worker_that_is_not_there_is_unreachable() -> None:
+    async def main() -> None:
+        async with aiohttp.ClientSession() as session:
+            target = worker("w")
+            target.address = "127.0.0.1:9"
+            with pytest.raises(WorkerUnreachableError):
+                await HttpWorkers(session).renew(target, "a", TOKEN, 5_000)
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,160 @@
+"""The callers' HTTP: what is wrong with a request is told, and told truthfully."""
+
+import asyncio
+import json
+import time
+
+import aiohttp
+import pytest
+from builders import configuration_tree, shape_tree
+from test_adapters import Site
+
+from carawayroute.node import NodeSettings
+from carawayroute_standins.world import World
+from carawayrouted.callers import CallerService
+from carawayrouted.metrics import Metrics
+
+KEY = "owner-key"
+# SHA-256 of KEY.
+KEY_SHA256 = "8a6c2ac2eb1a2b4dd304c30cf0fb722f8aeba23b2395cccf64e1866fd38256f1"
+HEADERS = {"Authorization": f"Bearer {KEY}", "Carawayroute-Team": "owner"}
+JOB = {"kind": "render", "region": "south", "shape": shape_tree()}
+
+
+async def exchange(use, log_mode: str = "up") -> None:
+    """Run something with a session and the URL of an entry in a running world."""
+    world = World()
+    for index in range(2):
+        world.add_worker(f"worker-{index}", "south", "rack")
+    world.add_runner("runner-0", "south")
+    world.instances.lag_ms = 0
+    node = world.add_node(NodeSettings("a", "south"))
+    await world.settle(300)
+    tree = configuration_tree()
+    tree["teams"][0]["keySha256"] = KEY_SHA256
+    await world.publish(tree)
+    await world.settle(1_200)
+    world.log.mode = log_mode
+    service = CallerService(node, Metrics())
+    async with Site(service.app()) as site, aiohttp.ClientSession() as session:
+        await use(session, f"http://{site.address}/v1")
+    await node.stop()
+
+
+def answer_to(method: str, path: str, log_mode: str = "up", **request) -> tuple[int, dict]:
+    """Return status and body of the answer to one request."""
+    found = []
+
+    async def use(session: aiohttp.ClientSession, url: str) -> None:
+        request.setdefault("headers", HEADERS)
+        async with session.request(method, url + path, **request) as response:
+            found.append((response.status, await response.json()))
+
+    asyncio.run(exchange(use, log_mode))
+    return found[0]
+
+
+def test_quick_request_is_answered() -> None:
+    body = json.dumps({"request": "r1", "run_ms": 5})
+    status, answer = answer_to("POST", "/kinds/preview/requests", data=body)
+    assert (status, answer["request"]) == (200, "r1")
+
+
+@pytest.mark.parametrize(
+    ("headers", "code"),
+    [
+        ({}, "wrong_key"),
+        ({**HEADERS, "Authorization": "Bearer other"}, "wrong_key"),
+        ({**HEADERS, "Carawayroute-Team": "nobody"}, "wrong_key"),
+        ({**HEADERS, "Authorization": f"Basic {KEY}"}, "wrong_key"),
+        ({**HEADERS, "Carawayroute-Deadline-Ms": "0"}, "deadline_passed"),
+        ({**HEADERS, "Carawayroute-Deadline-Ms": "soon"}, "bad_deadline"),
+        ({**HEADERS, "Carawayroute-Request-Id": "with space"}, "bad_header"),
+    ],
+)
+def test_wrong_headers(headers: dict, code: str) -> None:
+    status, answer = answer_to("POST", "/kinds/preview/requests", headers=headers, data=b"{}")
+    assert 400 <= status < 500
+    assert (answer["outcome"], answer["error"]) == ("not_run", code)
+
+
+def test_unknown_kind() -> None:
+    status, answer = answer_to("POST", "/kinds/render/requests", data=b"{}")
+    assert (status, answer["error"]) == (404, "unknown_kind")
+
+
+def test_body_that_is_too_large() -> None:
+    status, answer = answer_to("POST", "/kinds/preview/requests", data=b"x" * 70_000)
+    assert (status, answer["error"]) == (413, "too_large")
+
+
+@pytest.mark.parametrize(
+    ("job", "code"),
+    [
+        ("[]", "bad_json"),
+        ("{", "bad_json"),
+        ({"kind": "render"}, "bad_job"),
+        ({**JOB, "colour": "red"}, "bad_job"),
+        ({**JOB, "shape": {"members": "two"}}, "bad_job"),
+        ({**JOB, "shape": shape_tree(members=0)}, "impossible_shape"),
+        ({**JOB, "shape": shape_tree(members=3)}, "impossible_shape"),
+        ({**JOB, "region": "nowhere"}, "impossible_shape"),
+        ({**JOB, "kind": "preview"}, "unknown_kind"),
+        ({**JOB, "deadline_ms": 1}, "deadline_passed"),
+        ({**JOB, "run_ms": -1}, "bad_job"),
+        ({**JOB, "payload": 5}, "bad_job"),
+    ],
+)
+def test_wrong_job(job: object, code: str) -> None:
+    body = job if isinstance(job, str) else json.dumps(job)
+    status, answer = answer_to("POST", "/jobs", data=body)
+    assert 400 <= status < 500
+    assert (answer["outcome"], answer["error"]) == ("not_run", code)
+
+
+def test_job_is_accepted_watched_and_cancelled() -> None:
+    async def use(session: aiohttp.ClientSession, url: str) -> None:
+        job = {**JOB, "request_id": "r1", "payload": json.dumps({"run_ms": 60_000})}
+        async with session.post(f"{url}/jobs", json=job, headers=HEADERS) as response:
+            assert response.status == 202
+            accepted = await response.json()
+        async with session.post(f"{url}/jobs", json=job, headers=HEADERS) as response:
+            assert (await response.json())["job"] == accepted["job"]
+        other = {**job, "kind": "cut-plan"}
+        async with session.post(f"{url}/jobs", json=other, headers=HEADERS) as response:
+            assert (await response.json())["error"] == "request_id_used"
+        path = f"{url}/jobs/{accepted['job']}"
+        async with session.get(f"{path}?wait_ms=100", headers=HEADERS) as response:
+            assert (await response.json())["outcome"] == "open"
+        async with session.post(f"{path}/cancel", headers=HEADERS) as response:
+            assert response.status == 202
+        async with session.get(f"{path}?wait_ms=5000", headers=HEADERS) as response:
+            assert (await response.json())["outcome"] == "cancelled"
+
+    asyncio.run(exchange(use))
+
+
+def test_job_of_nobody() -> None:
+    status, answer = answer_to("GET", "/jobs/j-1")
+    assert (status, answer["error"]) == (404, "unknown_job")
+
+
+def test_job_without_the_log_is_refused() -> None:
+    status, answer = answer_to("POST", "/jobs", "down", json=JOB)
+    assert (status, answer["outcome"]) == (503, "not_run")
+
+
+def test_truncated_body_ends_without_a_run() -> None:
+    async def use(session: aiohttp.ClientSession, url: str) -> None:
+        host, port = url.split("/")[2].split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = ["POST /v1/kinds/preview/requests HTTP/1.1", "Host: x", "Content-Length: 100"]
+        lines += [f"{name}: {value}" for name, value in HEADERS.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n{").encode())
+        writer.write_eof()
+        began = time.monotonic()
+        assert b"Traceback" not in await asyncio.wait_for(reader.read(), 5)
+        assert time.monotonic() - began < 5
+        writer.close()
+
+    asyncio.run(exchange(use))
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -5,7 +5,7 @@
 import pytest
 from builders import job, small_world
 from faults import EXPIRED_RETENTION_MS, FAULTS_BY_NAME, Cell, region_configuration
-from judge import judge_gangs, judge_job, judge_quick
+from judge import judge_gangs, judge_job, judge_quick, judge_start
 
 from carawayroute.exceptions import CarawayrouteError
 from carawayroute_schema import carawayroute_pb2 as pb
@@ -17,6 +17,18 @@
 ENTRIES = {"a": "south", "b": "south", "c": "north", "d": "north"}
 REGION = "north"
 
+# Faults that leave planner, store and the workers' leases alone; a reclaim stays within its bound.
+BENIGN_FAULTS = (
+    "reset",
+    "repeated",
+    "guarantee-raised",
+    "list-lagging",
+    "burst",
+    "leaving",
+    "worker-failing",
+)
+RECLAIM_BOUND_MS = 8_000
+
 IDEMPOTENT_STEPS = (
     "received",
     "admitted",
@@ -145,11 +157,15 @@
         FAULTS_BY_NAME[fault](cell)
 
     world.at(step, apply)
+    submitted_ms = world.clock.wall_ms()
     await submit("a")
     await world.settle(90_000)
     await submit("b")
     await world.settle(30_000)
-    return world, bool(reached), judge_run(world, cell, job_ids, kind)
+    problems = judge_run(world, cell, job_ids, kind)
+    if fault in BENIGN_FAULTS:
+        problems += judge_start(world.journal, job_ids[2], submitted_ms, RECLAIM_BOUND_MS)
+    return world, bool(reached), problems
 
 
 def judge_run(world: World, cell: Cell, job_ids: list[str], kind: str) -> list[str]:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -6,7 +6,6 @@
 from carawayroute.state import State, as_repeated
 from carawayroute_schema import carawayroute_pb2 as pb
 
-RETENTION_MS = 1_000
 names = st.sampled_from(["x", "y", "z"])
 numbers = st.integers(min_value=0, max_value=4)
 
@@ -192,5 +191,5 @@
         stored(index, {"job_accepted": pb.JobAccepted(job_id=f"{index}", request_id=f"{index}")})
         for index in range(100)
     ]
-    due = build(records).due_records(RETENTION_MS * 0.5, limit=5)
+    due = build(records).due_records(500, limit=5)
     assert [item.offset for item in due] == [0, 1, 2, 3, 4]
