--- a/packages/ctl/carawayctl/client.py
+++ b/packages/ctl/carawayctl/client.py
@@ -5,9 +5,9 @@
 from carawayctl.exceptions import CommandError
 from carawayroute_schema import carawayroute_pb2_grpc as pb_grpc
 
+CONNECT_TIMEOUT_S = 2
+# Longer than a daemon waits for the log, so that its answer arrives.
 CALL_TIMEOUT_S = 10
-# With these another instance may be able to answer; nothing was changed by the call.
-TRY_NEXT = (grpc.StatusCode.FAILED_PRECONDITION, grpc.StatusCode.UNAVAILABLE)
 
 
 class Client:
@@ -29,11 +29,24 @@
         reason = ""
         for server in self._servers:
             with grpc.insecure_channel(server) as channel:
+                try:
+                    grpc.channel_ready_future(channel).result(timeout=CONNECT_TIMEOUT_S)
+                except grpc.FutureTimeoutError:
+                    reason = f"{server}: cannot be reached"
+                    continue
                 stub = pb_grpc.OperatorsStub(channel)
                 try:
                     return getattr(stub, method)(request, timeout=CALL_TIMEOUT_S)
                 except grpc.RpcError as error:
-                    reason = f"{server}: {error.details()}"
-                    if error.code() not in TRY_NEXT:
+                    reason = f"{server}: {_reason(error)}"
+                    # Another instance may know what this one does not; nothing was changed.
+                    if error.code() != grpc.StatusCode.FAILED_PRECONDITION:
                         raise CommandError(reason) from error
         raise CommandError(reason)
+
+
+def _reason(error: grpc.RpcError) -> str:
+    """Return what an operator is told of a call that failed."""
+    if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+        return "no answer in time; if this was a change, read before repeating it"
+    return error.details()
