Move idle slots with a bounded number of messages

Cause, by sampling every 50 ms while requests waited: about 6 borrowed slots idle at entries without a queue, and one idle slot kept back by each of seven entries. Change: entries tell each other queue and idle slots; a pacer sends at most 10 urgent messages a second, to the peer that can help most; borrowed slots are used first and go back after 20 ms, so that idle slots are at home, where they can be lent.

--- a/packages/daemon/carawayrouted/daemon.py
+++ b/packages/daemon/carawayrouted/daemon.py
@@ -39,6 +39,9 @@
         settings.drain_ms,
         settings.retention_ms,
         settings.claim_memory_ms,
+        settings.gossip_interval_ms,
+        settings.far_gossip_interval_ms,
+        settings.urgent_messages_per_second,
     )
 
 
--- a/packages/daemon/carawayrouted/peers.py
+++ b/packages/daemon/carawayrouted/peers.py
@@ -1,7 +1,6 @@
 """Links to the other daemons by pynng: one task for each peer, one for each served request."""
 
 import asyncio
-import time
 
 import pynng
 from google.protobuf.message import DecodeError
@@ -15,7 +14,7 @@
 from carawayrouted.settings import Settings
 
 SERVING_CONTEXTS = 8
-MIN_URGENT_INTERVAL_MS = 40
+RETRY_MS = 40
 
 log = get_logger()
 
@@ -30,8 +29,6 @@
         self._gossip = node.gossip
         self._membership = node.membership
         self._metrics = metrics
-        # Set when requests wait here, to send before the interval is over.
-        self._urgent = node.dispatcher.on_queue
         self._tasks = TaskGroup()
         self._links_by_peer: dict[str, asyncio.Task] = {}
         self._server: pynng.Rep0 | None = None
@@ -73,7 +70,7 @@
                 await context.asend(reply)
             except (pynng.NNGException, DecodeError) as error:
                 log.warning("peer_request_failed", error=str(error))
-                await self._clock.sleep_ms(MIN_URGENT_INTERVAL_MS)
+                await self._clock.sleep_ms(RETRY_MS)
                 continue
             self._count(received=len(data), sent=len(reply))
 
@@ -102,21 +99,7 @@
             data = await socket.arecv()
             self._gossip.take_reply(pb.PeerReply.FromString(data))
             self._count(received=len(data), sent=len(message))
-            self._node.dispatcher.pump()
-            await self._pause(same_region)
-
-    async def _pause(self, same_region: bool) -> None:
-        if not same_region:
-            await self._clock.sleep_ms(self._settings.far_gossip_interval_ms)
-            return
-        began = time.monotonic()
-        try:
-            await asyncio.wait_for(self._urgent.wait(), self._settings.gossip_interval_ms / 1000)
-        except TimeoutError:
-            return
-        self._urgent.clear()
-        spent_ms = (time.monotonic() - began) * 1000
-        await self._clock.sleep_ms(MIN_URGENT_INTERVAL_MS - spent_ms)
+            await self._node.pacer.wait_turn(peer.id, same_region)
 
     def _count(self, received: int, sent: int) -> None:
         self._metrics.peer_bytes.labels("received").inc(received)
--- a/packages/library/carawayroute/dispatch.py
+++ b/packages/library/carawayroute/dispatch.py
@@ -70,19 +70,23 @@
 class _Ticket:
     """A request that waits for a slot."""
 
-    __slots__ = ("avoid", "request", "slot")
+    __slots__ = ("avoid", "queued_ms", "request", "slot")
 
-    def __init__(self, request: QuickRequest, avoid: set[str], slot: asyncio.Future[Slot]) -> None:
+    def __init__(
+        self,
+        request: QuickRequest,
+        avoid: set[str],
+        slot: asyncio.Future[Slot],
+        queued_ms: float,
+    ) -> None:
+        self.queued_ms = queued_ms
         self.request = request
         self.avoid = avoid
         self.slot = slot
 
 
 class Dispatcher:
-    """Queue requests fairly and run each on a runner's slot.
-
-    :ivar on_queue: called when requests begin to wait, so that slots can be borrowed.
-    """
+    """Queue requests fairly and run each on a runner's slot."""
 
     def __init__(
         self,
@@ -104,7 +108,6 @@
         self.budget = RetryBudget(clock)
         self.queue: FairQueue[_Ticket] = FairQueue(self._weights)
         self.running = 0
-        self.on_queue = asyncio.Event()
 
     def _weights(self, path: Path) -> tuple[float, float, float]:
         kind = self._configuration.kind(path[0])
@@ -204,9 +207,9 @@
                 return slot
         servers = max(1.0, float(self.running))
         self.queue.check(request.path, cost_ms, servers, remaining_ms)
-        ticket = _Ticket(request, avoid, asyncio.get_running_loop().create_future())
+        future: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
+        ticket = _Ticket(request, avoid, future, self._clock.now_ms())
         self.queue.push(request.path, ticket)
-        self.on_queue.set()
         try:
             return await asyncio.wait_for(ticket.slot, remaining_ms / 1000)
         except TimeoutError:
@@ -232,6 +235,11 @@
             and (self._membership.is_leaving(runner.id) or self.health.is_quarantined(runner.id))
         }
 
+    def oldest_ms(self) -> float:
+        """Return how long the first request of the queue has waited."""
+        queued = min((ticket.queued_ms for ticket in self.queue.items()), default=None)
+        return 0.0 if queued is None else self._clock.now_ms() - queued
+
     def pump(self) -> None:
         """Give idle slots to the requests that wait."""
         unusable = self._unusable() if self.queue else set()
--- a/packages/library/carawayroute/gossip.py
+++ b/packages/library/carawayroute/gossip.py
@@ -1,8 +1,11 @@
 """What daemons tell each other, whatever carries it."""
 
+from collections.abc import Callable
+
+from carawayroute.dispatch import Dispatcher
 from carawayroute.log import LogFollower
 from carawayroute.membership import Membership
-from carawayroute.routing import Slot, SlotLeaseRouter
+from carawayroute.routing import Demand, Slot, SlotLeaseRouter
 from carawayroute.state import State
 from carawayroute.terms import TermWatch
 from carawayroute_schema import carawayroute_pb2 as pb
@@ -13,7 +16,6 @@
 class Gossip:
     """Make and take the messages between daemons.
 
-    :param queued: returns how many requests wait here for a slot.
     :param terms_held: returns the terms that this instance acts under.
     """
 
@@ -24,27 +26,30 @@
         follower: LogFollower,
         membership: Membership,
         watch: TermWatch,
+        dispatcher: Dispatcher,
         router: SlotLeaseRouter,
-        queued,
-        terms_held,
+        terms_held: Callable[[], list[pb.Term]],
     ) -> None:
         self._instance = instance
         self._region = region
         self._follower = follower
         self._membership = membership
         self._watch = watch
+        self._dispatcher = dispatcher
         self._router = router
-        self._queued = queued
         self._terms_held = terms_held
         self.is_leaving = False
 
+    def demand(self) -> Demand:
+        """Return what this entry needs and has to spare."""
+        return own_demand(self._dispatcher, self._router)
+
     def _leaving(self) -> list[str]:
         own = [self._instance] if self.is_leaving else []
         return own + self._membership.leaving_first_hand()
 
     def request(self, peer: str, same_region: bool) -> pb.PeerRequest:
         """Return the next message to a peer."""
-        queued = self._queued()
         message = pb.PeerRequest(
             sender=self._instance,
             region=self._region,
@@ -55,13 +60,17 @@
             want_state=self._follower.wants_state or not self._follower.caught_up,
         )
         if same_region:
-            message.queued = queued
-            message.borrowed.extend(_to_messages(self._router.borrowed_from(peer, queued)))
+            own = self.demand()
+            message.demand.CopyFrom(_demand_message(own))
+            message.borrowed.extend(_to_messages(self._router.borrowed_from(peer, own.queued)))
+            message.granted.extend(_to_messages(self._router.lend(peer, own.queued)))
         return message
 
     def reply(self, request: pb.PeerRequest) -> pb.PeerReply:
         """Take a peer's message and return the answer."""
-        self._hear(request.sender, request.leaving)
+        same_region = request.region == self._region
+        demand = _to_demand(request.demand) if same_region else None
+        self._hear(request.sender, request.leaving, demand)
         state = self._follower.state
         reply = pb.PeerReply(
             sender=self._instance,
@@ -70,10 +79,13 @@
             leaving=self._leaving(),
             terms_held=self._terms_held(),
         )
-        if request.region == self._region:
+        if same_region:
             self._router.reconcile(request.sender, _to_slots(request.borrowed))
-            granted = self._router.lend(request.sender, request.queued, self._queued())
-            reply.granted.extend(_to_messages(granted))
+            self._router.borrow(request.sender, _to_slots(request.granted))
+            own = self.demand()
+            reply.demand.CopyFrom(_demand_message(own))
+            reply.granted.extend(_to_messages(self._router.lend(request.sender, own.queued)))
+            self._dispatcher.pump()
         needs_help = request.want_state or not request.log_reachable
         if needs_help and request.offset < state.offset:
             self._add_records(request, reply)
@@ -90,22 +102,40 @@
 
     def take_reply(self, reply: pb.PeerReply) -> None:
         """Take a peer's answer."""
-        self._hear(reply.sender, reply.leaving)
+        demand = _to_demand(reply.demand) if reply.HasField("demand") else None
+        self._hear(reply.sender, reply.leaving, demand)
         self._router.borrow(reply.sender, _to_slots(reply.granted))
+        self._dispatcher.pump()
         if reply.state:
             self._follower.replace_state(State.restore(list(reply.state), reply.offset))
         elif reply.records and reply.records[0].offset <= self._follower.state.offset:
             self._follower.apply(list(reply.records))
 
-    def _hear(self, sender: str, leaving: list[str]) -> None:
+    def _hear(self, sender: str, leaving: list[str], demand: Demand | None) -> None:
         self._watch.heard(sender)
-        self._router.heard(sender)
+        self._router.heard(sender, demand)
         if sender not in leaving:
             self._membership.observe_staying(sender)
         for instance_id in leaving:
             self._membership.observe_leaving(instance_id, first_hand=False)
 
 
+def own_demand(dispatcher: Dispatcher, router: SlotLeaseRouter) -> Demand:
+    """Return what an entry needs and has to spare."""
+    queued = len(dispatcher.queue)
+    if queued:
+        return Demand(queued, dispatcher.oldest_ms(), 0)
+    return Demand(0, 0.0, len(router.idle_home()))
+
+
+def _demand_message(demand: Demand) -> pb.SlotDemand:
+    return pb.SlotDemand(queued=demand.queued, oldest_ms=int(demand.oldest_ms), idle=demand.idle)
+
+
+def _to_demand(message: pb.SlotDemand) -> Demand:
+    return Demand(message.queued, message.oldest_ms, message.idle)
+
+
 def _to_messages(slots: list[Slot]) -> list[pb.SlotLease]:
     return [pb.SlotLease(runner=slot.runner, slot=slot.index) for slot in slots]
 
--- a/packages/library/carawayroute/limits.py
+++ b/packages/library/carawayroute/limits.py
@@ -1,7 +1,7 @@
 """Fair queues with floors per kind, team and caller, and early refusal."""
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Generic, TypeVar
 
 from carawayroute.exceptions import RefusedError
@@ -122,6 +122,14 @@
                 if child.waiting == 0 and child.start_tag <= level.virtual_time:
                     del level.children_by_key[key]
 
+    def items(self) -> Iterator[T]:
+        """Return all items that wait, in no order."""
+        levels = [self._root]
+        while levels:
+            level = levels.pop()
+            yield from level.items
+            levels.extend(level.children_by_key.values())
+
     def waiting_at(self, path: Path) -> int:
         """Return how many items wait in a caller's own queue."""
         level = self._root
--- a/packages/library/carawayroute/log.py
+++ b/packages/library/carawayroute/log.py
@@ -20,6 +20,8 @@
 READ_LIMIT = 1000
 # An unanswered read may not hold an append back for long after the log returns.
 MAX_RETRY_MS = 1000
+# A shorter wait may end before the clock has moved on, and its loop would spin.
+MIN_WAIT_MS = 1
 # A live record is appended again once its newest copy used up this share of its retention.
 FIRST_REPEAT_SHARE = 0.4
 REPEAT_SHARE_STEP = 0.1
@@ -153,7 +155,7 @@
     async def wait_change(self, timeout_ms: float) -> bool:
         """Wait until the state changes; return whether it did in time."""
         try:
-            await asyncio.wait_for(self.changed.wait(), timeout_ms / 1000)
+            await asyncio.wait_for(self.changed.wait(), max(MIN_WAIT_MS, timeout_ms) / 1000)
         except TimeoutError:
             return False
         return True
@@ -210,7 +212,7 @@
 
     async def _wait(self, future: asyncio.Future[bool], timeout_ms: float) -> None:
         if timeout_ms > 0:
-            await asyncio.wait([future], timeout=timeout_ms / 1000)
+            await asyncio.wait([future], timeout=max(MIN_WAIT_MS, timeout_ms) / 1000)
 
     async def repeat_live_records(self, per_second: int, rank: Callable[[], int]) -> None:
         """Append live records again before retention removes them, at a bounded rate.
--- a/packages/library/carawayroute/node.py
+++ b/packages/library/carawayroute/node.py
@@ -9,6 +9,7 @@
 from carawayroute.log import LogFollower
 from carawayroute.membership import Membership
 from carawayroute.misc import TaskGroup, rendezvous
+from carawayroute.pacing import Pacer
 from carawayroute.placement import Fleet
 from carawayroute.planner import Planner, PlannerSettings
 from carawayroute.platform import Endpoints, InstanceList, Log, Workers
@@ -32,6 +33,8 @@
     __slots__ = (
         "claim_memory_ms",
         "drain_ms",
+        "far_gossip_interval_ms",
+        "gossip_interval_ms",
         "instance",
         "list_interval_ms",
         "planner",
@@ -40,6 +43,7 @@
         "runner_timeout_ms",
         "slot_lease_ms",
         "term_timeout_ms",
+        "urgent_messages_per_second",
     )
 
     def __init__(
@@ -54,6 +58,9 @@
         drain_ms: float = 30_000,
         retention_ms: int = 600_000,
         claim_memory_ms: int = 300_000,
+        gossip_interval_ms: float = 1_000,
+        far_gossip_interval_ms: float = 2_000,
+        urgent_messages_per_second: float = 10,
     ) -> None:
         self.instance = instance
         self.region = region
@@ -65,6 +72,9 @@
         self.drain_ms = drain_ms
         self.retention_ms = retention_ms
         self.claim_memory_ms = claim_memory_ms
+        self.gossip_interval_ms = gossip_interval_ms
+        self.far_gossip_interval_ms = far_gossip_interval_ms
+        self.urgent_messages_per_second = urgent_messages_per_second
 
 
 class _Configured:
@@ -140,10 +150,18 @@
             self.follower,
             self.membership,
             watch,
+            self.dispatcher,
             self.router,
-            lambda: len(self.dispatcher.queue),
             self.planner.terms_held,
         )
+        self.pacer = Pacer(
+            clock,
+            self.dispatcher,
+            self.router,
+            settings.gossip_interval_ms,
+            settings.far_gossip_interval_ms,
+            settings.urgent_messages_per_second,
+        )
         self.follower.listeners.append(self._wake_planner)
 
     def _wake_planner(self, record: pb.LogRecord) -> None:
@@ -173,6 +191,7 @@
         self.tasks.start(self._read_list(), "read list")
         self.tasks.start(self.planner.run(), "planner")
         self.tasks.start(self._upkeep(), "upkeep")
+        self.tasks.start(self.pacer.run(), "pace messages")
         self.tasks.start(
             self.follower.repeat_live_records(REPEATS_PER_SECOND, self._rank), "repeat records"
         )
--- /dev/null
+++ b/packages/library/carawayroute/pacing.py
@@ -0,0 +1,68 @@
+"""When to talk to which peer: at an interval, and earlier where slots should move."""
+
+import asyncio
+
+from carawayroute.clock import Clock
+from carawayroute.dispatch import Dispatcher
+from carawayroute.gossip import own_demand
+from carawayroute.routing import SlotLeaseRouter
+
+LOOK_MS = 10
+# Urgent messages that may be sent at once after a quiet time.
+URGENT_BURST = 5.0
+
+
+class Pacer:
+    """Hand out turns to the links to peers.
+
+    :param interval_ms: time between two messages to a peer of the region when nothing is urgent.
+    :param far_interval_ms: the same for a peer of another region.
+    :param urgent_per_second: bound on the messages that are sent earlier, over all peers.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        dispatcher: Dispatcher,
+        router: SlotLeaseRouter,
+        interval_ms: float,
+        far_interval_ms: float,
+        urgent_per_second: float,
+    ) -> None:
+        self._clock = clock
+        self._dispatcher = dispatcher
+        self._router = router
+        self._interval_ms = interval_ms
+        self._far_interval_ms = far_interval_ms
+        self._urgent_interval_ms = 1000 / urgent_per_second
+        self._turn_by_peer: dict[str, asyncio.Event] = {}
+
+    async def wait_turn(self, peer: str, same_region: bool) -> None:
+        """Wait until it is time for the next message to a peer."""
+        if not same_region:
+            await self._clock.sleep_ms(self._far_interval_ms)
+            return
+        turn = self._turn_by_peer.setdefault(peer, asyncio.Event())
+        turn.clear()
+        try:
+            await asyncio.wait_for(turn.wait(), self._interval_ms / 1000)
+        except TimeoutError:
+            return
+
+    async def run(self) -> None:
+        """Give turns to the peers that can help, or be helped, within the bound."""
+        tokens = URGENT_BURST
+        while True:
+            await self._clock.sleep_ms(LOOK_MS)
+            tokens = min(URGENT_BURST, tokens + LOOK_MS / self._urgent_interval_ms)
+            while tokens >= 1.0:
+                peer = self._next_peer()
+                if peer is None:
+                    break
+                tokens -= 1.0
+                self._turn_by_peer[peer].set()
+
+    def _next_peer(self) -> str | None:
+        waiting = {peer for peer, turn in self._turn_by_peer.items() if not turn.is_set()}
+        own = own_demand(self._dispatcher, self._router)
+        return self._router.urgent_peer(own, allowed=waiting)
--- a/packages/library/carawayroute/routing.py
+++ b/packages/library/carawayroute/routing.py
@@ -9,8 +9,8 @@
 
 # A borrower stops using a lease somewhat before its lender takes it back.
 BORROWER_SHARE = 0.6
-# An idle borrowed slot goes back after this time, so that a short lull does not move it.
-IDLE_RETURN_MS = 500
+# An idle borrowed slot goes back after this time.
+IDLE_RETURN_MS = 20
 
 
 class Slot:
@@ -125,12 +125,20 @@
         return self._take(min(drawn, key=self._load))
 
 
-class _Loan:
-    __slots__ = ("slot", "to")
+class Demand:
+    """What an entry needs and has to spare.
 
-    def __init__(self, slot: Slot, to: str) -> None:
-        self.slot = slot
-        self.to = to
+    :param queued: requests that wait for a slot.
+    :param oldest_ms: how long the first of them has waited.
+    :param idle: slots that could be lent.
+    """
+
+    __slots__ = ("idle", "oldest_ms", "queued")
+
+    def __init__(self, queued: int = 0, oldest_ms: float = 0.0, idle: int = 0) -> None:
+        self.queued = queued
+        self.oldest_ms = oldest_ms
+        self.idle = idle
 
 
 class SlotLeaseRouter:
@@ -150,9 +158,10 @@
         self.lease_ms = lease_ms
         self._home: set[Slot] = set()
         self._usable_from_ms: dict[Slot, float] = {}
-        self._loans: dict[Slot, _Loan] = {}
+        self._loan_to_by_slot: dict[Slot, str] = {}
         self._borrowed_from: dict[Slot, str] = {}
         self._heard_ms_by_entry: dict[str, float] = {}
+        self._demand_by_entry: dict[str, Demand] = {}
         self._idle_since_ms: dict[Slot, float] = {}
         self._in_use: set[Slot] = set()
         self._live_runners: set[str] = set()
@@ -181,7 +190,7 @@
             self._usable_from_ms[slot] = now_ms if fresh else now_ms + self.lease_ms
             self._idle_since_ms.setdefault(slot, now_ms)
         for slot in self._home - home:
-            self._loans.pop(slot, None)
+            self._loan_to_by_slot.pop(slot, None)
             self._usable_from_ms.pop(slot, None)
         self._home = home
 
@@ -196,7 +205,7 @@
             silent_ms = now_ms - self._heard_ms_by_entry.get(lender, 0.0)
             return silent_ms <= self.lease_ms * BORROWER_SHARE
         usable = slot in self._home and self._usable_from_ms[slot] <= now_ms
-        return usable and slot not in self._loans
+        return usable and slot not in self._loan_to_by_slot
 
     def _idle(self) -> list[Slot]:
         now_ms = self._clock.now_ms()
@@ -219,7 +228,15 @@
         used_by_runner: dict[str, int] = {}
         for slot in self._in_use:
             used_by_runner[slot.runner] = used_by_runner.get(slot.runner, 0) + 1
-        chosen = min(idle, key=lambda slot: (used_by_runner.get(slot.runner, 0), slot.key))
+        # Borrowed slots are used first, so that those that stay idle can be lent on from here.
+        chosen = min(
+            idle,
+            key=lambda slot: (
+                slot not in self._borrowed_from,
+                used_by_runner.get(slot.runner, 0),
+                slot.key,
+            ),
+        )
         self._in_use.add(chosen)
         return chosen
 
@@ -228,16 +245,18 @@
         self._in_use.discard(slot)
         self._idle_since_ms[slot] = self._clock.now_ms()
 
-    def heard(self, entry: str) -> None:
+    def heard(self, entry: str, demand: Demand | None = None) -> None:
         """Note a message from another entry, which keeps the loans with it alive."""
         self._heard_ms_by_entry[entry] = self._clock.now_ms()
+        if demand is not None:
+            self._demand_by_entry[entry] = demand
 
     def expire(self) -> None:
         """Take back the loans of silent borrowers and drop those of silent lenders."""
         now_ms = self._clock.now_ms()
-        for slot, loan in list(self._loans.items()):
-            if now_ms - self._heard_ms_by_entry.get(loan.to, 0.0) > self.lease_ms:
-                del self._loans[slot]
+        for slot, borrower in list(self._loan_to_by_slot.items()):
+            if now_ms - self._heard_ms_by_entry.get(borrower, 0.0) > self.lease_ms:
+                del self._loan_to_by_slot[slot]
         for slot, lender in list(self._borrowed_from.items()):
             if now_ms - self._heard_ms_by_entry.get(lender, 0.0) > self.lease_ms:
                 self._drop_borrowed(slot)
@@ -247,20 +266,26 @@
         if slot not in self._home:
             self._idle_since_ms.pop(slot, None)
 
-    def lend(self, borrower: str, wanted: int, own_queue: int) -> list[Slot]:
-        """Return idle slots of this home for an entry with a queue.
+    def idle_home(self) -> list[Slot]:
+        """Return the slots at home here that could be lent, the longest idle first."""
+        idle = [slot for slot in self._idle() if slot in self._home]
+        idle.sort(key=lambda slot: (self._idle_since_ms.get(slot, 0.0), slot.key))
+        return idle
+
+    def lend(self, borrower: str, own_queue: int) -> list[Slot]:
+        """Lend idle slots of this home to an entry with a queue, and return them.
 
         :param own_queue: requests that wait here; while there are any, nothing is lent.
         """
-        if own_queue > 0 or wanted <= 0:
+        demand = self._demand_by_entry.get(borrower)
+        if demand is None or own_queue > 0:
             return []
-        idle = [slot for slot in self._idle() if slot in self._home]
-        idle.sort(key=lambda slot: self._idle_since_ms.get(slot, 0.0))
-        # One idle slot stays for the next request that arrives here.
-        granted = idle[: max(0, min(wanted, len(idle) - 1))]
-        for slot in granted:
-            self._loans[slot] = _Loan(slot, borrower)
-        return granted
+        idle = self.idle_home()
+        lent = idle[: min(demand.queued, (len(idle) + 1) // 2)]
+        for slot in lent:
+            self._loan_to_by_slot[slot] = borrower
+        demand.queued -= len(lent)
+        return lent
 
     def borrow(self, lender: str, slots: list[Slot]) -> None:
         """Take over slots that a lender granted."""
@@ -289,7 +314,48 @@
     def reconcile(self, borrower: str, kept: list[Slot]) -> None:
         """Use the slots again that a borrower no longer keeps."""
         still_lent = set(kept)
-        for slot, loan in list(self._loans.items()):
-            if loan.to == borrower and slot not in still_lent:
-                del self._loans[slot]
+        for slot, holder in list(self._loan_to_by_slot.items()):
+            if holder == borrower and slot not in still_lent:
+                del self._loan_to_by_slot[slot]
                 self._idle_since_ms[slot] = self._clock.now_ms()
+
+    def urgent_peer(self, own: Demand, allowed: set[str]) -> str | None:
+        """Return the entry that a message would help most now, if any.
+
+        :param allowed: entries to which no message is under way.
+        """
+        peers = [entry for entry in self._entries if entry in allowed]
+        if own.queued > 0:
+            return self._best_lender(peers)
+        waiting = self._neediest(peers)
+        if waiting is None:
+            return None
+        return waiting if own.idle > 0 else self._lender_of_idle(peers)
+
+    def _lender_of_idle(self, peers: list[str]) -> str | None:
+        """Return an entry that borrowed slots should go back to, for it to lend them on."""
+        now_ms = self._clock.now_ms()
+        for slot, lender in self._borrowed_from.items():
+            idle_ms = now_ms - self._idle_since_ms.get(slot, now_ms)
+            if slot not in self._in_use and idle_ms >= IDLE_RETURN_MS and lender in peers:
+                return lender
+        return None
+
+    def _best_lender(self, peers: list[str]) -> str | None:
+        """Return the entry with the most idle slots, or one that has not been heard for long."""
+
+        def rank(entry: str) -> tuple[int, float]:
+            demand = self._demand_by_entry.get(entry)
+            heard_ms = self._heard_ms_by_entry.get(entry, float("-inf"))
+            return (demand.idle if demand else 0, -heard_ms)
+
+        return max(peers, key=rank, default=None)
+
+    def _neediest(self, peers: list[str]) -> str | None:
+        """Return the entry with the longest queue that is known."""
+        waiting = [
+            (self._demand_by_entry[entry].queued, entry)
+            for entry in peers
+            if entry in self._demand_by_entry and self._demand_by_entry[entry].queued > 0
+        ]
+        return max(waiting)[1] if waiting else None
--- a/packages/schema/carawayroute_schema/settings.py
+++ b/packages/schema/carawayroute_schema/settings.py
@@ -88,7 +88,7 @@
     "gossip_interval_ms": Setting(
         name="gossip_interval_ms",
         type="integer",
-        default=250,
+        default=1000,
         low=20,
         high=60000,
         help="time between two messages to a peer of the same region, in ms",
@@ -96,11 +96,19 @@
     "far_gossip_interval_ms": Setting(
         name="far_gossip_interval_ms",
         type="integer",
-        default=1000,
+        default=2000,
         low=20,
         high=60000,
         help="time between two messages to a peer of another region, in ms",
     ),
+    "urgent_messages_per_second": Setting(
+        name="urgent_messages_per_second",
+        type="integer",
+        default=10,
+        low=1,
+        high=1000,
+        help="bound on messages to peers sent before their interval is over, per second",
+    ),
     "peer_timeout_ms": Setting(
         name="peer_timeout_ms",
         type="integer",
--- a/packages/standins/carawayroute_standins/world.py
+++ b/packages/standins/carawayroute_standins/world.py
@@ -30,7 +30,6 @@
 
 HOP_MS = 1.0
 FAR_HOP_MS = 8.0
-GOSSIP_MS = 250
 PEER_TIMEOUT_MS = 1_500
 ORDER_TIMEOUT_MS = 2_000
 LOG_TIMEOUT_MS = 1_000
@@ -149,8 +148,9 @@
         host, node = self.hosts_by_id[name], self.nodes_by_id[name]
         target = self.nodes_by_id[peer]
         while self.nodes_by_id[peer] is target:
-            await node.clock.sleep_ms(GOSSIP_MS)
             same_region = host.region == self.hosts_by_id[peer].region
+            await node.pacer.wait_turn(peer, same_region)
+            await host.gate.wait()
             request = node.gossip.request(peer, same_region).SerializeToString()
             if not self.can_reach(host, self.hosts_by_id[peer]):
                 await node.clock.sleep_ms(PEER_TIMEOUT_MS)
@@ -158,7 +158,6 @@
             reply = await self._exchange(host, peer, target.gossip, request)
             if reply is not None:
                 node.gossip.take_reply(pb.PeerReply.FromString(reply))
-                node.dispatcher.pump()
 
     async def _exchange(
         self, host: Host, peer: str, gossip: Gossip, request: bytes
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,6 +7,7 @@
 from carawayroute.membership import OBSERVATION_MS, Membership
 from carawayroute.routing import (
     IDLE_RETURN_MS,
+    Demand,
     LeastOutstandingRouter,
     RandomRouter,
     Slot,
@@ -38,9 +39,9 @@
 def exchange(clock: ManualClock, borrower: SlotLeaseRouter, lender: SlotLeaseRouter, queue: int):
     """Carry one message and its reply, as the daemons do."""
     kept = borrower.borrowed_from(lender.instance, queue)
-    lender.heard(borrower.instance)
+    lender.heard(borrower.instance, Demand(queued=queue))
     lender.reconcile(borrower.instance, kept)
-    granted = lender.lend(borrower.instance, queue, own_queue=0)
+    granted = lender.lend(borrower.instance, own_queue=0)
     borrower.heard(lender.instance)
     borrower.borrow(lender.instance, granted)
     return granted
@@ -64,7 +65,26 @@
 
 def test_an_entry_with_a_queue_lends_nothing() -> None:
     made = routers(ManualClock())
-    assert made["b"].lend("a", 5, own_queue=1) == []
+    made["b"].heard("a", Demand(queued=5))
+    assert made["b"].lend("a", own_queue=1) == []
+
+
+def test_borrowed_slots_are_used_before_own_ones() -> None:
+    clock = ManualClock()
+    made = routers(clock)
+    granted = exchange(clock, made["a"], made["b"], queue=3)
+    assert {made["a"].acquire(set()) for _ in granted} == set(granted)
+
+
+def test_a_message_goes_to_the_entry_that_can_help_most() -> None:
+    made = routers(ManualClock())["a"]
+    made.heard("b", Demand(idle=1))
+    made.heard("c", Demand(idle=4))
+    assert made.urgent_peer(Demand(queued=2), {"b", "c"}) == "c"
+    assert made.urgent_peer(Demand(queued=2), {"b"}) == "b"
+    assert made.urgent_peer(Demand(idle=2), {"b", "c"}) is None
+    made.heard("b", Demand(queued=7))
+    assert made.urgent_peer(Demand(idle=2), {"b", "c"}) == "b"
 
 
 def test_idle_borrowed_slots_go_back() -> None:
@@ -80,8 +100,8 @@
 def test_a_lost_reply_loses_no_slot() -> None:
     clock = ManualClock()
     made = routers(clock)
-    made["b"].heard("a")
-    lost = made["b"].lend("a", 5, own_queue=0)
+    made["b"].heard("a", Demand(queued=5))
+    lost = made["b"].lend("a", own_queue=0)
     assert lost
     before = made["b"].held()
     exchange(clock, made["a"], made["b"], queue=0)
