Measure floods, placement, scale and cost; bound the work of a placing pass

Queued requests were started when the mean run time was left, and half of them run longer. A pass now runs only after a change (or after 1 s), tries at most 500 jobs, and remembers shapes that found no place.

--- /dev/null
+++ b/bench/flood.py
@@ -0,0 +1,212 @@
+"""What does other work keep during a flood, and how do small callers fare beside a large one?"""
+
+import random
+
+from bench.entries import SLOTS, Fleet, Sent, quick_kind
+from bench.tables import Table, median
+from carawayroute.dispatch import Dispatcher
+from carawayroute.limits import FairQueue
+from carawayroute.routing import SlotLeaseRouter
+from carawayroute_schema import carawayroute_pb2 as pb
+from carawayroute_standins.virtual import run_virtual
+
+ENTRIES = 3
+RUNNERS = 4
+SECONDS = 15
+WARM_UP_MS = 3_000.0
+SEEDS = (1, 2, 3)
+FLOOD = 10.0
+TEAMS = ["large", "small-1", "small-2", "small-3"]
+
+# Kind, urgency, mean run time in ms, wait of callers in ms, share of the fleet on a calm day.
+DEPLOYMENTS = {
+    "deckmali": [
+        ("preview", pb.URGENT, 100.0, 3_000.0, 0.25),
+        ("export", pb.CAN_WAIT, 800.0, 30_000.0, 0.35),
+    ],
+    "cornice": [
+        ("quote-check", pb.ORDINARY, 150.0, 4_000.0, 0.30),
+        ("mockup-thumbnail", pb.CAN_WAIT, 600.0, 30_000.0, 0.30),
+    ],
+}
+POLICIES = ("fair queues", "first come first served", "strict priority")
+
+
+class _OneQueue(FairQueue):
+    """Baseline: one queue for all, without early refusal."""
+
+    def push(self, path, item) -> None:
+        """Queue an item regardless of whose it is."""
+        super().push(("all", "all", "all"), item)
+
+    def remove(self, path, item) -> bool:
+        """Take an item out."""
+        return super().remove(("all", "all", "all"), item)
+
+    def check(self, path, cost_ms, servers, remaining_ms) -> None:
+        """Refuse nothing early."""
+
+
+class _Priority(FairQueue):
+    """Baseline: the more urgent kind always first, without early refusal."""
+
+    def push(self, path, item) -> None:
+        """Queue an item by the urgency of its kind."""
+        super().push((str(item.request.kind.urgency), "all", "all"), item)
+
+    def remove(self, path, item) -> bool:
+        """Take an item out."""
+        return super().remove((str(item.request.kind.urgency), "all", "all"), item)
+
+    def pop(self, cost_ms):
+        """Take the most urgent item."""
+        children = self._root.children_by_key
+        for urgency in sorted(children, reverse=True):
+            child = children[urgency]
+            if child.waiting:
+                child.start_tag = min(level.start_tag for level in children.values()) - 1.0
+                break
+        return super().pop(cost_ms)
+
+    def check(self, path, cost_ms, servers, remaining_ms) -> None:
+        """Refuse nothing early."""
+
+
+def use_policy(dispatcher: Dispatcher, policy: str) -> None:
+    """Replace the queue of a dispatcher by a baseline."""
+    queues = {"first come first served": _OneQueue, "strict priority": _Priority}
+    if policy in queues:
+        dispatcher.queue = queues[policy](lambda path: (1.0, 1.0, 1.0))
+
+
+class Source:
+    """A stream of requests.
+
+    :param factor: multiplies the calm rate.
+    """
+
+    def __init__(self, spec: tuple, team: str, caller: str, factor: float) -> None:
+        self.name, self.urgency, self.mean_ms, self.wait_ms, self.share = spec
+        self.team = team
+        self.caller = caller
+        self.factor = factor
+
+    def rate_per_ms(self) -> float:
+        """Return the arrivals in a ms."""
+        return self.share * self.factor * RUNNERS * SLOTS / self.mean_ms
+
+
+async def measure(sources: list[Source], policy: str) -> Fleet:
+    """Run streams of requests against a policy."""
+    kinds = {
+        source.name: quick_kind(source.name, int(source.mean_ms), source.urgency)
+        for source in sources
+    }
+    teams = [pb.Team(id=name, weight=1) for name in TEAMS]
+    fleet = Fleet(
+        lambda clock, name: SlotLeaseRouter(clock, name, 3_000.0),
+        ENTRIES,
+        RUNNERS,
+        list(kinds.values()),
+        teams,
+    )
+    for dispatcher in fleet.dispatchers.values():
+        use_policy(dispatcher, policy)
+    names = list(fleet.dispatchers)
+    rates = [source.rate_per_ms() for source in sources]
+    while fleet.clock.now_ms() < SECONDS * 1_000:
+        await fleet.clock.sleep_ms(random.expovariate(sum(rates)))
+        source = random.choices(sources, rates)[0]
+        run_ms = random.choice((0.5, 1.5)) * source.mean_ms
+        fleet.send(
+            random.choice(names),
+            kinds[source.name],
+            source.team,
+            source.caller,
+            run_ms,
+            source.wait_ms,
+        )
+    await fleet.clock.sleep_ms(40_000)
+    fleet.stop()
+    return fleet
+
+
+def in_time(sent: list[Sent], name: str, wait_ms: float) -> float:
+    """Return the share of requests of a kind or caller that were answered within their wait."""
+    counted = [one for one in sent if name in (one.kind, one.who) and one.arrived_ms > WARM_UP_MS]
+    right = [
+        one for one in counted if one.outcome == "done" and one.ended_ms <= one.arrived_ms + wait_ms
+    ]
+    return len(right) / len(counted) if counted else 0.0
+
+
+def goodput(fleet: Fleet, waits: dict[str, float]) -> float:
+    """Return the run time of answers in time as a share of what the fleet can run."""
+    until_ms = SECONDS * 1_000.0
+    useful = sum(
+        one.run_ms
+        for one in fleet.sent
+        if one.outcome == "done"
+        and WARM_UP_MS < one.ended_ms <= until_ms
+        and one.ended_ms <= one.arrived_ms + waits[one.kind]
+    )
+    return useful / ((until_ms - WARM_UP_MS) * RUNNERS * SLOTS)
+
+
+def floods() -> None:
+    """Print what each kind keeps while the other one floods."""
+    table = Table(
+        "flood",
+        f"Share in time of the calm kind while the other floods at {FLOOD:.0f}x the fleet",
+        ["deployment", "flood of", "policy", "kept", "goodput"],
+        values=2,
+    )
+    for deployment, specs in DEPLOYMENTS.items():
+        for flooding, calm in ((specs[1], specs[0]), (specs[0], specs[1])):
+            waits = {spec[0]: spec[3] for spec in specs}
+            for policy in POLICIES:
+                kept, used = [], []
+                for seed in SEEDS:
+                    sources = [
+                        Source(calm, "small-1", "calm", 1.0),
+                        Source(flooding, "large", "flood", FLOOD / flooding[4]),
+                    ]
+                    fleet = run_virtual(measure(sources, policy), seed)
+                    kept.append(in_time(fleet.sent, calm[0], calm[3]))
+                    used.append(goodput(fleet, waits))
+                table.add(deployment, flooding[0], policy, median(kept), median(used))
+    table.show()
+
+
+def callers() -> None:
+    """Print how small callers fare while one caller asks 50 times as much."""
+    table = Table(
+        "callers",
+        "Share in time of small callers beside one that asks 50 times as much, same kind",
+        ["deployment", "policy", "small callers", "large caller"],
+        values=2,
+    )
+    for deployment, specs in DEPLOYMENTS.items():
+        spec = specs[0]
+        for policy in POLICIES[:2]:
+            small, large = [], []
+            for seed in SEEDS:
+                share = 0.4 / spec[4]
+                sources = [Source(spec, "small-1", f"small-{n}", share / 10) for n in range(10)]
+                sources.append(Source(spec, "small-1", "large", 50 * share / 10))
+                fleet = run_virtual(measure(sources, policy), seed)
+                shares = [in_time(fleet.sent, f"small-{n}", spec[3]) for n in range(10)]
+                small.append(sum(shares) / 10)
+                large.append(in_time(fleet.sent, "large", spec[3]))
+            table.add(deployment, policy, median(small), median(large))
+    table.show()
+
+
+def main() -> None:
+    """Print both tables."""
+    floods()
+    callers()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/scale.py
@@ -0,0 +1,182 @@
+"""What does one placement cost as the fleet grows to the size of letter 1?"""
+
+import random
+import time
+
+from bench.tables import Table, median
+from carawayroute.clock import ManualClock
+from carawayroute.config import read_configuration
+from carawayroute.estimates import RunTimes
+from carawayroute.health import HealthTracker
+from carawayroute.placement import Fleet, Placement, PlacingPass, Plan, QueueEntry, order_queue
+from carawayroute.types import Instance
+from carawayroute_schema import carawayroute_pb2 as pb
+
+# Workers of which one in `ACCELERATED` has eight accelerators; the others run tasks without any,
+# counted as three places each, so that 10,000 tasks run on 3,200 workers.
+SIZES = (24, 100, 400, 800, 1_600, 3_200)
+FULL_SIZE = 3_200
+FULL_TASKS = 10_000
+FULL_TEAMS = 110
+ACCELERATED = 6.56
+ACCELERATORS = 8
+PLACES = 3
+PER_RACK = 16
+REPEATS = 9
+BURST = 1_000
+KEY_SHA256 = "0" * 64
+
+
+def workers(count: int) -> list[Instance]:
+    """Return workers, the accelerated ones first and in racks of their own."""
+    accelerated = max(4, round(count / ACCELERATED))
+    return [
+        Instance(
+            f"w{n}",
+            "worker",
+            "south",
+            "",
+            "s1",
+            f"rack-{n // PER_RACK}",
+            ACCELERATORS if n < accelerated else PLACES,
+        )
+        for n in range(count)
+    ]
+
+
+def configuration(count: int) -> pb.Configuration:
+    """Return teams in proportion, whose guarantees take half of the accelerators."""
+    teams = max(4, round(FULL_TEAMS * count / FULL_SIZE))
+    shapes_each = max(1, round(count / ACCELERATED / 2 / teams))
+    shape = {"members": 1, "accelerators": ACCELERATORS, "adjacency": "WORKER"}
+    guarantee = {"id": "g", "region": "south", "shape": shape, "count": shapes_each}
+    return read_configuration(
+        {
+            "teams": [
+                {
+                    "id": f"team-{n}",
+                    "keySha256": KEY_SHA256,
+                    "weight": 1,
+                    "guarantees": [guarantee] if n * shapes_each < count / ACCELERATED / 2 else [],
+                }
+                for n in range(teams)
+            ],
+            "kinds": [
+                {"id": "render", "service": "GANG", "idempotent": True, "expectedRunMs": 1_000},
+            ],
+        }
+    )
+
+
+def job(number: int, team: str, shape: pb.Shape) -> pb.JobAccepted:
+    """Return a job."""
+    return pb.JobAccepted(job_id=f"j{number}", team=team, kind="render", shape=shape)
+
+
+def loaded_fleet(count: int) -> tuple[Fleet, pb.Kind]:
+    """Return a fleet that runs its share of 10,000 tasks as borrowed work."""
+    settings = configuration(count)
+    fleet = Fleet()
+    fleet.set_workers(workers(count), set())
+    fleet.set_guarantees(settings, "south")
+    room = {worker.id: worker.capacity for worker in fleet.workers_by_id.values()}
+    names = list(room)
+    for number in range(FULL_TASKS * count // FULL_SIZE):
+        worker = names[number % len(names)]
+        if room[worker] == 0:
+            worker = next((name for name in names if room[name]), "")
+        if not worker:
+            break
+        room[worker] -= 1
+        end_ms = random.uniform(0, 1e7)
+        fleet.add(Placement(f"t{number}", "", "team-3", [worker], 1, "", False, 0.0, end_ms))
+    return fleet, settings.kinds[0]
+
+
+def timed_ms(work) -> float:
+    """Return the median time of some repeats."""
+    times = []
+    for _ in range(REPEATS):
+        began = time.perf_counter()
+        work()
+        times.append((time.perf_counter() - began) * 1_000)
+    return median(times)
+
+
+def place_burst(fleet: Fleet, kind: pb.Kind) -> float:
+    """Return the time to try a burst of submissions once, in ms."""
+    shape = pb.Shape(members=2, accelerators=1)
+    entries = [QueueEntry(job(n, f"team-{n % 4}", shape), kind) for n in range(BURST)]
+    began = time.perf_counter()
+    attempt = PlacingPass(fleet, RunTimes(), HealthTracker(ManualClock()), 0.0)
+    for entry in order_queue(entries, fleet, {}):
+        decision = attempt.plan(entry)
+        if isinstance(decision, Plan):
+            run(fleet, entry.accepted, decision)
+    return (time.perf_counter() - began) * 1_000
+
+
+def run(fleet: Fleet, accepted: pb.JobAccepted, plan: Plan) -> None:
+    """Count a planned job as running."""
+    for victim in plan.preempt:
+        fleet.remove(victim)
+    fleet.add(
+        Placement(
+            accepted.job_id,
+            "",
+            accepted.team,
+            plan.workers,
+            accepted.shape.accelerators,
+            plan.guarantee,
+            plan.firm,
+            0.0,
+            1_000.0,
+        )
+    )
+
+
+def measure(count: int) -> list[float]:
+    """Return the times of the decisions at one size, in ms."""
+    random.seed(1)
+    fleet, kind = loaded_fleet(count)
+    small = job(1, "nobody", pb.Shape(members=1, accelerators=1))
+    fleet.book.reservations[0].job_id = "taken"
+    own = job(2, "team-0", pb.Shape(members=1, accelerators=8, adjacency=pb.WORKER))
+    members = min(256, count)
+    gang = job(3, "nobody", pb.Shape(members=members, accelerators=1))
+    listed = list(fleet.workers_by_id.values())
+    return [
+        timed_ms(lambda: fleet.plan(small, kind)),
+        timed_ms(lambda: fleet.plan(own, kind, now_ms=1e6)),
+        timed_ms(lambda: fleet.plan(gang, kind)),
+        timed_ms(lambda: fleet.reserve_for(gang.shape)),
+        timed_ms(lambda: fleet.set_workers(listed, set())),
+        timed_ms(lambda: fleet.set_workers(listed, {listed[0].id} - fleet._blocked_workers)),
+        place_burst(fleet, kind),
+    ]
+
+
+def main() -> None:
+    """Print the table of times by size."""
+    table = Table(
+        "scale",
+        "Time of one decision in ms, by size of the fleet (its share of 10,000 tasks running)",
+        [
+            "workers",
+            "borrowed",
+            "guaranteed",
+            "gang of 256",
+            "reserve for it",
+            "refresh, same",
+            "refresh, changed",
+            "burst of 1,000",
+        ],
+        values=7,
+    )
+    for count in SIZES:
+        table.add(count, *measure(count))
+    table.show()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/library/carawayroute/dispatch.py
+++ b/packages/library/carawayroute/dispatch.py
@@ -270,7 +270,8 @@
             if ticket is None or ticket.slot.done():
                 continue
             request = ticket.request
-            if self._clock.now_ms() + self.expected_ms(request.kind) > request.deadline_ms:
+            bound_ms = self.run_times.bound_ms(request.kind.id, request.kind.expected_run_ms)
+            if self._clock.now_ms() + bound_ms > request.deadline_ms:
                 # Started now, it would use a slot and still be answered too late.
                 ticket.slot.set_exception(RefusedError("too little time was left to run", 1000))
                 continue
--- a/packages/library/carawayroute/gangs.py
+++ b/packages/library/carawayroute/gangs.py
@@ -140,7 +140,7 @@
         backoff = self._backoff_by_job.setdefault(job_id, Backoff(FIRST_REST_MS, MAX_REST_MS))
         self._rest_until_ms_by_job[job_id] = planner.clock.now_ms() + backoff.next_ms()
         planner.waits_by_job[job_id] = f"the last launch failed: {reason}"
-        planner.wake.set()
+        planner.mark_changed()
 
     async def preempt(self, victim: Gang) -> None:
         """Stop a borrowed gang, keeping a checkpoint where its kind has one."""
--- a/packages/library/carawayroute/guarantees.py
+++ b/packages/library/carawayroute/guarantees.py
@@ -91,6 +91,10 @@
         wanted = sum(item.count for item in self.shapes_by_key.values())
         return wanted - len(self.reservations)
 
+    def teams_with_unused(self) -> set[str]:
+        """Return the teams that may demand a shape."""
+        return {self.shapes_by_key[item.key].team for item in self.reservations if not item.job_id}
+
     def unused_for(self, team: str, shape: pb.Shape) -> list[Reservation]:
         """Return a team's unused reservations that hold a shape, those of the smallest first."""
         found = [item for item in self.unused() if self._serves(item.key, team, shape)]
--- a/packages/library/carawayroute/node.py
+++ b/packages/library/carawayroute/node.py
@@ -166,7 +166,7 @@
 
     def _wake_planner(self, record: pb.LogRecord) -> None:
         if record.WhichOneof("body") in PLANNER_RECORDS:
-            self.planner.wake.set()
+            self.planner.mark_changed()
 
     @property
     def fleet(self) -> Fleet:
--- a/packages/library/carawayroute/packing.py
+++ b/packages/library/carawayroute/packing.py
@@ -56,6 +56,8 @@
     :param penalty_by_worker: places with a lower sum are preferred to tighter ones.
     """
     penalties = penalty_by_worker or {}
+    if shape.adjacency == pb.WORKER:
+        return _choose_worker(space, shape, penalties)
     best: list[str] | None = None
     best_rank: tuple[float, int] | None = None
     for domain in _domains(space, shape):
@@ -71,6 +73,18 @@
     return best
 
 
+def _choose_worker(space: Space, shape: pb.Shape, penalties: dict[str, float]) -> list[str] | None:
+    """Return the cheapest and tightest worker that holds the whole gang."""
+    needed = shape.members * shape.accelerators
+    fitting = (
+        (penalties.get(worker, 0.0), available, worker)
+        for worker, available in space.available_by_worker.items()
+        if available >= needed
+    )
+    best = min(fitting, default=None)
+    return None if best is None else [best[2]] * shape.members
+
+
 def _fill(
     space: Space, shape: pb.Shape, domain: list[str], penalties: dict[str, float]
 ) -> list[str]:
--- a/packages/library/carawayroute/placement.py
+++ b/packages/library/carawayroute/placement.py
@@ -2,10 +2,14 @@
 
 from carawayroute.estimates import RunTimes
 from carawayroute.guarantees import GuaranteedShape, Reservation, ReservationBook
+from carawayroute.health import HealthTracker
 from carawayroute.packing import Space, choose
 from carawayroute.types import Instance, describe_shape
 from carawayroute_schema import carawayroute_pb2 as pb
 
+# A job that waited longer than this many expected run times goes before the fair order.
+AGED_RUNS = 1
+
 
 class Placement:
     """A gang that holds accelerators.
@@ -113,8 +117,8 @@
 
     # ------------------------------------------------------------------ what there is
 
-    def set_workers(self, workers: list[Instance], unusable: set[str]) -> None:
-        """Take over the live workers.
+    def set_workers(self, workers: list[Instance], unusable: set[str]) -> bool:
+        """Take over the live workers and return whether they changed.
 
         :param unusable: workers that keep what they run but get nothing new.
         """
@@ -127,6 +131,7 @@
         if not same:
             self._recount()
             self._refresh_reservations()
+        return not same
 
     def set_guarantees(self, configuration: pb.Configuration, region: str) -> None:
         """Take over the guarantees of a configuration; running gangs are assigned anew."""
@@ -345,14 +350,24 @@
         candidates = [item for item in candidates if not avoid & set(item.workers)]
         if not candidates:
             return None
-        penalties = self._preemption_penalties(now_ms)
-        item = min(candidates, key=lambda one: _penalty(one, penalties))
-        if _penalty(item, penalties) > 0:
+        item = next((one for one in candidates if self._is_free(one)), None)
+        penalties: dict[str, float] = {}
+        if item is None:
+            penalties = self._preemption_penalties(now_ms)
+            item = min(candidates, key=lambda one: _penalty(one, penalties))
             item = self._cheaper_place(item, avoid, penalties) or item
         workers = self._place_within(item, job.shape, penalties)
         preempt = self._victims(workers, job.shape.accelerators, now_ms)
         return Plan(workers, preempt, item.key, firm=not kind.idempotent)
 
+    def _is_free(self, item: Reservation) -> bool:
+        """Return whether nothing runs on a reservation's accelerators."""
+        workers = item.workers
+        return all(
+            self.free_on(worker) >= workers.count(worker) * item.accelerators
+            for worker in set(workers)
+        )
+
     def _cheaper_place(
         self, item: Reservation, avoid: set[str], penalties: dict[str, float]
     ) -> Reservation | None:
@@ -466,12 +481,14 @@
 
 
 def order_queue(
-    queue: list[QueueEntry], fleet: Fleet, weight_by_team: dict[str, int]
+    queue: list[QueueEntry], fleet: Fleet, weight_by_team: dict[str, int], now_ms: float = 0.0
 ) -> list[QueueEntry]:
     """Return waiting jobs in the order in which they are tried.
 
-    Jobs within a guarantee come first, then the more urgent ones, then teams that borrow the least
-    for their weight, then the oldest.
+    Jobs within a guarantee come first, then the more urgent ones. Among equals, jobs that have
+    waited for long come by age; then teams that borrow the least for their weight, then the oldest.
+
+    :param now_ms: wall clock, as in the jobs' records.
     """
     borrowed_by_team: dict[str, float] = {}
     for placement in fleet.placements_by_job.values():
@@ -479,12 +496,15 @@
             team = placement.team
             borrowed_by_team[team] = borrowed_by_team.get(team, 0.0) + placement.total
 
-    def rank(entry: QueueEntry) -> tuple[bool, int, float, int]:
+    demanding = fleet.book.teams_with_unused()
+
+    def rank(entry: QueueEntry) -> tuple[bool, int, bool, float, int]:
         job = entry.accepted
-        guaranteed = fleet.uses_guarantee(job.team, job.shape)
+        guaranteed = job.team in demanding and fleet.uses_guarantee(job.team, job.shape)
+        aged = now_ms - job.accepted_ms > AGED_RUNS * entry.kind.expected_run_ms
         weight = max(1, weight_by_team.get(job.team, 1))
-        share = borrowed_by_team.get(job.team, 0.0) / weight
-        return (not guaranteed, -entry.kind.urgency, share, job.accepted_ms)
+        share = 0.0 if aged else borrowed_by_team.get(job.team, 0.0) / weight
+        return (not guaranteed, -entry.kind.urgency, not aged, share, job.accepted_ms)
 
     return sorted(queue, key=rank)
 
@@ -497,3 +517,40 @@
         f"{entry.accepted.team}/{entry.kind.id}", entry.kind.expected_run_ms
     )
     return now_ms + expected_ms <= reserved_until_ms
+
+
+class PlacingPass:
+    """One look at the queue: the first job that does not fit keeps its place from later ones."""
+
+    def __init__(
+        self, fleet: Fleet, run_times: RunTimes, health: HealthTracker, now_ms: float
+    ) -> None:
+        self._fleet = fleet
+        self._run_times = run_times
+        self._health = health
+        self._now_ms = now_ms
+        self._reserved: set[str] = set()
+        self._reserved_until_ms = 0.0
+        self._demanding = fleet.book.teams_with_unused()
+        # Shapes for which this pass found no place; space only gets less while it lasts.
+        self._refusals: dict[tuple, Wait] = {}
+
+    def plan(self, entry: QueueEntry) -> Plan | Wait:
+        """Decide where a job goes now."""
+        job = entry.accepted
+        short = may_backfill(entry, self._run_times, self._now_ms, self._reserved_until_ms)
+        avoid = self._health.failed_on(job.job_id)
+        form = (job.shape.members, job.shape.accelerators, job.shape.adjacency, short)
+        key = (*form, entry.kind.idempotent)
+        if key in self._refusals and not avoid and job.team not in self._demanding:
+            return self._refusals[key]
+        reserved = set() if short else self._reserved
+        decision = self._fleet.plan(job, entry.kind, avoid, reserved, self._now_ms)
+        if isinstance(decision, Wait):
+            self._refusals[key] = decision
+            if decision.blocked and not self._reserved:
+                place = self._fleet.reserve_for(job.shape)
+                self._reserved, self._reserved_until_ms = place
+        elif decision.preempt:
+            self._refusals.clear()
+        return decision
--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -14,10 +14,10 @@
 from carawayroute.placement import (
     Fleet,
     Placement,
+    PlacingPass,
     Plan,
     QueueEntry,
     Wait,
-    may_backfill,
     order_queue,
 )
 from carawayroute.platform import Workers
@@ -31,6 +31,10 @@
 FINISH_APPEND_TIMEOUT_MS = 5_000
 # A shape that no listed workers can hold is refused after this time, in case they come back.
 IMPOSSIBLE_MS = 60_000
+# Without any change the queue is looked at again after this time, for what only time changes.
+RETRY_PLACING_MS = 1_000
+# Jobs tried in one pass, so that a long queue does not hold up leases and reports.
+MAX_TRIED = 500
 
 
 class PlannerSettings:
@@ -100,6 +104,8 @@
         self._finishing: set[str] = set()
         self._impossible_since_ms: dict[str, float] = {}
         self._change_seen: tuple[int, str] = (-1, "")
+        self._changed = asyncio.Event()
+        self._placed_ms = float("-inf")
         self.gang_runner = GangRunner(self)
 
     # ------------------------------------------------------------------ term
@@ -155,6 +161,11 @@
         ):
             self.step_down()
 
+    def mark_changed(self) -> None:
+        """Note that jobs or space changed, so that the queue is looked at again soon."""
+        self._changed.set()
+        self.wake.set()
+
     def step_down(self) -> None:
         """Stop acting; what runs is left to the next holder."""
         self.token = None
@@ -327,7 +338,7 @@
     def _remove(self, gang: Gang) -> None:
         self.gangs_by_job.pop(gang.job.job_id, None)
         self.fleet.remove(gang.job.job_id)
-        self.wake.set()
+        self.mark_changed()
 
     def finish(
         self, job: pb.JobAccepted, outcome: pb.Outcome, reason: str, result: str, gang: Gang | None
@@ -431,11 +442,13 @@
             or self.membership.is_leaving(worker.id)
             or self.health.is_quarantined(worker.id)
         }
-        self.fleet.set_workers(workers, unusable)
+        if self.fleet.set_workers(workers, unusable):
+            self._changed.set()
         seen = (state.change.version, state.change_record_id)
         if seen != self._change_seen:
             self._change_seen = seen
             self.fleet.set_guarantees(state.configuration, self.region)
+            self._changed.set()
 
     def _drop_lost_workers(self) -> None:
         listed = {worker.id for worker in self._listed_workers()}
@@ -497,29 +510,24 @@
         return True
 
     def _place_queue(self) -> None:
-        """Place what fits; the first job that does not keeps its place from later ones."""
-        weight_by_team = {team.id: team.weight for team in self.follower.state.configuration.teams}
-        queue = order_queue(self._waiting_jobs(), self.fleet, weight_by_team)
-        reserved: set[str] = set()
-        reserved_until_ms = 0.0
+        """Place what fits, in order, when something changed since the last time."""
         now_ms = self.clock.now_ms()
-        for entry in queue:
+        if not self._changed.is_set() and now_ms - self._placed_ms < RETRY_PLACING_MS:
+            return
+        self._changed.clear()
+        self._placed_ms = now_ms
+        weight_by_team = {team.id: team.weight for team in self.follower.state.configuration.teams}
+        waiting = self._waiting_jobs()
+        queue = order_queue(waiting, self.fleet, weight_by_team, self.clock.wall_ms())
+        attempt = PlacingPass(self.fleet, self.run_times, self.health, now_ms)
+        for entry in queue[:MAX_TRIED]:
             if self.gang_runner.is_resting(entry.accepted.job_id):
                 continue
-            short = may_backfill(entry, self.run_times, now_ms, reserved_until_ms)
-            decision = self.fleet.plan(
-                entry.accepted,
-                entry.kind,
-                avoid=self.health.failed_on(entry.accepted.job_id),
-                reserved=set() if short else reserved,
-                now_ms=now_ms,
-            )
+            decision = attempt.plan(entry)
             if isinstance(decision, Wait):
                 self.waits_by_job[entry.accepted.job_id] = decision.reason
-                if decision.blocked and not reserved:
-                    reserved, reserved_until_ms = self.fleet.reserve_for(entry.accepted.shape)
-                continue
-            self._launch(entry, decision)
+            else:
+                self._launch(entry, decision)
 
     def _launch(self, entry: QueueEntry, plan: Plan) -> None:
         self.waits_by_job.pop(entry.accepted.job_id, None)
--- a/packages/standins/carawayroute_standins/relay.py
+++ b/packages/standins/carawayroute_standins/relay.py
@@ -10,6 +10,8 @@
 
     Connections that are open when `silence` is called carry nothing any more, in either direction,
     and are not closed; connections made later work.
+
+    :ivar carried_bytes: payload carried in both directions.
     """
 
     def __init__(self, target: str) -> None:
@@ -17,6 +19,7 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self.address = ""
+        self.carried_bytes = 0
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -47,6 +50,7 @@
 
     async def _pipe(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
         while data := await source.read(CHUNK_BYTES):
+            self.carried_bytes += len(data)
             sink.write(data)
             await sink.drain()
         sink.close()
