--- /dev/null
+++ b/bench/recovery.py
@@ -0,0 +1,193 @@
+"""How long until all is normal again after large failures, and what does it cost the log?"""
+
+import json
+import random
+from collections.abc import Awaitable, Callable
+
+from bench.tables import Table
+from carawayroute.exceptions import CarawayrouteError
+from carawayroute.node import NodeSettings
+from carawayroute_schema import carawayroute_pb2 as pb
+from carawayroute_standins.virtual import run_virtual
+from carawayroute_standins.world import World
+
+ENTRIES = {"a": "south", "b": "south", "c": "south", "d": "north", "e": "north", "f": "north"}
+WORKERS = 12
+PER_RACK = 4
+JOBS = 24
+RUN_MS = 7_200_000
+HOUR_MS = 3_600_000
+SEED = 1
+LIMIT_MS = 600_000
+KEY_SHA256 = "0" * 64
+CONFIGURATION = {
+    "teams": [{"id": "team", "keySha256": KEY_SHA256, "weight": 1}],
+    "kinds": [
+        {
+            "id": "render",
+            "service": "GANG",
+            "idempotent": True,
+            "checkpoint": True,
+            "weight": 1,
+            "maxWaitMs": 1,
+            "expectedRunMs": RUN_MS,
+            "maxBodyBytes": 1,
+        }
+    ],
+}
+
+Disaster = Callable[["Trial"], Awaitable[None]]
+
+
+class Trial:
+    """A world with running gangs in two regions."""
+
+    def __init__(self) -> None:
+        self.world = World(retention_ms=2 * HOUR_MS)
+        self.submitted = 0
+        self.peak_appends = 0
+
+    async def prepare(self) -> None:
+        """Start everything and let gangs run on most of the workers."""
+        world = self.world
+        for region in ("south", "north"):
+            for index in range(WORKERS):
+                name = f"worker-{region}-{index:02}"
+                world.add_worker(name, region, f"rack-{region}-{index // PER_RACK}")
+            world.add_runner(f"runner-{region}", region)
+        for name, region in ENTRIES.items():
+            world.add_node(NodeSettings(name, region, retention_ms=2 * HOUR_MS))
+        await world.settle(3_000)
+        await world.publish(CONFIGURATION)
+        await world.settle(2_000)
+        for _ in range(JOBS):
+            await self.submit("a")
+        await world.settle(10_000)
+
+    async def submit(self, entry: str) -> bool:
+        """Submit a job to one region or the other; return whether it was accepted."""
+        self.submitted += 1
+        job = pb.JobAccepted(
+            team="team",
+            kind="render",
+            region="south" if self.submitted % 2 else "north",
+            shape=pb.Shape(members=2, accelerators=2, adjacency=pb.RACK),
+            request_id=f"q{self.submitted}",
+            payload=json.dumps({"run_ms": RUN_MS}),
+        )
+        try:
+            await self.world.submit(entry, job)
+        except CarawayrouteError:
+            return False
+        return True
+
+    def is_normal(self) -> bool:
+        """Return whether all entries agree, both regions are planned, and every open job runs."""
+        nodes = [
+            node
+            for name, node in self.world.nodes_by_id.items()
+            if self.world.hosts_by_id[name].alive
+        ]
+        if any(node.not_ready() or not node.follower.reachable for node in nodes):
+            return False
+        if len({node.follower.state.offset for node in nodes}) != 1:
+            return False
+        return all(self._region_runs(region) for region in ("south", "north"))
+
+    def _region_runs(self, region: str) -> bool:
+        name = self.world.planner_of(region)
+        if not name:
+            return False
+        node = self.world.nodes_by_id[name]
+        open_jobs = node.follower.state.open_jobs(region)
+        gangs = node.planner.gangs_by_job
+        running = [gangs.get(job.accepted.job_id) for job in open_jobs]
+        return all(gang is not None and gang.running for gang in running)
+
+    async def until_normal(self) -> float:
+        """Return how long it takes until all is normal, in ms."""
+        began_ms = self.world.clock.now_ms()
+        while self.world.clock.now_ms() - began_ms < LIMIT_MS:
+            before = self.world.log.appends
+            await self.world.settle(1_000)
+            self.peak_appends = max(self.peak_appends, self.world.log.appends - before)
+            if self.is_normal():
+                return self.world.clock.now_ms() - began_ms
+        return float("inf")
+
+
+async def replace_all(trial: Trial) -> None:
+    """Kill and replace every instance at once."""
+    for name in ENTRIES:
+        trial.world.kill(name)
+    await trial.world.settle(1_000)
+    for name in ENTRIES:
+        trial.world.start_node(name)
+
+
+async def cut_an_hour(trial: Trial) -> None:
+    """Cut the north off for an hour, with submissions going on in the south."""
+    trial.world.cut("south", "north")
+    for _ in range(6):
+        await trial.submit("a")
+        await trial.world.settle(HOUR_MS / 6)
+    trial.world.heal()
+
+
+async def lose_a_rack(trial: Trial) -> None:
+    """Lose every worker of a rack."""
+    for index in range(PER_RACK):
+        trial.world.lost_machines.add(f"worker-south-{index:02}")
+
+
+async def store_outage(trial: Trial) -> None:
+    """Take the log down for ten minutes, then submit a backlog."""
+    trial.world.log.mode = "down"
+    await trial.world.settle(600_000)
+    trial.world.log.mode = "up"
+    for _ in range(24):
+        await trial.submit(random.choice("abc"))
+
+
+DISASTERS: dict[str, Disaster] = {
+    "all instances replaced": replace_all,
+    "region cut for an hour": cut_an_hour,
+    "rack of workers lost": lose_a_rack,
+    "store down 10 min, 24 jobs after": store_outage,
+}
+
+
+async def measure(disaster: Disaster) -> list[float]:
+    """Return time to normal in s, most appends in a second, appends and bytes in all."""
+    trial = Trial()
+    await trial.prepare()
+    if not trial.is_normal():
+        raise RuntimeError("not normal before the disaster")
+    await disaster(trial)
+    appends = trial.world.log.appends
+    size = sum(len(stored.data) for stored in trial.world.log.records)
+    elapsed_ms = await trial.until_normal()
+    size = sum(len(stored.data) for stored in trial.world.log.records) - size
+    return [
+        elapsed_ms / 1_000,
+        float(trial.peak_appends),
+        float(trial.world.log.appends - appends),
+        float(size),
+    ]
+
+
+def main() -> None:
+    """Print the table of disasters."""
+    table = Table(
+        "recovery",
+        f"Recovery with {JOBS} and more gangs on {2 * WORKERS} workers, six entries, two regions",
+        ["disaster", "s to normal", "most appends/s", "appends", "bytes appended"],
+        values=4,
+    )
+    for name, disaster in DISASTERS.items():
+        table.add(name, *run_virtual(measure(disaster), SEED))
+    table.show()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/ctl/carawayctl/cmdline.py
+++ b/packages/ctl/carawayctl/cmdline.py
@@ -6,6 +6,7 @@
 import fire
 import yaml
 
+from carawayctl import burn as burn_report
 from carawayctl import show
 from carawayctl.client import Client
 from carawayctl.exceptions import CommandError
@@ -79,6 +80,23 @@
         word = "back in service" if undo else "draining"
         self._show(reply, lambda answer: f"{instance} is {word}")
 
+    def burn(self, metrics: str = "", objective: float = 0.99, html: str = "") -> None:
+        """Report service-level burn by team and kind; --html=FILE writes a plot as well.
+
+        --metrics (or CARAWAYCTL_METRICS) names the metrics ports of all daemons.
+        """
+        if not 0 < objective < 1:
+            raise CommandError(f"--objective is {objective}, must be between 0 and 1")
+        servers = metrics or os.environ.get("CARAWAYCTL_METRICS", "")
+        if not servers:
+            raise CommandError("no metrics: give --metrics or set CARAWAYCTL_METRICS")
+        rows = burn_report.fetch(servers)
+        if html:
+            with open(html, "w", encoding="utf-8") as stream:
+                stream.write(burn_report.as_html(rows, objective))
+        to_text = burn_report.as_json if self._json else burn_report.as_table
+        print(to_text(rows, objective))
+
 
 def _load(file: str) -> pb.Configuration:
     """Read and check a configuration file."""
--- a/packages/daemon/carawayrouted/callers.py
+++ b/packages/daemon/carawayrouted/callers.py
@@ -172,7 +172,7 @@
         result = await self._quick.handle(quick)
         outcome = OUTCOME_NAMES[result.outcome]
         took_ms = self._clock.now_ms() - began_ms
-        self._metrics.requests.labels(team.id, kind.id, outcome).inc()
+        self._metrics.count_outcome(self._metrics.requests, team.id, kind.id, outcome)
         self._metrics.seconds.labels(kind.id).observe(took_ms / 1000)
         log.info("request_ended", outcome=outcome, reason=result.reason, ms=round(took_ms))
         return self._quick_response(result, request_id)
--- a/packages/daemon/carawayrouted/daemon.py
+++ b/packages/daemon/carawayrouted/daemon.py
@@ -50,14 +50,15 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.metrics = Metrics()
+        clock = Clock()
+        self.metrics = Metrics(clock)
         self._tasks = TaskGroup()
         self._session = aiohttp.ClientSession()
         self._endpoints = HttpEndpoints()
         self._sites: list[web.AppRunner] = []
         self.node = Node(
             node_settings(settings),
-            Clock(),
+            clock,
             HttpLog(self._session, settings.log_url, settings.log_timeout_ms),
             HttpInstanceList(self._session, settings.list_url, settings.log_timeout_ms),
             HttpWorkers(self._session),
@@ -75,7 +76,14 @@
         job = self.node.jobs.find(record.job_finished.job_id)
         if job is not None:
             outcome = OUTCOME_NAMES[record.job_finished.outcome]
-            self.metrics.jobs.labels(job.accepted.team, job.accepted.kind, outcome).inc()
+            accepted = job.accepted
+            self._count_where_accepted(record.writer, accepted, outcome)
+
+    def _count_where_accepted(self, writer: str, accepted: pb.JobAccepted, outcome: str) -> None:
+        """Count a job on the instance that recorded its end, so that it is counted once."""
+        if writer == self.settings.instance:
+            counter = self.metrics.jobs
+            self.metrics.count_outcome(counter, accepted.team, accepted.kind, outcome)
 
     def _add_gauges(self) -> None:
         gauge = self.metrics.gauge
--- a/packages/daemon/carawayrouted/metrics.py
+++ b/packages/daemon/carawayrouted/metrics.py
@@ -5,13 +5,19 @@
 from aiohttp import web
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from carawayroute.burn import WINDOWS_MS, BurnTracker
+from carawayroute.clock import Clock
+
+# A caller who cancelled got what it asked for.
+GOOD_OUTCOMES = ("done", "cancelled")
 WAIT_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 15, 30, 60)
 
 
 class Metrics:
     """The daemon's metrics, in a registry of its own."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self.burn = BurnTracker(clock)
         self.registry = CollectorRegistry()
         self.requests = Counter(
             "carawayroute_requests",
@@ -45,6 +51,25 @@
             registry=self.registry,
         )
 
+    def count_outcome(self, counter: Counter, team: str, kind: str, outcome: str) -> None:
+        """Count how a request or job ended."""
+        counter.labels(team, kind, outcome).inc()
+        self.burn.count(team, kind, good=outcome in GOOD_OUTCOMES)
+
+    def burn_view(self) -> list[dict]:
+        """Return outcomes by team, kind and window."""
+        return [
+            {"team": team, "kind": kind, "windows": self._windows(team, kind)}
+            for team, kind in self.burn.counted()
+        ]
+
+    def _windows(self, team: str, kind: str) -> dict[str, dict[str, int]]:
+        windows = {}
+        for name, window_ms in WINDOWS_MS.items():
+            count = self.burn.within(team, kind, window_ms)
+            windows[name] = {"total": count.total, "bad": count.bad}
+        return windows
+
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read when the metrics are."""
         Gauge(f"carawayroute_{name}", text, registry=self.registry).set_function(read)
@@ -68,7 +93,11 @@
             return web.Response(text=reason + "\n", status=503)
         return web.Response(text="ready\n")
 
+    async def burn(request: web.Request) -> web.Response:
+        return web.json_response(metrics.burn_view())
+
     app = web.Application()
+    app.router.add_get("/burn", burn)
     app.router.add_get("/metrics", show)
     app.router.add_get("/health", health)
     app.router.add_get("/ready", ready)
--- /dev/null
+++ b/packages/library/carawayroute/burn.py
@@ -0,0 +1,69 @@
+"""Counting good and bad outcomes over sliding windows, for service-level burn."""
+
+from collections import deque
+
+from carawayroute.clock import Clock
+
+BUCKET_MS = 10_000
+WINDOWS_MS = {"5m": 300_000, "1h": 3_600_000, "6h": 21_600_000}
+
+
+class _Bucket:
+    __slots__ = ("bad", "began_ms", "total")
+
+    def __init__(self, began_ms: float) -> None:
+        self.began_ms = began_ms
+        self.total = 0
+        self.bad = 0
+
+
+class Count:
+    """Outcomes within a window."""
+
+    __slots__ = ("bad", "total")
+
+    def __init__(self, total: int, bad: int) -> None:
+        self.total = total
+        self.bad = bad
+
+    def burn(self, objective: float) -> float:
+        """Return how fast the error budget is used: 1.0 uses it up exactly in its period.
+
+        :param objective: share of good outcomes that is aimed at, below 1.
+        """
+        if self.total == 0:
+            return 0.0
+        return self.bad / self.total / (1 - objective)
+
+
+class BurnTracker:
+    """Keep the outcomes of each team and kind for the longest window."""
+
+    __slots__ = ("_buckets_by_key", "_clock")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._buckets_by_key: dict[tuple[str, str], deque[_Bucket]] = {}
+
+    def count(self, team: str, kind: str, good: bool) -> None:
+        """Count one outcome."""
+        now_ms = self._clock.now_ms()
+        buckets = self._buckets_by_key.setdefault((team, kind), deque())
+        if not buckets or now_ms - buckets[-1].began_ms >= BUCKET_MS:
+            buckets.append(_Bucket(now_ms))
+        buckets[-1].total += 1
+        buckets[-1].bad += not good
+        oldest_ms = now_ms - max(WINDOWS_MS.values())
+        while buckets[0].began_ms < oldest_ms:
+            buckets.popleft()
+
+    def within(self, team: str, kind: str, window_ms: float) -> Count:
+        """Return the outcomes of a window."""
+        since_ms = self._clock.now_ms() - window_ms
+        buckets = self._buckets_by_key.get((team, kind), ())
+        recent = [bucket for bucket in buckets if bucket.began_ms >= since_ms]
+        return Count(sum(one.total for one in recent), sum(one.bad for one in recent))
+
+    def counted(self) -> list[tuple[str, str]]:
+        """Return the teams and kinds that were counted."""
+        return sorted(self._buckets_by_key)
--- a/packages/standins/carawayroute_standins/demo.py
+++ b/packages/standins/carawayroute_standins/demo.py
@@ -25,11 +25,20 @@
     :param quick: kind, team, run time in ms and whether it is idempotent.
     :param gang: the kind of the guaranteed job.
     :param borrower: team and kind that first fill the region with borrowed work.
+    :param single: team and kind of a job that runs on one worker within a guarantee.
     """
 
-    __slots__ = ("borrower", "gang", "owner", "quick")
-
-    def __init__(self, quick, gang: str, owner: str, borrower: tuple[str, str]) -> None:
+    __slots__ = ("borrower", "gang", "owner", "quick", "single")
+
+    def __init__(
+        self,
+        quick: list[tuple[str, str, int, bool]],
+        gang: str,
+        owner: str,
+        borrower: tuple[str, str],
+        single: tuple[str, str],
+    ) -> None:
+        self.single = single
         self.quick = quick
         self.gang = gang
         self.owner = owner
@@ -42,12 +51,14 @@
         "pack-render",
         "storefront",
         ("marketing", "pack-render"),
+        ("design-desk", "pack-render"),
     ),
     "cornice": Plan(
         [("quote-check", "counter", 80, True)],
         "mockup",
         "curators",
         ("photographers", "mockup"),
+        ("workshop", "cut-plan"),
     ),
 }
 
@@ -70,6 +81,7 @@
         """Run everything."""
         await asyncio.to_thread(self._publish)
         await asyncio.gather(self._quick_requests(), self._reclaim())
+        await self._single_job()
         await self._repeat_requests()
         await self._judge_runners()
 
@@ -127,6 +139,25 @@
             await asyncio.sleep(0.2)
         self.problems.append("the borrowed jobs did not all start")
 
+    async def _single_job(self) -> None:
+        """Run a job on one worker, and ask for it twice under one request id."""
+        team, kind = self.plan.single
+        job = {
+            "kind": kind,
+            "region": self.entries[0].region,
+            "shape": {"members": 1, "accelerators": 8, "adjacency": "WORKER"},
+            "request_id": f"{kind}-1",
+            "payload": json.dumps({"run_ms": 800}),
+        }
+        began = time.monotonic()
+        first = await self._caller(team).submit(self.entries[0], job)
+        again = await self._caller(team).submit(self.entries[1], job)
+        if first["job"] != again["job"]:
+            self.problems.append(f"{kind}: the repeated request made another job")
+        ended = await self._caller(team).watch(self.entries[2], first["job"], JOB_WAIT_MS)
+        wait_ms = (time.monotonic() - began) * 1000
+        self._expect(f"single {kind}", ended, "done", wait_ms)
+
     async def _guaranteed_job(self, region: str) -> None:
         shape = {"members": 2, "accelerators": 8, "adjacency": "RACK"}
         caller = self._caller(self.plan.owner)
--- a/packages/standins/carawayroute_standins/relay.py
+++ b/packages/standins/carawayroute_standins/relay.py
@@ -18,6 +18,7 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._streams: list[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = []
         self.address = ""
         self.carried_bytes = 0
 
@@ -33,6 +34,9 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for pair in self._streams:
+            for writer in pair:
+                writer.close()
 
     def silence(self) -> None:
         """Let every open connection go silent for good."""
@@ -45,8 +49,8 @@
         for source, sink in ((reader, far_writer), (far_reader, writer)):
             task = asyncio.ensure_future(self._pipe(source, sink))
             self._tasks.add(task)
-        # The streams stay referenced here, so that a silent connection stays open.
-        await asyncio.Event().wait()
+        # The streams stay referenced, so that a silent connection stays open.
+        self._streams.append((writer, far_writer))
 
     async def _pipe(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
         while data := await source.read(CHUNK_BYTES):
--- a/packages/standins/carawayroute_standins/virtual.py
+++ b/packages/standins/carawayroute_standins/virtual.py
@@ -49,6 +49,8 @@
 
 def _cancel_all(loop: asyncio.AbstractEventLoop) -> None:
     tasks = asyncio.all_tasks(loop)
+    if not tasks:
+        return
     for task in tasks:
         task.cancel()
     loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
--- /dev/null
+++ b/tests/test_burn.py
@@ -0,0 +1,47 @@
+"""Service-level burn."""
+
+import json
+
+import pytest
+
+from carawayctl import burn
+from carawayroute.burn import BUCKET_MS, BurnTracker
+from carawayroute.clock import ManualClock
+
+
+def tracker() -> tuple[BurnTracker, ManualClock]:
+    """Return a tracker that counted one bad outcome in ten."""
+    clock = ManualClock()
+    made = BurnTracker(clock)
+    for number in range(100):
+        made.count("team", "kind", good=number % 10 != 0)
+    return made, clock
+
+
+def test_burn_compares_errors_with_the_budget() -> None:
+    made, _ = tracker()
+    count = made.within("team", "kind", 300_000)
+    assert (count.total, count.bad) == (100, 10)
+    assert count.burn(0.99) == pytest.approx(10.0)
+    assert count.burn(0.90) == pytest.approx(1.0)
+
+
+def test_outcomes_leave_short_windows_first() -> None:
+    made, clock = tracker()
+    clock.ms = 300_000 + BUCKET_MS
+    assert made.within("team", "kind", 300_000).total == 0
+    assert made.within("team", "kind", 3_600_000).total == 100
+
+
+def test_nothing_counted_burns_nothing() -> None:
+    assert tracker()[0].within("team", "other", 300_000).burn(0.99) == 0.0
+
+
+def test_report_adds_up_daemons(monkeypatch) -> None:
+    window = {"total": 10, "bad": 1}
+    item = {"team": "t", "kind": "k", "windows": {"5m": window, "1h": window, "6h": window}}
+    monkeypatch.setattr(burn, "_fetch_one", lambda server: [item])
+    rows = burn.fetch("one:1,two:2")
+    assert json.loads(burn.as_json(rows, 0.9))[0]["total"]["1h"] == 20
+    assert "2/20" in burn.as_table(rows, 0.9)
+    assert "t k 5m" in burn.as_html(rows, 0.9)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -35,7 +35,7 @@
     await world.publish(tree)
     await world.settle(1_200)
     world.log.mode = log_mode
-    service = CallerService(node, Metrics())
+    service = CallerService(node, Metrics(world.clock))
     async with Site(service.app()) as site, aiohttp.ClientSession() as session:
         await use(session, f"http://{site.address}/v1")
     await node.stop()
