Make daemons at rest cheap: look at what changed, link regions sparsely

The pacer computed the demand for slots 100 times a second, each tick scanned every job of the log for cancellations and every worker for its lease, and the whole instance list was sent and parsed each second. Ruled out: memory (within its budget), the log's long poll (0.7 KB/s), placing (nothing waited). Change: the pacer sleeps until requests wait somewhere; open jobs are indexed by region; jobs are looked at after a change or every 2 s, workers every 0.4 s; an unchanged instance list is not sent again; an entry links to its region and to one entry of each other region instead of all.

--- a/packages/daemon/carawayrouted/adapters.py
+++ b/packages/daemon/carawayrouted/adapters.py
@@ -97,6 +97,8 @@
         self._session = session
         self._url = url.rstrip("/") + "/instances"
         self._timeout_ms = timeout_ms
+        self._etag = ""
+        self._last: list[Instance] = []
 
     async def read(self) -> list[Instance]:
         """Return all instances."""
--- a/packages/daemon/carawayrouted/peers.py
+++ b/packages/daemon/carawayrouted/peers.py
@@ -49,11 +49,9 @@
 
     def _match_links(self) -> None:
         """Start links to new peers and end those to peers that are no longer listed."""
-        wanted = {
-            f"{entry.id}@{entry.peer_address}": entry
-            for entry in self._membership.by_id.values()
-            if entry.role == "entry" and entry.id != self._settings.instance
-        }
+        settings = self._settings
+        targets = self._membership.link_targets(settings.instance, settings.region)
+        wanted = {f"{entry.id}@{entry.peer_address}": entry for entry in targets}
         for key in list(self._links_by_peer):
             if key not in wanted or self._links_by_peer[key].done():
                 self._links_by_peer.pop(key).cancel()
--- a/packages/library/carawayroute/dispatch.py
+++ b/packages/library/carawayroute/dispatch.py
@@ -86,7 +86,10 @@
 
 
 class Dispatcher:
-    """Queue requests fairly and run each on a runner's slot."""
+    """Queue requests fairly and run each on a runner's slot.
+
+    :ivar attention: set when requests begin to wait here or at another entry.
+    """
 
     def __init__(
         self,
@@ -108,6 +111,7 @@
         self.budget = RetryBudget(clock)
         self.queue: FairQueue[_Ticket] = FairQueue(self._weights)
         self.running = 0
+        self.attention = asyncio.Event()
 
     def _weights(self, path: Path) -> tuple[float, float, float]:
         kind = self._configuration.kind(path[0])
@@ -210,6 +214,7 @@
         future: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
         ticket = _Ticket(request, avoid, future, self._clock.now_ms())
         self.queue.push(request.path, ticket)
+        self.attention.set()
         try:
             return await asyncio.wait_for(ticket.slot, remaining_ms / 1000)
         except TimeoutError:
--- a/packages/library/carawayroute/gangs.py
+++ b/packages/library/carawayroute/gangs.py
@@ -88,6 +88,8 @@
         gang.started_ms = self._planner.clock.now_ms()
         gang.running = True
         self._backoff_by_job.pop(gang.job.job_id, None)
+        # A cancellation may have come in while the gang was starting.
+        self._planner.mark_changed()
 
     async def _on_all_parts(self, gang: Gang, operation) -> None:
         """Do one thing on every worker at once and raise the first failure after all ended."""
--- a/packages/library/carawayroute/gossip.py
+++ b/packages/library/carawayroute/gossip.py
@@ -114,6 +114,8 @@
     def _hear(self, sender: str, leaving: list[str], demand: Demand | None) -> None:
         self._watch.heard(sender)
         self._router.heard(sender, demand)
+        if demand is not None and demand.queued > 0:
+            self._dispatcher.attention.set()
         if sender not in leaving:
             self._membership.observe_staying(sender)
         for instance_id in leaving:
--- a/packages/library/carawayroute/membership.py
+++ b/packages/library/carawayroute/membership.py
@@ -1,6 +1,7 @@
 """Who is alive and who is leaving, from the lagging list and from what was observed first-hand."""
 
 from carawayroute.clock import Clock
+from carawayroute.misc import rendezvous
 from carawayroute.types import Instance
 
 # An observation outlives the list's lag; after that the list is believed again.
@@ -77,3 +78,19 @@
             and not self.is_leaving(instance.id)
         ]
         return sorted(found, key=lambda instance: instance.id)
+
+    def link_targets(self, instance_id: str, region: str) -> list[Instance]:
+        """Return the entries that an entry keeps links to.
+
+        All of its own region, and one of each other region, spread over them, so that the number
+        of links grows with the region and not with the whole.
+        """
+        by_region: dict[str, dict[str, Instance]] = {}
+        for instance in self.by_id.values():
+            if instance.role == "entry" and instance.id != instance_id:
+                by_region.setdefault(instance.region, {})[instance.id] = instance
+        targets = list(by_region.pop(region, {}).values())
+        for other, entries_by_id in sorted(by_region.items()):
+            first = rendezvous(f"{instance_id}/{other}", entries_by_id)[0]
+            targets.append(entries_by_id[first])
+        return targets
--- a/packages/library/carawayroute/pacing.py
+++ b/packages/library/carawayroute/pacing.py
@@ -7,6 +7,7 @@
 from carawayroute.gossip import own_demand
 from carawayroute.routing import SlotLeaseRouter
 
+# Time between two looks for a peer while requests wait somewhere.
 LOOK_MS = 10
 # Urgent messages that may be sent at once after a quiet time.
 URGENT_BURST = 5.0
@@ -52,13 +53,20 @@
     async def run(self) -> None:
         """Give turns to the peers that can help, or be helped, within the bound."""
         tokens = URGENT_BURST
+        counted_ms = self._clock.now_ms()
         while True:
-            await self._clock.sleep_ms(LOOK_MS)
-            tokens = min(URGENT_BURST, tokens + LOOK_MS / self._urgent_interval_ms)
-            while tokens >= 1.0:
-                peer = self._next_peer()
+            await self._dispatcher.attention.wait()
+            self._dispatcher.attention.clear()
+            while self._dispatcher.queue or self._router.others_wait():
+                now_ms = self._clock.now_ms()
+                tokens = min(
+                    URGENT_BURST, tokens + (now_ms - counted_ms) / self._urgent_interval_ms
+                )
+                counted_ms = now_ms
+                peer = self._next_peer() if tokens >= 1.0 else None
                 if peer is None:
-                    break
+                    await self._clock.sleep_ms(LOOK_MS)
+                    continue
                 tokens -= 1.0
                 self._turn_by_peer[peer].set()
 
--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -27,12 +27,14 @@
 from carawayroute_schema import carawayroute_pb2 as pb
 
 TICK_MS = 200
+# Time between two looks at all workers of the region, for renewals and for who can be used.
+LOOK_MS = 400
 TERM_APPEND_TIMEOUT_MS = 3_000
 FINISH_APPEND_TIMEOUT_MS = 5_000
 # A shape that no listed workers can hold is refused after this time, in case they come back.
 IMPOSSIBLE_MS = 60_000
 # Without any change the queue is looked at again after this time, for what only time changes.
-RETRY_PLACING_MS = 1_000
+RETRY_PLACING_MS = 2_000
 # Jobs tried in one pass, so that a long queue does not hold up leases and reports.
 MAX_TRIED = 500
 
@@ -106,6 +108,7 @@
         self._change_seen: tuple[int, str] = (-1, "")
         self._changed = asyncio.Event()
         self._placed_ms = float("-inf")
+        self._looked_ms = float("-inf")
         self.gang_runner = GangRunner(self)
 
     # ------------------------------------------------------------------ term
@@ -136,15 +139,15 @@
             await self._take_term_if_next()
         if self.token is None:
             return
-        self._renew_leases()
-        self._refresh_fleet()
+        if self.clock.now_ms() - self._looked_ms >= LOOK_MS:
+            self._looked_ms = self.clock.now_ms()
+            self._renew_leases()
+            self._refresh_fleet()
         if not self.recovered:
             self._recover()
         if self.recovered:
             self._drop_lost_workers()
-            self._end_cancelled()
-            if not self.draining:
-                self._place_queue()
+            self._place_if_changed()
 
     def _entries(self) -> list[str]:
         live = self.membership.live("entry", self.region)
@@ -202,6 +205,7 @@
     def _act(self, token: Token) -> None:
         self.token = token
         self.recovered = False
+        self._looked_ms = float("-inf")
         self._took_ms = self.clock.now_ms()
 
     # ------------------------------------------------------------------ leases
@@ -257,10 +261,11 @@
 
     def is_held(self, worker: str) -> bool:
         """Return whether the lease on a worker is good for longer than an order takes."""
+        return self.clock.now_ms() - self._renewed_ms(worker) < self.lease_ms() / 2
+
+    def _renewed_ms(self, worker: str) -> float:
         lease = self._leases_by_worker.get(worker)
-        if lease is None:
-            return False
-        return self.clock.now_ms() - lease.renewed_ms < self.lease_ms() / 2
+        return lease.renewed_ms if lease is not None else float("-inf")
 
     def _is_lost(self, worker: str) -> bool:
         """Return whether a worker has not answered for a whole lease."""
@@ -378,6 +383,7 @@
         if not answered and waited_ms < self.lease_ms():
             return
         self.recovered = True
+        self._changed.set()
         for found_by_worker in self._found_by_attempt.values():
             self._adopt(found_by_worker)
         self._found_by_attempt.clear()
@@ -435,10 +441,11 @@
     def _refresh_fleet(self) -> None:
         state = self.follower.state
         workers = self._listed_workers()
+        held_until_ms = self.clock.now_ms() - self.lease_ms() / 2
         unusable = {
             worker.id
             for worker in workers
-            if not self.is_held(worker.id)
+            if self._renewed_ms(worker.id) <= held_until_ms
             or self.membership.is_leaving(worker.id)
             or self.health.is_quarantined(worker.id)
         }
@@ -451,13 +458,14 @@
             self._changed.set()
 
     def _drop_lost_workers(self) -> None:
-        listed = {worker.id for worker in self._listed_workers()}
+        listed = self.fleet.workers_by_id
+        lost = {worker for worker in self._leases_by_worker if self._is_lost(worker)}
+        if not lost and self._leases_by_worker.keys() <= listed.keys():
+            return
         for gang in list(self.gangs_by_job.values()):
-            for worker in gang.parts:
-                gone = worker not in listed or self._is_lost(worker)
-                if gone and gang.running:
-                    self._lose_gang(gang, f"worker {worker} is lost")
-                    break
+            gone = [part for part in gang.parts if part not in listed or part in lost]
+            if gone and gang.running:
+                self._lose_gang(gang, f"worker {gone[0]} is lost")
 
     def _end_cancelled(self) -> None:
         for job in self.follower.state.open_jobs(self.region):
@@ -509,13 +517,19 @@
         self.finish(accepted, pb.NOT_RUN, "no set of workers can hold its shape", "", None)
         return True
 
-    def _place_queue(self) -> None:
-        """Place what fits, in order, when something changed since the last time."""
+    def _place_if_changed(self) -> None:
+        """Look at the jobs again when something changed since the last time."""
         now_ms = self.clock.now_ms()
         if not self._changed.is_set() and now_ms - self._placed_ms < RETRY_PLACING_MS:
             return
         self._changed.clear()
         self._placed_ms = now_ms
+        self._end_cancelled()
+        if not self.draining:
+            self._place_queue(now_ms)
+
+    def _place_queue(self, now_ms: float) -> None:
+        """Place what fits, in order."""
         weight_by_team = {team.id: team.weight for team in self.follower.state.configuration.teams}
         waiting = self._waiting_jobs()
         queue = order_queue(waiting, self.fleet, weight_by_team, self.clock.wall_ms())
--- a/packages/library/carawayroute/routing.py
+++ b/packages/library/carawayroute/routing.py
@@ -254,6 +254,9 @@
     def expire(self) -> None:
         """Take back the loans of silent borrowers and drop those of silent lenders."""
         now_ms = self._clock.now_ms()
+        for entry in list(self._demand_by_entry):
+            if now_ms - self._heard_ms_by_entry.get(entry, 0.0) > self.lease_ms:
+                del self._demand_by_entry[entry]
         for slot, borrower in list(self._loan_to_by_slot.items()):
             if now_ms - self._heard_ms_by_entry.get(borrower, 0.0) > self.lease_ms:
                 del self._loan_to_by_slot[slot]
@@ -319,6 +322,10 @@
                 del self._loan_to_by_slot[slot]
                 self._idle_since_ms[slot] = self._clock.now_ms()
 
+    def others_wait(self) -> bool:
+        """Return whether another entry is known to have a queue."""
+        return any(demand.queued > 0 for demand in self._demand_by_entry.values())
+
     def urgent_peer(self, own: Demand, allowed: set[str]) -> str | None:
         """Return the entry that a message would help most now, if any.
 
--- a/packages/library/carawayroute/state.py
+++ b/packages/library/carawayroute/state.py
@@ -67,6 +67,7 @@
         "live_by_key",
         "log_ms",
         "offset",
+        "open_jobs_by_region",
         "partial",
         "terms_by_region",
     )
@@ -79,6 +80,7 @@
         self.change = pb.ConfigurationChange()
         self.change_record_id = ""
         self.jobs_by_id: dict[str, Job] = {}
+        self.open_jobs_by_region: dict[str, dict[str, Job]] = {}
         self.job_id_by_key: dict[str, str] = {}
         self.claims_by_key: dict[str, ClaimEntry] = {}
         self.terms_by_region: dict[str, pb.Term] = {}
@@ -108,11 +110,11 @@
 
     def open_jobs(self, region: str) -> list[Job]:
         """Return the unfinished jobs of a region in the order in which they were accepted."""
-        return [
-            job
-            for job in self.jobs_by_id.values()
-            if job.finished is None and job.accepted.region == region
-        ]
+        return list(self.open_jobs_by_region.get(region, {}).values())
+
+    def _close_job(self, job: Job) -> None:
+        open_by_id = self.open_jobs_by_region.get(job.accepted.region, {})
+        open_by_id.pop(job.accepted.job_id, None)
 
     def apply(self, stored: pb.OffsetRecord) -> AppliedRecord | None:
         """Apply one record unless its offset was applied before.
@@ -159,11 +161,16 @@
             # of the first record, also when that record was removed before this state began.
             if not record.repeated_state:
                 return ""
-            self.jobs_by_id.pop(known, None)
+            replaced = self.jobs_by_id.pop(known, None)
+            if replaced is not None:
+                self._close_job(replaced)
             self.live_by_key.pop(f"job/{known}", None)
             self.job_id_by_key[key] = accepted.job_id
         if accepted.job_id not in self.jobs_by_id:
-            self.jobs_by_id[accepted.job_id] = Job(accepted, stored.offset)
+            job = Job(accepted, stored.offset)
+            self.jobs_by_id[accepted.job_id] = job
+            open_by_id = self.open_jobs_by_region.setdefault(accepted.region, {})
+            open_by_id[accepted.job_id] = job
             for matter in ("started", "cancel", "finished"):
                 self._apply_early(f"{matter}/{accepted.job_id}")
         return f"job/{accepted.job_id}"
@@ -191,6 +198,7 @@
             return self._keep_early(key, record, stored)
         if job.finished is None or record.repeated_state:
             job.finished = finished
+            self._close_job(job)
             job.finished_ms = _first_ms(record, stored)
             self.live_by_key.pop(f"started/{finished.job_id}", None)
             self.live_by_key.pop(f"cancel/{finished.job_id}", None)
--- a/packages/standins/carawayroute_standins/instances.py
+++ b/packages/standins/carawayroute_standins/instances.py
@@ -29,6 +29,11 @@
         current.pop(instance_id, None)
         self._history.append((self.clock.now_ms(), current))
 
+    def version(self) -> str:
+        """Return what changes with the list that `read` returns."""
+        self.read()
+        return f'"{self._shown}"'
+
     def read(self) -> list[Instance]:
         """Return the list as it was; a lag that grows stops the list but does not rewind it."""
         if not self._history:
--- a/packages/standins/carawayroute_standins/servers.py
+++ b/packages/standins/carawayroute_standins/servers.py
@@ -93,11 +93,14 @@
     async def read(request: web.Request) -> web.Response:
         if table.down:
             raise web.HTTPServiceUnavailable()
+        etag = table.version()
+        if request.headers.get("If-None-Match") == etag:
+            return web.Response(status=304, headers={"ETag": etag})
         shown = [
             {name: getattr(instance, name) for name in Instance.__slots__}
             for instance in table.read()
         ]
-        return web.json_response(shown)
+        return web.json_response(shown, headers={"ETag": etag})
 
     async def put(request: web.Request) -> web.Response:
         table.set(*(Instance(**item) for item in await request.json()))
--- a/packages/standins/carawayroute_standins/world.py
+++ b/packages/standins/carawayroute_standins/world.py
@@ -152,6 +152,9 @@
             await node.pacer.wait_turn(peer, same_region)
             await host.gate.wait()
             request = node.gossip.request(peer, same_region).SerializeToString()
+            targets = node.membership.link_targets(name, host.region)
+            if peer not in [target.id for target in targets]:
+                continue
             if not self.can_reach(host, self.hosts_by_id[peer]):
                 await node.clock.sleep_ms(PEER_TIMEOUT_MS)
                 continue
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -14,6 +14,7 @@
     SlotLeaseRouter,
     TwoChoicesRouter,
 )
+from carawayroute.types import Instance
 
 LEASE_MS = 3_000
 ENTRIES = ["a", "b", "c"]
@@ -180,3 +181,21 @@
     moved.address = "elsewhere"
     members.update([moved])
     assert not members.is_leaving("r0")
+
+
+def test_links_reach_the_own_region_and_one_entry_of_each_other() -> None:
+    members = Membership(ManualClock())
+    members.update(
+        [
+            Instance(f"{region}-{index}", "entry", region, f"{region}-{index}")
+            for region in ("east", "north", "south", "west")
+            for index in range(7)
+        ]
+    )
+    targets = members.link_targets("south-0", "south")
+    regions = [target.region for target in targets]
+    assert regions.count("south") == 6
+    assert sorted(set(regions) - {"south"}) == ["east", "north", "west"]
+    assert len(targets) == 9
+    spread = {members.link_targets(f"south-{n}", "south")[-1].id for n in range(7)}
+    assert len(spread) > 1
