Index gangs by worker and look at less while at rest

Each report of a worker was compared with every gang of the region; the list was taken over each second though unchanged; live records were looked through each second. Ruled out: links between daemons (5 exchanges a second) and the long poll of the log. Change: gangs are indexed by worker, an unchanged list is passed over, live records are looked through every hundredth of the retention, ended matters forgotten every 5 s.

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -98,11 +98,19 @@
         name = self.world.planner_of(region)
         if not name:
             return False
-        node = self.world.nodes_by_id[name]
-        open_jobs = node.follower.state.open_jobs(region)
-        gangs = node.planner.gangs_by_job
-        running = [gangs.get(job.accepted.job_id) for job in open_jobs]
-        return all(gang is not None and gang.running for gang in running)
+        open_jobs = self.world.nodes_by_id[name].follower.state.open_jobs(region)
+        return all(self._runs_whole(job.accepted) for job in open_jobs)
+
+    def _runs_whole(self, job: pb.JobAccepted) -> bool:
+        """Return whether the living workers run every member of a job, by their own account."""
+        running = sum(
+            task.attempt.accelerators
+            for name, worker in self.world.workers_by_id.items()
+            if name not in self.world.lost_machines
+            for task in worker.tasks_by_attempt.values()
+            if task.attempt.job_id == job.job_id and task.attempt.status == "running"
+        )
+        return running == job.shape.members * job.shape.accelerators
 
     async def until_normal(self) -> float:
         """Return how long it takes until all is normal, in ms."""
--- a/packages/library/carawayroute/log.py
+++ b/packages/library/carawayroute/log.py
@@ -28,6 +28,10 @@
 LAST_REPEAT_SHARE = 0.7
 # Without any record for this share of the retention, one is appended to learn the log's time.
 QUIET_SHARE = 0.1
+# Live records are looked through this often, as a share of the retention.
+LOOK_SHARE = 0.01
+MIN_LOOK_MS = 1_000
+FORGET_INTERVAL_MS = 5_000
 # How long an instance that missed records waits for a peer's state before it reads what is left.
 PEER_STATE_WAIT_MS = 2_000
 
@@ -62,6 +66,7 @@
         self._recent: list[pb.OffsetRecord] = []
         # When a record was read last, by this instance's clock.
         self._read_ms = clock.now_ms()
+        self._forgot_ms = float("-inf")
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -140,9 +145,16 @@
         if applied:
             self._read_ms = self.clock.now_ms()
             del self._recent[:-READ_LIMIT]
-            self.state.forget(self.memory_ms)
+            self._forget()
             self._notify()
 
+    def _forget(self) -> None:
+        """Drop what ended long ago, now and then."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self._forgot_ms >= FORGET_INTERVAL_MS:
+            self._forgot_ms = now_ms
+            self.state.forget(self.memory_ms)
+
     def _resolve(self, result: AppliedRecord) -> None:
         waiting = self._waiting_by_record_id.get(result.record.record_id)
         if waiting is not None and not waiting.done():
@@ -222,15 +234,17 @@
 
         :param rank: returns the place of this instance among all, from 0.
         """
+        look_ms = max(MIN_LOOK_MS, self.retention_ms * LOOK_SHARE)
+        limit = int(per_second * look_ms / 1000)
         while True:
-            await self.clock.sleep_ms(1000)
+            await self.clock.sleep_ms(look_ms)
             if not self.reachable or not self.caught_up:
                 continue
             delay = rank() * REPEAT_SHARE_STEP
             await self._break_silence(QUIET_SHARE + delay)
             share = min(FIRST_REPEAT_SHARE + delay, LAST_REPEAT_SHARE)
             before_ms = self.log_now_ms() - self.retention_ms * share
-            for stored in self.state.due_records(before_ms, per_second):
+            for stored in self.state.due_records(before_ms, limit):
                 await self._repeat(repeated_data(stored))
 
     def log_now_ms(self) -> float:
--- a/packages/library/carawayroute/node.py
+++ b/packages/library/carawayroute/node.py
@@ -16,6 +16,7 @@
 from carawayroute.quick import QuickService
 from carawayroute.routing import SlotLeaseRouter
 from carawayroute.terms import TermWatch
+from carawayroute.types import Instance
 from carawayroute_schema import carawayroute_pb2 as pb
 
 REPEATS_PER_SECOND = 50
@@ -197,14 +198,19 @@
         )
 
     async def _read_list(self) -> None:
+        last: list[Instance] = []
         while True:
             try:
-                self.membership.update(await self._instances.read())
-                self.list_was_read = True
-                self._update_router()
+                listed = await self._instances.read()
             except CarawayrouteError:
                 # The last reading and what was observed first-hand stay in use.
-                self._update_router()
+                listed = last
+            else:
+                self.list_was_read = True
+            if listed is not last:
+                last = listed
+                self.membership.update(listed)
+            self._update_router()
             await self.clock.sleep_ms(self.settings.list_interval_ms)
 
     def _update_router(self) -> None:
--- a/packages/library/carawayroute/placement.py
+++ b/packages/library/carawayroute/placement.py
@@ -114,6 +114,7 @@
         self._free_by_worker: dict[str, int] = {}
         self._unstoppable_by_worker: dict[str, int] = {}
         self._blocked_workers: frozenset[str] = frozenset()
+        self._jobs_by_worker: dict[str, set[str]] = {}
 
     # ------------------------------------------------------------------ what there is
 
@@ -166,6 +167,17 @@
             if placement.firm and not placement.guarantee:
                 self._unstoppable_by_worker[worker] -= amount
 
+    def _enter(self, placement: Placement) -> None:
+        """Start counting a gang."""
+        self.placements_by_job[placement.job_id] = placement
+        for worker in placement.workers:
+            self._jobs_by_worker.setdefault(worker, set()).add(placement.job_id)
+        self._count(placement, -1)
+
+    def jobs_on(self, worker: str) -> list[str]:
+        """Return the jobs that hold accelerators of a worker."""
+        return list(self._jobs_by_worker.get(worker, ()))
+
     @staticmethod
     def is_firm(placement: Placement) -> bool:
         """Return whether a gang may not be preempted."""
@@ -173,10 +185,9 @@
 
     def add(self, placement: Placement) -> None:
         """Count a gang that holds accelerators."""
-        self.placements_by_job[placement.job_id] = placement
         if placement.guarantee:
             self._use_reservation(placement)
-        self._count(placement, -1)
+        self._enter(placement)
 
     def _use_reservation(self, placement: Placement) -> None:
         """Mark the unused reservation on which a gang stands, or count the gang as borrowed."""
@@ -228,8 +239,7 @@
     def adopt(self, placement: Placement) -> None:
         """Count a gang that another planner started, in a guarantee of its team if it fits."""
         self._pin(placement)
-        self.placements_by_job[placement.job_id] = placement
-        self._count(placement, -1)
+        self._enter(placement)
 
     def remove(self, job_id: str) -> Placement | None:
         """Stop counting a gang; its reservation can be demanded again."""
@@ -237,6 +247,8 @@
         if placement is None:
             return None
         self._count(placement, +1)
+        for worker in placement.workers:
+            self._jobs_by_worker.get(worker, set()).discard(job_id)
         item = self.book.reservation_of(job_id)
         if item is not None:
             item.job_id = ""
--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -143,10 +143,11 @@
             self._looked_ms = self.clock.now_ms()
             self._renew_leases()
             self._refresh_fleet()
+            if self.recovered:
+                self._drop_lost_workers()
         if not self.recovered:
             self._recover()
         if self.recovered:
-            self._drop_lost_workers()
             self._place_if_changed()
 
     def _entries(self) -> list[str]:
@@ -267,14 +268,6 @@
         lease = self._leases_by_worker.get(worker)
         return lease.renewed_ms if lease is not None else float("-inf")
 
-    def _is_lost(self, worker: str) -> bool:
-        """Return whether a worker has not answered for a whole lease."""
-        lease = self._leases_by_worker.get(worker)
-        if lease is None or lease.first_failed_ms is None:
-            return False
-        since_ms = max(lease.renewed_ms, self._took_ms)
-        return self.clock.now_ms() - since_ms > self.lease_ms()
-
     # ------------------------------------------------------------------ reports
 
     def _take_report(self, worker: str, attempts: list[Attempt]) -> None:
@@ -290,9 +283,11 @@
             elif gang.running:
                 self._follow(gang, worker, attempt)
         reported = {attempt.attempt_id for attempt in attempts}
-        for gang in list(self.gangs_by_job.values()):
-            missing = worker in gang.parts and gang.attempt_id not in reported
-            if missing and gang.running and gang.started_ms < self.clock.now_ms() - TICK_MS * 5:
+        for job_id in self.fleet.jobs_on(worker):
+            gang = self.gangs_by_job.get(job_id)
+            if gang is None or gang.attempt_id in reported:
+                continue
+            if gang.running and gang.started_ms < self.clock.now_ms() - TICK_MS * 5:
                 self._lose_gang(gang, f"worker {worker} no longer holds its part")
 
     def _release_stray(self, worker: str, attempt: Attempt) -> None:
@@ -459,7 +454,12 @@
 
     def _drop_lost_workers(self) -> None:
         listed = self.fleet.workers_by_id
-        lost = {worker for worker in self._leases_by_worker if self._is_lost(worker)}
+        late_ms = self.clock.now_ms() - self.lease_ms()
+        lost = {
+            worker
+            for worker, lease in self._leases_by_worker.items()
+            if lease.first_failed_ms is not None and max(lease.renewed_ms, self._took_ms) < late_ms
+        }
         if not lost and self._leases_by_worker.keys() <= listed.keys():
             return
         for gang in list(self.gangs_by_job.values()):
