--- a/packages/library/carawayroute/dispatch.py
+++ b/packages/library/carawayroute/dispatch.py
@@ -235,9 +235,8 @@
     def _unusable(self) -> set[str]:
         return {
             runner.id
-            for runner in self._membership.by_id.values()
-            if runner.role == "runner"
-            and (self._membership.is_leaving(runner.id) or self.health.is_quarantined(runner.id))
+            for runner in self._membership.listed("runner")
+            if self._membership.is_leaving(runner.id) or self.health.is_quarantined(runner.id)
         }
 
     def oldest_ms(self) -> float:
--- a/packages/library/carawayroute/membership.py
+++ b/packages/library/carawayroute/membership.py
@@ -15,11 +15,19 @@
     which is a replacement, takes an observation back early.
     """
 
-    __slots__ = ("_address_by_id", "_clock", "_leaving_until_by_id", "_observed", "by_id")
+    __slots__ = (
+        "_address_by_id",
+        "_clock",
+        "_instances_by_role",
+        "_leaving_until_by_id",
+        "_observed",
+        "by_id",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.by_id: dict[str, Instance] = {}
+        self._instances_by_role: dict[str, list[Instance]] = {}
         self._leaving_until_by_id: dict[str, float] = {}
         self._address_by_id: dict[str, str] = {}
         self._observed: set[str] = set()
@@ -27,6 +35,9 @@
     def update(self, listed: list[Instance]) -> None:
         """Take over a new reading of the list."""
         self.by_id = {instance.id: instance for instance in listed}
+        self._instances_by_role = {}
+        for instance in sorted(listed, key=lambda instance: instance.id):
+            self._instances_by_role.setdefault(instance.role, []).append(instance)
         for instance in listed:
             seen_at = self._address_by_id.get(instance.id)
             if seen_at is not None and seen_at != instance.address:
@@ -70,14 +81,14 @@
 
     def live(self, role: str, region: str | None = None) -> list[Instance]:
         """Return the instances of a role that may get new work, ordered by id."""
-        found = [
-            instance
-            for instance in self.by_id.values()
-            if instance.role == role
-            and (region is None or instance.region == region)
-            and not self.is_leaving(instance.id)
+        return [
+            instance for instance in self.listed(role, region) if not self.is_leaving(instance.id)
         ]
-        return sorted(found, key=lambda instance: instance.id)
+
+    def listed(self, role: str, region: str | None = None) -> list[Instance]:
+        """Return the instances of a role, also those that are leaving, ordered by id."""
+        instances = self._instances_by_role.get(role, [])
+        return [instance for instance in instances if region in (None, instance.region)]
 
     def link_targets(self, instance_id: str, region: str) -> list[Instance]:
         """Return the entries that an entry keeps links to.
@@ -86,8 +97,8 @@
         of links grows with the region and not with the whole.
         """
         by_region: dict[str, dict[str, Instance]] = {}
-        for instance in self.by_id.values():
-            if instance.role == "entry" and instance.id != instance_id:
+        for instance in self.listed("entry"):
+            if instance.id != instance_id:
                 by_region.setdefault(instance.region, {})[instance.id] = instance
         targets = list(by_region.pop(region, {}).values())
         for other, entries_by_id in sorted(by_region.items()):
--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -213,11 +213,7 @@
 
     def _listed_workers(self) -> list[Instance]:
         """Return the workers of the region, also those that are leaving."""
-        return [
-            instance
-            for instance in self.membership.by_id.values()
-            if instance.role == "worker" and instance.region == self.region
-        ]
+        return self.membership.listed("worker", self.region)
 
     def _renew_leases(self) -> None:
         """Start the renewals that are due, within the bound on messages."""
