Split leases and the queue from planner and placement; keep checkpoints of preempted work

Cause, found by reading: a worker's report that came in while a preempted gang was being stopped made the planner free the gang's parts as strays, without a checkpoint, so that its progress was lost. Ruled out: the order of preempting and launching. Change: an attempt that is being released is left to that.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -7,15 +7,8 @@
 from carawayroute.config import read_configuration
 from carawayroute.estimates import RunTimes
 from carawayroute.packing import choose
-from carawayroute.placement import (
-    Fleet,
-    Placement,
-    Plan,
-    QueueEntry,
-    Wait,
-    may_backfill,
-    order_queue,
-)
+from carawayroute.placement import Fleet, Placement, Plan, Wait
+from carawayroute.queue import QueueEntry, may_backfill, order_queue
 from carawayroute.types import Instance
 from carawayroute_schema import carawayroute_pb2 as pb
 
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -8,7 +8,8 @@
 from carawayroute.config import read_configuration
 from carawayroute.estimates import RunTimes
 from carawayroute.health import HealthTracker
-from carawayroute.placement import Fleet, Placement, PlacingPass, Plan, QueueEntry, order_queue
+from carawayroute.placement import Fleet, Placement, Plan
+from carawayroute.queue import PlacingPass, QueueEntry, order_queue
 from carawayroute.types import Instance
 from carawayroute_schema import carawayroute_pb2 as pb
 
--- a/packages/daemon/carawayrouted/operators.py
+++ b/packages/daemon/carawayrouted/operators.py
@@ -186,7 +186,7 @@
             return "leaving"
         if self._planner.health.is_quarantined(worker):
             return "quarantined"
-        return "ready" if self._planner.is_held(worker) else "unreachable"
+        return "ready" if worker in self._planner.leases.held() else "unreachable"
 
     async def Jobs(self, request: pb.ListRequest, context) -> pb.JobsReply:
         """List jobs, or explain one: where it runs, or why it waits."""
--- a/packages/library/carawayroute/gangs.py
+++ b/packages/library/carawayroute/gangs.py
@@ -10,8 +10,9 @@
 from carawayroute_schema import carawayroute_pb2 as pb
 
 if TYPE_CHECKING:
-    from carawayroute.placement import Plan, QueueEntry
+    from carawayroute.placement import Plan
     from carawayroute.planner import Planner
+    from carawayroute.queue import QueueEntry
 
 STARTED_APPEND_TIMEOUT_MS = 3_000
 RELEASE_TRIES = 3
@@ -63,6 +64,7 @@
         self._progress_ms_by_job: dict[str, int] = {}
         self._backoff_by_job: dict[str, Backoff] = {}
         self._rest_until_ms_by_job: dict[str, float] = {}
+        self._releasing: set[str] = set()
 
     def new_gang(self, entry: "QueueEntry", plan: "Plan") -> Gang:
         """Return a new attempt for a plan."""
@@ -154,11 +156,19 @@
 
     async def release(self, gang: Gang, checkpoint: bool = False) -> int:
         """Stop every part; return the progress that all parts kept."""
-        kept = await asyncio.gather(
-            *(self.release_part(worker, gang.attempt_id, checkpoint) for worker in gang.parts)
-        )
+        self._releasing.add(gang.attempt_id)
+        try:
+            kept = await asyncio.gather(
+                *(self.release_part(worker, gang.attempt_id, checkpoint) for worker in gang.parts)
+            )
+        finally:
+            self._releasing.discard(gang.attempt_id)
         return min(kept, default=0)
 
+    def is_releasing(self, attempt_id: str) -> bool:
+        """Return whether an attempt is being stopped, perhaps with a checkpoint to be kept."""
+        return attempt_id in self._releasing
+
     async def release_part(self, worker: str, attempt_id: str, checkpoint: bool = False) -> int:
         """Stop one part; one that cannot be reached is stopped by its lapsing lease."""
         backoff = Backoff(50, 500)
--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -5,22 +5,16 @@
 
 from carawayroute.clock import Clock
 from carawayroute.estimates import RunTimes
-from carawayroute.exceptions import LogError, WorkerError, WorkerRefusedError
+from carawayroute.exceptions import LogError
 from carawayroute.gangs import Gang, GangRunner
 from carawayroute.health import HealthTracker
+from carawayroute.leases import WorkerLeases
 from carawayroute.log import LogFollower
 from carawayroute.membership import Membership
 from carawayroute.misc import TaskGroup
-from carawayroute.placement import (
-    Fleet,
-    Placement,
-    PlacingPass,
-    Plan,
-    QueueEntry,
-    Wait,
-    order_queue,
-)
+from carawayroute.placement import Fleet, Placement, Plan, Wait
 from carawayroute.platform import Workers
+from carawayroute.queue import PlacingPass, QueueEntry, order_queue
 from carawayroute.state import Job
 from carawayroute.terms import TermWatch
 from carawayroute.types import Attempt, Instance, Token
@@ -52,18 +46,6 @@
         self.renewals_per_second = renewals_per_second
 
 
-class _WorkerLease:
-    """What a planner knows of its lease on one worker."""
-
-    __slots__ = ("busy", "first_failed_ms", "renewed_ms", "sent_ms")
-
-    def __init__(self) -> None:
-        self.busy = False
-        self.sent_ms = float("-inf")
-        self.renewed_ms = float("-inf")
-        self.first_failed_ms: float | None = None
-
-
 class Planner:
     """Hold a region's term and run its gangs while this instance is the one to do so.
 
@@ -100,9 +82,16 @@
         self.waits_by_job: dict[str, str] = {}
         self.gangs_by_job: dict[str, Gang] = {}
         self.wake = asyncio.Event()
-        self._leases_by_worker: dict[str, _WorkerLease] = {}
+        self.leases = WorkerLeases(
+            clock,
+            workers,
+            instance,
+            settings.worker_lease_ms,
+            settings.renewals_per_second,
+            self.tasks,
+            self._take_report,
+        )
         self._found_by_attempt: dict[str, dict[str, Attempt]] = {}
-        self._took_ms = 0.0
         self._finishing: set[str] = set()
         self._impossible_since_ms: dict[str, float] = {}
         self._change_seen: tuple[int, str] = (-1, "")
@@ -141,7 +130,7 @@
             return
         if self.clock.now_ms() - self._looked_ms >= LOOK_MS:
             self._looked_ms = self.clock.now_ms()
-            self._renew_leases()
+            self.leases.renew_due(self._listed_workers())
             self._refresh_fleet()
             if self.recovered:
                 self._drop_lost_workers()
@@ -177,7 +166,7 @@
         self.gangs_by_job.clear()
         self.fleet = Fleet()
         self._change_seen = (-1, "")
-        self._leases_by_worker.clear()
+        self.leases.drop()
         self._found_by_attempt.clear()
         self.waits_by_job.clear()
 
@@ -207,63 +196,12 @@
         self.token = token
         self.recovered = False
         self._looked_ms = float("-inf")
-        self._took_ms = self.clock.now_ms()
-
-    # ------------------------------------------------------------------ leases
+        self.leases.take(token)
 
     def _listed_workers(self) -> list[Instance]:
         """Return the workers of the region, also those that are leaving."""
         return self.membership.listed("worker", self.region)
 
-    def _renew_leases(self) -> None:
-        """Start the renewals that are due, within the bound on messages."""
-        workers = self._listed_workers()
-        now_ms = self.clock.now_ms()
-        bound_ms = len(workers) * 1000 / self.settings.renewals_per_second
-        interval_ms = max(self.settings.worker_lease_ms / 16, bound_ms)
-        for worker in workers:
-            lease = self._leases_by_worker.setdefault(worker.id, _WorkerLease())
-            if not lease.busy and now_ms - lease.sent_ms >= interval_ms:
-                lease.busy = True
-                lease.sent_ms = now_ms
-                self.tasks.start(self._renew(worker, lease), f"renew {worker.id}")
-
-    def lease_ms(self) -> int:
-        """Return the length of a lease: several renewals long, however many workers there are."""
-        workers = len(self._leases_by_worker)
-        bound_ms = workers * 1000 / self.settings.renewals_per_second
-        return int(max(self.settings.worker_lease_ms, 4 * bound_ms))
-
-    async def _renew(self, worker: Instance, lease: _WorkerLease) -> None:
-        token = self.token
-        if token is None:
-            return
-        now_ms = self.clock.now_ms()
-        try:
-            attempts = await self.workers.renew(worker, self.instance, token, self.lease_ms())
-        except WorkerRefusedError:
-            # Another holder has this worker; after a later term this instance will step down.
-            lease.first_failed_ms = lease.first_failed_ms or now_ms
-            return
-        except WorkerError:
-            lease.first_failed_ms = lease.first_failed_ms or now_ms
-            return
-        finally:
-            lease.busy = False
-        if token != self.token:
-            return
-        lease.renewed_ms = now_ms
-        lease.first_failed_ms = None
-        self._take_report(worker.id, attempts)
-
-    def is_held(self, worker: str) -> bool:
-        """Return whether the lease on a worker is good for longer than an order takes."""
-        return self.clock.now_ms() - self._renewed_ms(worker) < self.lease_ms() / 2
-
-    def _renewed_ms(self, worker: str) -> float:
-        lease = self._leases_by_worker.get(worker)
-        return lease.renewed_ms if lease is not None else float("-inf")
-
     # ------------------------------------------------------------------ reports
 
     def _take_report(self, worker: str, attempts: list[Attempt]) -> None:
@@ -288,7 +226,7 @@
 
     def _release_stray(self, worker: str, attempt: Attempt) -> None:
         """Free what no gang of this planner holds, unless its end is being recorded."""
-        if attempt.job_id in self._finishing:
+        if attempt.job_id in self._finishing or self.gang_runner.is_releasing(attempt.attempt_id):
             return
         self.tasks.start(
             self.gang_runner.release_part(worker, attempt.attempt_id), f"stray {attempt.attempt_id}"
@@ -368,10 +306,7 @@
 
     def _recover(self) -> None:
         """Take over what the workers hold, once all have answered or had time to."""
-        leases = [self._leases_by_worker[worker.id] for worker in self._listed_workers()]
-        answered = all(lease.renewed_ms >= self._took_ms for lease in leases)
-        waited_ms = self.clock.now_ms() - self._took_ms
-        if not answered and waited_ms < self.lease_ms():
+        if not self.leases.have_answered(self._listed_workers()):
             return
         self.recovered = True
         self._changed.set()
@@ -432,11 +367,11 @@
     def _refresh_fleet(self) -> None:
         state = self.follower.state
         workers = self._listed_workers()
-        held_until_ms = self.clock.now_ms() - self.lease_ms() / 2
+        held = self.leases.held()
         unusable = {
             worker.id
             for worker in workers
-            if self._renewed_ms(worker.id) <= held_until_ms
+            if worker.id not in held
             or self.membership.is_leaving(worker.id)
             or self.health.is_quarantined(worker.id)
         }
@@ -450,14 +385,7 @@
 
     def _drop_lost_workers(self) -> None:
         listed = self.fleet.workers_by_id
-        late_ms = self.clock.now_ms() - self.lease_ms()
-        lost = {
-            worker
-            for worker, lease in self._leases_by_worker.items()
-            if lease.first_failed_ms is not None and max(lease.renewed_ms, self._took_ms) < late_ms
-        }
-        if not lost and self._leases_by_worker.keys() <= listed.keys():
-            return
+        lost = self.leases.lost()
         for gang in list(self.gangs_by_job.values()):
             gone = [part for part in gang.parts if part not in listed or part in lost]
             if gone and gang.running:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -265,6 +265,16 @@
         ]
         self._expect(bool(stops), f"{name} was not stopped")
 
+    def expect_resumed(self, prefix: str) -> None:
+        """Expect that one of some jobs was started again from a checkpoint."""
+        job_ids = [self.job_by_name[name] for name in self.job_by_name if name.startswith(prefix)]
+        kept = [
+            entry.fields["progress_ms"]
+            for entry in self.world.journal.all("start")
+            if entry.fields["job"] in job_ids and entry.fields["progress_ms"] > 1_000
+        ]
+        self._expect(bool(kept), f"none of {prefix} was resumed from a checkpoint")
+
     def expect_told(self, given: dict) -> None:
         """Expect what callers were told, all of them or at least a number."""
         names = [name for name in self.told_by_name if name.startswith(given["name"])]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,7 +10,8 @@
 from carawayroute.config import read_configuration
 from carawayroute.estimates import RunTimes
 from carawayroute.packing import ShapeCount, Space, choose, fits_all, group_shapes, pack
-from carawayroute.placement import Fleet, Placement, Plan, QueueEntry, Wait, order_queue
+from carawayroute.placement import Fleet, Placement, Plan, Wait
+from carawayroute.queue import QueueEntry, order_queue
 from carawayroute_schema import carawayroute_pb2 as pb
 
 CONFIGURATION = read_configuration(configuration_tree())
