--- a/packages/daemon/carawayrouted/adapters.py
+++ b/packages/daemon/carawayrouted/adapters.py
@@ -22,6 +22,9 @@
 from carawayroute.misc import TaskGroup
 from carawayroute.types import Answer, Attempt, Instance, Token
 from carawayroute_schema import carawayroute_pb2 as pb
+from carawayrouted.logs import get_logger
+
+log = get_logger()
 
 # Every failure that aiohttp and the socket can give while a request is under way.
 TRANSPORT_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
@@ -195,6 +198,7 @@
     ) -> Answer:
         """Send a request and return its whole answer."""
         headers = {"Attempt-Id": attempt_id, "Kind": kind}
+        log.debug("attempt_sent", attempt=attempt_id, runner=runner.id)
         try:
             async with self._session(runner).post(
                 f"http://{runner.address}/run",
@@ -208,6 +212,7 @@
             raise
         except TRANSPORT_ERRORS as error:
             self._discard(runner)
+            log.info("attempt_failed", attempt=attempt_id, runner=runner.id, error=repr(error))
             if _never_sent(error):
                 raise EndpointNotReachedError(f"{runner.id}: {error}") from error
             raise EndpointUncertainError(f"{runner.id}: {error!r}") from error
--- a/packages/standins/carawayroute_standins/worker.py
+++ b/packages/standins/carawayroute_standins/worker.py
@@ -1,5 +1,6 @@
 """A worker: accelerators, tasks under leases, checkpoints."""
 
+import copy
 import json
 
 from carawayroute.clock import Clock
@@ -15,13 +16,14 @@
 class _Task:
     """An attempt with the clockwork of its run."""
 
-    __slots__ = ("attempt", "done_ms", "fails", "last_ms", "length_ms", "speed")
+    __slots__ = ("attempt", "done_ms", "ended_ms", "fails", "last_ms", "length_ms", "speed")
 
     def __init__(self, attempt: Attempt) -> None:
         self.attempt = attempt
         self.length_ms = 0.0
         self.done_ms = float(attempt.progress_ms)
         self.last_ms = 0.0
+        self.ended_ms = 0.0
         self.speed = 1.0
         self.fails = False
 
@@ -30,7 +32,7 @@
     """Obey one holder at a time and account for accelerators.
 
     :ivar fails_everything: every task that starts here fails.
-    :ivar report_lag_ms: age of the status that `renew` reports.
+    :ivar report_lag_ms: time after which `renew` shows that a task ended.
     """
 
     def __init__(self, instance: Instance, journal: Journal, clock: Clock) -> None:
@@ -78,6 +80,7 @@
         task.last_ms = now_ms
         if task.done_ms < task.length_ms:
             return
+        task.ended_ms = now_ms
         task.attempt.status = "failed" if task.fails else "done"
         task.attempt.result = f"{task.attempt.job_id} rendered"
         self._note(task.attempt.status, task.attempt)
@@ -101,7 +104,16 @@
         self.settle()
         self._authorize(holder, token, renewing=True)
         self.lease_until_ms = self.clock.now_ms() + lease_ms
-        return [task.attempt for task in self.tasks_by_attempt.values()]
+        return [self._report(task) for task in self.tasks_by_attempt.values()]
+
+    def _report(self, task: _Task) -> Attempt:
+        """Return an attempt as it was before the lag of reports."""
+        shown = copy.copy(task.attempt)
+        ended = shown.status in ("done", "failed")
+        if ended and self.clock.now_ms() - task.ended_ms < self.report_lag_ms:
+            shown.status = "running"
+            shown.result = ""
+        return shown
 
     def free(self) -> int:
         """Return the accelerators that no attempt holds."""
--- a/packages/standins/carawayroute_standins/world.py
+++ b/packages/standins/carawayroute_standins/world.py
@@ -395,7 +395,7 @@
     ) -> list[Attempt]:
         """Take or extend a lease."""
         model = await self._go(worker)
-        attempts = [copy.copy(attempt) for attempt in model.renew(holder, token, lease_ms)]
+        attempts = model.renew(holder, token, lease_ms)
         if any(attempt.status == "done" for attempt in attempts):
             await self._world.reach("finished", self._host.instance.id)
         await self._back(worker)
