Let weights alone be the floors of kinds

Urgency multiplied a kind's weight by up to four, so the exports' floor was 0.2 of the fleet where they needed 0.35.

--- a/packages/library/carawayroute/dispatch.py
+++ b/packages/library/carawayroute/dispatch.py
@@ -24,7 +24,6 @@
 # An idempotent attempt that takes this many times its expected run time gets a second beside it.
 SILENCE_FACTOR = 5
 MIN_PATIENCE_MS = 500
-URGENCY_FACTOR = {pb.CAN_WAIT: 1, pb.ORDINARY: 2, pb.URGENT: 4}
 
 
 class QuickRequest:
@@ -116,8 +115,7 @@
     def _weights(self, path: Path) -> tuple[float, float, float]:
         kind = self._configuration.kind(path[0])
         team = self._configuration.team(path[1])
-        kind_weight = kind.weight * URGENCY_FACTOR[kind.urgency] if kind else 1
-        return (kind_weight, team.weight if team else 1, 1)
+        return (kind.weight if kind else 1, team.weight if team else 1, 1)
 
     def expected_ms(self, kind: pb.Kind) -> float:
         """Return the expected run time of a kind."""
