--- a/packages/standins/carawayroute_standins/servers.py
+++ b/packages/standins/carawayroute_standins/servers.py
@@ -198,6 +198,28 @@
         await runner.cleanup()
 
 
+def name_machines(
+    role: str, host: str, port: int, prefix: str, count: int, capacity: int
+) -> list[Instance]:
+    """Return machines on consecutive ports."""
+    return [
+        Instance(f"{prefix}-{index}", role, "", f"{host}:{port + index}", capacity=capacity)
+        for index in range(count)
+    ]
+
+
+async def serve_machines(
+    machines: list[Instance],
+    make_app: Callable[[Instance, Journal, Clock], web.Application],
+    host: str,
+    port: int,
+) -> None:
+    """Serve machines that share a journal."""
+    clock = Clock()
+    journal = Journal(clock)
+    await serve([make_app(machine, journal, clock) for machine in machines], host, port)
+
+
 class Commands:
     """Start a stand-in."""
 
@@ -218,45 +240,26 @@
         asyncio.run(main())
 
     def workers(
-        self,
-        port: int,
-        prefix: str,
-        count: int,
-        accelerators: int = 8,
-        host: str = "127.0.0.1",
+        self, port: int, prefix: str, count: int, accelerators: int = 8, host: str = "127.0.0.1"
     ) -> None:
         """Serve workers on consecutive ports."""
+        machines = name_machines("worker", host, port, prefix, count, accelerators)
 
-        async def main() -> None:
-            clock = Clock()
-            journal = Journal(clock)
-            apps = []
-            for index in range(count):
-                name = f"{prefix}-{index}"
-                address = f"{host}:{port + index}"
-                instance = Instance(name, "worker", "", address, capacity=accelerators)
-                apps.append(worker_app(WorkerModel(instance, journal, clock)))
-            await serve(apps, host, port)
+        def make_app(instance: Instance, journal: Journal, clock: Clock) -> web.Application:
+            return worker_app(WorkerModel(instance, journal, clock))
 
-        asyncio.run(main())
+        asyncio.run(serve_machines(machines, make_app, host, port))
 
     def runners(
         self, port: int, prefix: str, count: int, slots: int = 8, host: str = "127.0.0.1"
     ) -> None:
         """Serve runners on consecutive ports."""
+        machines = name_machines("runner", host, port, prefix, count, slots)
 
-        async def main() -> None:
-            clock = Clock()
-            journal = Journal(clock)
-            apps = []
-            for index in range(count):
-                name = f"{prefix}-{index}"
-                address = f"{host}:{port + index}"
-                instance = Instance(name, "runner", "", address, capacity=slots)
-                apps.append(runner_app(RunnerModel(instance, journal, clock)))
-            await serve(apps, host, port)
+        def make_app(instance: Instance, journal: Journal, clock: Clock) -> web.Application:
+            return runner_app(RunnerModel(instance, journal, clock))
 
-        asyncio.run(main())
+        asyncio.run(serve_machines(machines, make_app, host, port))
 
 
 if __name__ == "__main__":
