Pin adopted gangs to their team's guarantee before the unused shapes get places

Cause, found by reading the whole change: a planner that takes a term gave every guaranteed shape a place first and adopted running gangs one by one after that. Ruled out: the rebuild after a change of configuration, which pins gangs before it packs. Change: adoption goes through that rebuild, for all gangs at once, instead of a rule of its own. Also dropped: an argument that choosing the next ticket did not use.

--- a/packages/library/carawayroute/dispatch.py
+++ b/packages/library/carawayroute/dispatch.py
@@ -249,7 +249,7 @@
             slot = self.router.acquire(unusable)
             if slot is None:
                 return
-            ticket = self._next_ticket(slot)
+            ticket = self._next_ticket()
             if ticket is None:
                 self.router.release(slot)
                 return
@@ -265,7 +265,7 @@
         self.router.release(slot)
         return other
 
-    def _next_ticket(self, slot: Slot) -> _Ticket | None:
+    def _next_ticket(self) -> _Ticket | None:
         """Return the next request that still has time to run."""
         while self.queue:
             ticket = self.queue.pop(lambda item: self.expected_ms(item.request.kind))
--- a/packages/library/carawayroute/placement.py
+++ b/packages/library/carawayroute/placement.py
@@ -231,10 +231,16 @@
             adjacency=adjacency,
         )
 
-    def adopt(self, placement: Placement) -> None:
-        """Count a gang that another planner started, in a guarantee of its team if it fits."""
-        self._pin(placement)
-        self._enter(placement)
+    def adopt(
+        self, placements: list[Placement], configuration: pb.Configuration, region: str
+    ) -> None:
+        """Count gangs that another planner started, in guarantees of their teams where they fit.
+
+        They are given their places first, and the shapes that nobody uses get what is left.
+        """
+        for placement in placements:
+            self._enter(placement)
+        self.set_guarantees(configuration, region)
 
     def remove(self, job_id: str) -> Placement | None:
         """Stop counting a gang; its reservation can be demanded again."""
--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -310,19 +310,30 @@
             return
         self.recovered = True
         self._changed.set()
-        for found_by_worker in self._found_by_attempt.values():
-            self._adopt(found_by_worker)
+        found = list(self._found_by_attempt.values())
         self._found_by_attempt.clear()
+        whole = [gang for gang in map(self._whole_gang, found) if gang is not None]
+        placements = [
+            self._placement(gang, guarantee="", firm=not gang.kind.idempotent) for gang in whole
+        ]
+        self.fleet.adopt(placements, self.follower.state.configuration, self.region)
+        for gang in whole:
+            self.gangs_by_job[gang.job.job_id] = gang
+        for found_by_worker in found:
+            for worker, attempt in found_by_worker.items():
+                gang = self.gangs_by_job.get(attempt.job_id)
+                if gang is not None and gang.attempt_id == attempt.attempt_id:
+                    self._follow(gang, worker, attempt)
 
-    def _adopt(self, found_by_worker: dict[str, Attempt]) -> None:
-        """Go on with a gang that is whole, and stop one that is not."""
+    def _whole_gang(self, found_by_worker: dict[str, Attempt]) -> Gang | None:
+        """Return a gang that runs whole, or stop what there is of it."""
         sample = next(iter(found_by_worker.values()))
         job = self.follower.state.jobs_by_id.get(sample.job_id)
         kind = self.follower.state.kind(job.accepted.kind) if job else None
         if job is None or kind is None or job.finished is not None:
             for worker in found_by_worker:
                 self._release_stray(worker, sample)
-            return
+            return None
         each = max(1, job.accepted.shape.accelerators)
         workers = [
             worker
@@ -334,17 +345,13 @@
         gang.started_ms = self.clock.now_ms()
         started = all(attempt.status != "reserved" for attempt in found_by_worker.values())
         if len(found_by_worker) == sample.parts and started:
-            self.gangs_by_job[sample.job_id] = gang
-            self.fleet.adopt(self._placement(gang, guarantee="", firm=not kind.idempotent))
-            for worker, attempt in found_by_worker.items():
-                if sample.job_id in self.gangs_by_job:
-                    self._follow(gang, worker, attempt)
-            return
+            return gang
         if job.started is not None and not kind.idempotent:
             reason = "the planner changed while the job was starting; it may have run in part"
             self.finish(job.accepted, pb.UNKNOWN, reason, "", gang)
         else:
             self.tasks.start(self.gang_runner.release(gang), f"release {gang.attempt_id}")
+        return None
 
     def _placement(self, gang: Gang, guarantee: str, firm: bool) -> Placement:
         key = f"{gang.job.team}/{gang.job.kind}"
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -115,6 +115,16 @@
     assert not made.is_firm(made.placements_by_job["kept"])
 
 
+def test_gangs_of_an_earlier_planner_use_their_team_s_guarantee() -> None:
+    made = fleet()
+    found = Placement("kept", "g", "owner", ["w0-0", "w0-1"], 8, "", False, 0.0, 1.0)
+    made.adopt([found], CONFIGURATION, "south")
+    assert found.guarantee == "owner/packs"
+    assert made.book.used_by("owner/packs") == ["kept"]
+    assert len(made.book.reservations) == 1
+    assert made.plan(job(team="owner"), RENDER).guarantee == ""
+
+
 def test_raise_in_the_way_of_firm_work_is_foreseen() -> None:
     made = fleet()
     run(made, "plan", made.plan(job(gang=shape(2, 8, pb.RACK)), CUT_PLAN))
