--- /dev/null
+++ b/packages/daemon/carawayrouted/fleet_metrics.py
@@ -0,0 +1,36 @@
+"""Metrics of an instance on the platform."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from carawayrouted.metrics import WAIT_BUCKETS_S
+
+
+class FleetMetrics:
+    """Counters, gauges and latency histograms, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "carawayroute_calls",
+            "Answered calls of callers.",
+            ["method", "status"],
+            registry=self.registry,
+        )
+        self.call_seconds = Histogram(
+            "carawayroute_call_seconds",
+            "Time from a call's arrival to its answer.",
+            ["method"],
+            buckets=WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when the metrics are."""
+        Gauge(f"carawayroute_{name}", text, registry=self.registry).set_function(read)
+
+    async def show(self, request: web.BaseRequest) -> web.Response:
+        """Answer with the metrics as text."""
+        return web.Response(body=generate_latest(self.registry), content_type="text/plain")
--- a/packages/daemon/carawayrouted/logs.py
+++ b/packages/daemon/carawayrouted/logs.py
@@ -2,14 +2,16 @@
 
 import logging
 import sys
+from typing import TextIO
 
 import structlog
 
 
-def configure(log_format: str, level: str, instance: str) -> None:
-    """Write log lines to standard error as JSON or for a console.
+def configure(log_format: str, level: str, instance: str, output: TextIO = sys.stderr) -> None:
+    """Write log lines as JSON or for a console.
 
     :param log_format: ``json`` or ``console``.
+    :param output: where lines go; standard error by default.
     """
     renderer = (
         structlog.processors.JSONRenderer()
@@ -25,7 +27,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(output),
     )
     structlog.contextvars.bind_contextvars(instance=instance)
 
--- /dev/null
+++ b/packages/daemon/carawayrouted/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and nothing that decides."""
--- /dev/null
+++ b/packages/daemon/carawayrouted/platform/callers.py
@@ -0,0 +1,226 @@
+"""Callers' HTTP: submitting, watching, cancelling and counting jobs."""
+
+import hmac
+import json
+import math
+import re
+from collections.abc import Callable
+
+import structlog
+from aiohttp import web
+
+from carawayroute.exceptions import CarawayrouteError
+from carawayroute.fleet.entry import (
+    EntryService,
+    NoSuchJobError,
+    NotAcceptedError,
+    OutcomeUnknownError,
+    StateUnknownError,
+)
+from carawayroute.fleet.types import Configuration, Queue, Team
+from carawayroute_schema import records_pb2 as pb
+from carawayrouted.platform import words
+
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+SPEC_BYTES = 4_000
+MOST_STEPS = 100
+MOST_TASKS = 10_000
+MOST_OCCURRENCES = 10_000
+LARGEST_NUMBER = 2**31 - 1
+DEFAULT_WAIT_MS = 3_000
+KEY_SCHEME = "Bearer "
+
+log = structlog.get_logger()
+
+
+class BadJobError(CarawayrouteError):
+    """The body describes no job."""
+
+
+class CallerApp:
+    """Decode callers' requests, and encode what became of them."""
+
+    def __init__(
+        self,
+        service: EntryService,
+        configuration: Callable[[], Configuration | None],
+        count: Callable[[str, int], None],
+    ) -> None:
+        self._service = service
+        self._configuration = configuration
+        self._count = count
+        self.open_requests = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answer one request."""
+        self.open_requests += 1
+        try:
+            response = await self._answer(request)
+        except web.HTTPException as error:
+            response = _reply(error.status)
+        finally:
+            self.open_requests -= 1
+        self._count(request.method, response.status)
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
+        configuration = self._configuration()
+        if configuration is None:
+            return _reply(503, retry_after_ms=1_000)
+        queue = configuration.find_queue(request.host.split(":")[0], request.path)
+        if queue is None:
+            return _reply(404)
+        team = self._team(configuration, request)
+        if team is None and not queue.public:
+            log.info("key_refused", queue=queue.name, version=configuration.version)
+            return _reply(401)
+        rest = request.path[len(queue.prefix) :]
+        if rest == "" and request.method == "GET":
+            return self._pending(queue)
+        if not JOB_ID.fullmatch(rest):
+            return _reply(404)
+        return await self._job_call(request, configuration, queue, team, rest)
+
+    async def _job_call(
+        self,
+        request: web.BaseRequest,
+        configuration: Configuration,
+        queue: Queue,
+        team: Team | None,
+        job_id: str,
+    ) -> web.Response:
+        wait_ms = _wait_ms(request)
+        try:
+            if request.method == "POST":
+                body = await _read_body(request, configuration.limits.body_bytes)
+                if body is None:
+                    return _reply(413)
+                await self._service.submit(queue, team, decode_job(job_id, body), wait_ms)
+                return _reply(200)
+            if request.method == "GET":
+                return _reply(200, {"state": await self._service.state(job_id, wait_ms)})
+            if request.method == "DELETE":
+                await self._service.cancel(job_id, wait_ms)
+                return _reply(200)
+        except BadJobError as error:
+            log.info("job_malformed", job=job_id, error=str(error))
+            return _reply(400)
+        except NoSuchJobError:
+            return _reply(410)
+        except NotAcceptedError as error:
+            return _reply(429 if error.overload else 503, retry_after_ms=error.retry_after_ms)
+        except OutcomeUnknownError:
+            return _reply(504)
+        except StateUnknownError:
+            return _reply(503, retry_after_ms=1_000)
+        return _reply(405)
+
+    def _pending(self, queue: Queue) -> web.Response:
+        try:
+            return _reply(200, {"pending": self._service.pending(queue)})
+        except StateUnknownError:
+            return _reply(503, retry_after_ms=1_000)
+
+    @staticmethod
+    def _team(configuration: Configuration, request: web.BaseRequest) -> Team | None:
+        """Return the team of the caller's key; every key is compared in constant time."""
+        header = request.headers.get("Authorization", "")
+        if not header.startswith(KEY_SCHEME):
+            return None
+        given = header[len(KEY_SCHEME) :].strip().encode()
+        found = None
+        for key, team in configuration.teams_by_key.items():
+            if hmac.compare_digest(key.encode(), given):
+                found = team
+        return found
+
+
+def _wait_ms(request: web.BaseRequest) -> float:
+    try:
+        return float(request.headers.get(words.DEADLINE_HEADER, DEFAULT_WAIT_MS))
+    except ValueError:
+        return DEFAULT_WAIT_MS
+
+
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+    """Return the body, or ``None`` if it is larger than allowed."""
+    if request.content_length is not None and request.content_length > limit:
+        return None
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body.extend(chunk)
+        if len(body) > limit:
+            return None
+    return bytes(body)
+
+
+def _reply(status: int, fields: dict | None = None, retry_after_ms: float = 0.0) -> web.Response:
+    headers = {}
+    if retry_after_ms > 0:
+        headers["Retry-After"] = str(max(1, math.ceil(retry_after_ms / 1000)))
+    body = json.dumps(fields if fields is not None else {}).encode()
+    return web.Response(status=status, body=body, headers=headers, content_type="application/json")
+
+
+def decode_job(job_id: str, body: bytes) -> pb.Job:
+    """Return the job that a body describes.
+
+    :raises BadJobError: it describes none.
+    """
+    try:
+        fields = json.loads(body)
+        spec = fields["spec"]
+        steps = fields["steps"]
+        if not isinstance(spec, str) or len(spec.encode()) > SPEC_BYTES:
+            raise BadJobError("spec is not a text of the allowed length")
+        if not isinstance(steps, list) or not 0 < len(steps) <= MOST_STEPS:
+            raise BadJobError("steps is not a list of the allowed length")
+        job = pb.Job(
+            id=job_id,
+            spec=spec,
+            steps=[_decode_step(number, step) for number, step in enumerate(steps)],
+            occurrences=_number(fields, "repeat_count", MOST_OCCURRENCES),
+            first_due_ms=_number(fields, "start_at_ms", 2**53),
+            interval_ms=_number(fields, "interval_ms", 2**53),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise BadJobError(f"{type(error).__name__}: {error}") from error
+    if sum(step.count for step in job.steps) > MOST_TASKS:
+        raise BadJobError("too many tasks")
+    return job
+
+
+def _decode_step(number: int, fields: dict) -> pb.Step:
+    depends_on = fields.get("depends_on", [])
+    if any(type(one) is not int or not 0 <= one < number for one in depends_on):
+        raise BadJobError(f"step {number} depends on a step that is not an earlier one")
+    count = _number(fields, "count", MOST_TASKS)
+    if count < 1:
+        raise BadJobError(f"step {number} has no tasks")
+    return pb.Step(
+        count=count,
+        cpu_millis=_number(fields, "cpu"),
+        memory_mb=_number(fields, "mem_mb"),
+        accelerators=_number(fields, "gpu"),
+        estimate_ms=_number(fields, "estimate_ms"),
+        depends_on=depends_on,
+        gang=bool(fields.get("gang")),
+        same_rack=bool(fields.get("same_rack")),
+        checkpoints=bool(fields.get("saves_progress")),
+        most_per_runner=_number(fields, "anti_affinity"),
+        data_rack=fields.get("affinity") or "",
+        label=fields.get("constraints") or "",
+        long_running=bool(fields.get("long_running")),
+        fills=bool(fields.get("fills")),
+        may_miss=_number(fields, "may_miss"),
+        speculative=bool(fields.get("speculative")),
+    )
+
+
+def _number(fields: dict, name: str, most: int = LARGEST_NUMBER) -> int:
+    value = fields.get(name, 0)
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if type(value) is not int or not 0 <= value <= most:
+        raise BadJobError(f"{name} is not a whole number from 0 to {most}")
+    return value
--- /dev/null
+++ b/packages/daemon/carawayrouted/platform/http.py
@@ -0,0 +1,70 @@
+"""Calls to the platform over connections that are replaced when they go silent."""
+
+import asyncio
+
+import aiohttp
+
+# Every failure that aiohttp and the socket can give while a call is under way.
+TRANSPORT_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+# A connection within the platform is made in some milliseconds, or the peer is out of reach.
+CONNECT_TIMEOUT_MS = 300
+KEEPALIVE_S = 30.0
+
+
+class Reply:
+    """A whole answer."""
+
+    __slots__ = ("body", "status")
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self.body = body
+
+
+class NeverSentError(Exception):
+    """The connection was not made, so that nothing was sent."""
+
+
+class HttpPool:
+    """Connections to the platform's servers, kept for the next call."""
+
+    def __init__(self, per_host: int = 32) -> None:
+        connector = aiohttp.TCPConnector(
+            limit=0, limit_per_host=per_host, keepalive_timeout=KEEPALIVE_S
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
+        )
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        timeout_ms: float,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Make a call and return its whole answer.
+
+        A connection on which an answer does not come in time is closed by the client library.
+
+        :raises NeverSentError: nothing was sent.
+        :raises TimeoutError: no answer came in time.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_ms / 1000, sock_connect=min(timeout_ms, CONNECT_TIMEOUT_MS) / 1000
+        )
+        try:
+            async with self._session.request(
+                method, url, data=body, headers=headers, timeout=timeout
+            ) as response:
+                return Reply(response.status, await response.read())
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise NeverSentError(str(error)) from error
+        except TRANSPORT_ERRORS as error:
+            raise TimeoutError(f"{type(error).__name__}: {error}") from error
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._session.close()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/packages/daemon/carawayrouted/platform/runners.py
@@ -0,0 +1,158 @@
+"""Runners: their entries in the store and the orders that they take."""
+
+import json
+
+from carawayroute.exceptions import CarawayrouteError
+from carawayroute.fleet.exceptions import RunnerRefusedError, RunnerUnansweredError
+from carawayroute.fleet.types import Capacity, EndedTask, Runner, RunnerReport, RunningTask
+from carawayrouted.platform import words
+from carawayrouted.platform.http import HttpPool, NeverSentError
+
+ORDER_TIMEOUT_MS = 500
+LOOK_TIMEOUT_MS = 700
+RACK_MARK = "-"
+
+
+class RunnerEntryError(CarawayrouteError):
+    """An entry of the list names no runner that can be used."""
+
+
+def decode_runner(runner_id: str, value: bytes) -> Runner:
+    """Return the runner that an entry describes.
+
+    :raises RunnerEntryError: the entry is malformed, or of another writer.
+    """
+    try:
+        fields = json.loads(value)
+        room = fields["capacity"]
+        labels = [label for label in fields["labels"] if isinstance(label, str)]
+        if fields["state"] not in ("ready", "draining"):
+            raise RunnerEntryError(f"state {fields['state']!r} is not known")
+        address = fields["address"]
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            raise RunnerEntryError(f"address {address!r} cannot be called")
+        return Runner(
+            runner_id,
+            _text(fields["service"]),
+            address,
+            _text(fields["zone"]),
+            Capacity(_whole(room["cpu"]), _whole(room["mem_mb"]), _whole(room["gpu"])),
+            frozenset(labels),
+            _rack(labels),
+            fields["state"] == "draining",
+            _whole(fields.get("born", 0)),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise RunnerEntryError(f"{type(error).__name__}: {error}") from error
+
+
+def _rack(labels: list[str]) -> str:
+    """Return the label that names the rack; the other one names the kind of runner."""
+    return next((label for label in labels if RACK_MARK in label), "")
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not a text")
+    return value
+
+
+def _whole(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{value!r} is not a whole number")
+    return value
+
+
+class HttpRunners:
+    """Send orders to runners over HTTP."""
+
+    def __init__(self, pool: HttpPool) -> None:
+        self._pool = pool
+        self.looks = 0
+
+    async def _order(
+        self, runner: Runner, path: str, fields: dict, timeout_ms: float = ORDER_TIMEOUT_MS
+    ) -> dict:
+        headers = {"Content-Type": "application/json", words.INSTANCE_HEADER: runner.id}
+        body = json.dumps(fields, separators=(",", ":")).encode()
+        url = f"http://{runner.address}/v1/{path}"
+        try:
+            reply = await self._pool.call("POST", url, timeout_ms, body, headers)
+        except NeverSentError as error:
+            raise RunnerUnansweredError(f"no connection: {error}") from error
+        except TimeoutError as error:
+            raise RunnerUnansweredError(str(error)) from error
+        if reply.status == 421:
+            raise RunnerRefusedError("boot")
+        if reply.status in (429, 503):
+            raise RunnerRefusedError("unhealthy")
+        if reply.status == 400:
+            raise RunnerRefusedError("invalid")
+        try:
+            found = json.loads(reply.body)
+            if reply.status == 409:
+                raise RunnerRefusedError(str(found.get("reason")))
+            if reply.status != 200:
+                raise RunnerUnansweredError(f"status {reply.status}")
+            return found
+        except (ValueError, AttributeError) as error:
+            raise RunnerUnansweredError(f"the answer cannot be read: {error}") from error
+
+    async def hold(
+        self, runner: Runner, term: int, acknowledged: int, lease_until_ms: int, wait_ms: int
+    ) -> RunnerReport:
+        """Extend the lease and look."""
+        self.looks += 1
+        fields: dict = {"fencing_token": term, "last_seen": acknowledged}
+        if lease_until_ms:
+            fields["deadline_ms"] = lease_until_ms
+        if wait_ms:
+            fields["wait_ms"] = wait_ms
+        found = await self._order(runner, "hold", fields, LOOK_TIMEOUT_MS + wait_ms)
+        try:
+            return RunnerReport(
+                _whole(found["clock_ms"]),
+                found.get("born", 0),
+                [RunningTask(row[0], row[1], row[2], row[3]) for row in found["running"]],
+                [EndedTask(row[0], row[1], row[2], row[3], row[4]) for row in found["finished"]],
+            )
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise RunnerUnansweredError(f"the report cannot be read: {error!r}") from error
+
+    async def start(
+        self,
+        runner: Runner,
+        term: int,
+        task: str,
+        run: int,
+        spec: str,
+        checkpoint: str,
+        lease_until_ms: int,
+        ticket: str = "",
+    ) -> int:
+        """Start a task."""
+        fields = {
+            "task": task,
+            "run_id": run,
+            "spec": spec,
+            "deadline_ms": lease_until_ms,
+            "fencing_token": term,
+        }
+        if checkpoint:
+            fields["last_checkpoint"] = checkpoint
+        if ticket:
+            fields["ticket"] = ticket
+        return self._clock(await self._order(runner, "run-start", fields))
+
+    async def stop(self, runner: Runner, term: int, task: str, run: int) -> int:
+        """Stop a run."""
+        fields = {"task": task, "run_id": run, "fencing_token": term}
+        return self._clock(await self._order(runner, "run-stop", fields))
+
+    @staticmethod
+    def _clock(found: dict) -> int:
+        clock_ms = found.get("clock_ms")
+        if not isinstance(clock_ms, int):
+            raise RunnerUnansweredError("the answer has no clock")
+        return clock_ms
--- /dev/null
+++ b/packages/daemon/carawayrouted/platform/settings.py
@@ -0,0 +1,87 @@
+"""The settings file that the platform writes for each process."""
+
+import json
+import os
+
+from carawayroute.exceptions import CarawayrouteError
+
+VARIABLE = "CARAWAYROUTE_CONFIG"
+
+
+class PlatformSettingsError(CarawayrouteError):
+    """The settings file cannot be read or lacks a field."""
+
+
+class Address:
+    """An IP address and a port."""
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, text: str) -> None:
+        self.host, _, port = text.rpartition(":")
+        self.port = int(port)
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class PlatformSettings:
+    """What a process needs of the settings file.
+
+    :param most_lease_ms: longest lease that runners grant.
+    :param stop_ms: time that a stop takes at most.
+    :param grace_ms: from SIGTERM to SIGKILL.
+    :param memory_ms: how long the state of an ended job can be asked for.
+    """
+
+    __slots__ = (
+        "advice",
+        "callers",
+        "cores",
+        "data_centre",
+        "grace_ms",
+        "instance",
+        "link_mbps",
+        "memory_ms",
+        "most_lease_ms",
+        "peer",
+        "readiness",
+        "region",
+        "stop_ms",
+        "store",
+    )
+
+    def __init__(self, fields: dict) -> None:
+        try:
+            bounds = fields["bounds"]
+            self.instance: str = fields["node_name"]
+            self.data_centre: str = fields["zone"]
+            self.region: str = fields["region"]
+            self.callers = Address(fields["listen"]["front"])
+            self.readiness = Address(fields["listen"]["ready"])
+            self.peer = Address(f"{fields['ip']}:{fields['internal_ports'][0]}")
+            self.store = Address(fields["platform"]["address"])
+            self.advice = Address(fields["advice"]) if fields.get("advice") else None
+            self.most_lease_ms = int(bounds["hold_max_ms"])
+            self.stop_ms = int(bounds["stop_timeout_ms"])
+            self.grace_ms = int(bounds["grace_s"] * 1000)
+            self.memory_ms = int(bounds["status_s"] * 1000)
+            limits = fields.get("limits", {})
+            self.cores = float(limits.get("cpu_share", 1.0)) * float(limits.get("cores", 1))
+            self.link_mbps = float(limits.get("link_mbps", 1000.0))
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise PlatformSettingsError(f"the settings file lacks or garbles {error}") from error
+
+
+def read_settings(path: str | None = None) -> PlatformSettings:
+    """Read the settings file.
+
+    :raises PlatformSettingsError: it cannot be read.
+    """
+    path = path or os.environ.get(VARIABLE, "")
+    try:
+        with open(path, encoding="utf-8") as file:
+            fields = json.load(file)
+    except (OSError, ValueError) as error:
+        raise PlatformSettingsError(f"{path or VARIABLE}: {error}") from error
+    return PlatformSettings(fields)
--- /dev/null
+++ b/packages/daemon/carawayrouted/platform/store.py
@@ -0,0 +1,154 @@
+"""The platform's store: a log with keyed topics."""
+
+import base64
+import json
+import struct
+from urllib.parse import quote
+
+from carawayroute.fleet.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreFencedError,
+    StoreRefusedError,
+    StoreSequenceError,
+    StoreTrimmedError,
+    StoreUnansweredError,
+)
+from carawayroute.fleet.ports import Appended, KeyedRecord, Records
+from carawayrouted.platform.http import HttpPool, NeverSentError, Reply
+from carawayrouted.platform.settings import Address
+
+PARTITION = 0
+APPEND_TIMEOUT_MS = 900
+READ_TIMEOUT_MS = 900
+READ_KB = 1_024
+REFUSED_STATUSES = (429, 503, 507)
+
+
+class HttpStore:
+    """Call the store over HTTP."""
+
+    def __init__(self, pool: HttpPool, address: Address) -> None:
+        self._pool = pool
+        self._base = f"http://{address}/v1/"
+        self.calls = 0
+
+    async def _call(self, method: str, path: str, timeout_ms: float, body: bytes | None = None):
+        self.calls += 1
+        headers = {"Content-Type": "application/octet-stream"} if body is not None else None
+        try:
+            reply = await self._pool.call(method, self._base + path, timeout_ms, body, headers)
+        except NeverSentError as error:
+            raise StoreRefusedError(f"no connection to the store: {error}") from error
+        except TimeoutError as error:
+            raise StoreUnansweredError(str(error)) from error
+        if reply.status in REFUSED_STATUSES:
+            raise StoreRefusedError(f"the store answered {reply.status}")
+        return reply
+
+    async def append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes]],
+        at: int | None = None,
+        producer: str = "",
+        epoch: int = 0,
+        sequence: int | None = None,
+    ) -> Appended:
+        """Append records, all or none."""
+        query = f"log-append?topic={quote(topic)}&part={PARTITION}"
+        if at is not None:
+            query += f"&at={at}"
+        if producer:
+            query += f"&producer={quote(producer)}&epoch={epoch}"
+        if sequence is not None and records:
+            query += f"&sequence={sequence}"
+        body = b"".join(_frame(key, value) for key, value in records)
+        reply = await self._call("POST", query, APPEND_TIMEOUT_MS, body)
+        found = _decode(reply)
+        if reply.status == 412:
+            raise StoreConflictError(_whole(found.get("end"), -1))
+        if reply.status == 409:
+            if found.get("reason") == "seq":
+                raise StoreSequenceError(_whole(found.get("sequence"), 0))
+            raise StoreFencedError(str(found.get("reason")))
+        if reply.status != 200:
+            raise StoreUnansweredError(f"the store answered {reply.status}")
+        return Appended(_whole(found.get("offset"), 0), _whole(found.get("end"), 0))
+
+    async def read(self, topic: str, offset: int, wait_ms: int) -> Records:
+        """Return records from an offset on."""
+        query = (
+            f"log-read?topic={quote(topic)}&part={PARTITION}&from={offset}"
+            f"&max_kb={READ_KB}&wait_ms={wait_ms}"
+        )
+        reply = await self._call("GET", query, READ_TIMEOUT_MS + wait_ms)
+        if reply.status == 410:
+            raise StoreTrimmedError(_whole(_decode(reply).get("first"), 0))
+        if reply.status != 200:
+            raise StoreUnansweredError(f"the store answered {reply.status}")
+        return _split(reply.body, offset)
+
+    async def newest(self, topic: str) -> Records:
+        """Return the newest record of each key."""
+        records: list[KeyedRecord] = []
+        end = None
+        after = ""
+        while True:
+            query = f"log-newest?topic={quote(topic)}&part={PARTITION}"
+            if after:
+                query += f"&depends_on={quote(after)}"
+            reply = await self._call("GET", query, READ_TIMEOUT_MS)
+            if reply.status != 200:
+                raise StoreUnansweredError(f"the store answered {reply.status}")
+            page = _decode(reply)
+            try:
+                for item in page["items"]:
+                    value = base64.b64decode(item["value"])
+                    records.append(KeyedRecord(item["offset"], item["key"], value))
+                    after = item["key"]
+                # What is appended while pages are read is read again from the first page's end.
+                end = page["end"] if end is None else end
+                if not page["has_more"]:
+                    return Records(records, end, end)
+            except (KeyError, TypeError, ValueError) as error:
+                raise StoreError(f"a page of {topic} cannot be read: {error}") from error
+
+
+def _frame(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    content = bytes([len(name)]) + name + value
+    return struct.pack(">I", len(content)) + content
+
+
+def _split(body: bytes, offset: int) -> Records:
+    """Return the records of a read; those without a readable key keep their offset."""
+    if len(body) < 16:
+        raise StoreUnansweredError("the store sent part of an answer")
+    end, first = struct.unpack_from(">QQ", body)
+    position = 16
+    records = []
+    next_offset = max(offset, first)
+    while position + 4 <= len(body):
+        (size,) = struct.unpack_from(">I", body, position)
+        content = body[position + 4 : position + 4 + size]
+        if len(content) < size:
+            break
+        position += 4 + size
+        key_size = content[0] if content else 0
+        key = content[1 : 1 + key_size].decode(errors="replace")
+        records.append(KeyedRecord(next_offset, key, content[1 + key_size :]))
+        next_offset += 1
+    return Records(records, next_offset, end)
+
+
+def _decode(reply: Reply) -> dict:
+    try:
+        found = json.loads(reply.body) if reply.body else {}
+    except ValueError as error:
+        raise StoreUnansweredError(f"the store sent no JSON: {error}") from error
+    return found if isinstance(found, dict) else {}
+
+
+def _whole(value: object, default: int) -> int:
+    return value if isinstance(value, int) else default
--- /dev/null
+++ b/packages/library/carawayroute/fleet/book.py
@@ -0,0 +1,348 @@
+"""The state of all jobs, rebuilt by any instance from the records in the store."""
+
+from collections.abc import Iterator
+
+from google.protobuf.message import DecodeError
+
+from carawayroute.exceptions import CarawayrouteError
+from carawayroute.fleet.types import Capacity, TaskId
+from carawayroute_schema import records_pb2 as pb
+
+JOB_KEY = "a/"
+CANCEL_KEY = "c/"
+PROGRESS_KEY = "p/"
+
+QUEUED = "queued"
+RUNNING = "running"
+COMPLETED = "completed"
+FAILED = "failed"
+CANCELLED = "cancelled"
+
+
+class RecordError(CarawayrouteError):
+    """A record in the store cannot be read."""
+
+
+class Stage:
+    """The tasks of one step, in one occurrence of a job.
+
+    Lists have one entry for each task. ``runners`` holds the runner that a task was ordered to, or
+    an empty string; a task on a runner keeps its capacity until the end is on record.
+    """
+
+    __slots__ = (
+        "checkpoints",
+        "done",
+        "failed_run",
+        "failures",
+        "job",
+        "need",
+        "number",
+        "occurrence",
+        "runners",
+        "runs",
+        "step",
+    )
+
+    def __init__(self, job: "Job", occurrence: int, number: int) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.step = job.record.steps[number]
+        count = self.step.count
+        self.need = Capacity(
+            0 if self.step.fills else self.step.cpu_millis,
+            self.step.memory_mb,
+            self.step.accelerators,
+        )
+        self.runs = [0] * count
+        self.done = bytearray(count)
+        self.failures = [0] * count
+        self.failed_run = 0
+        self.runners = [""] * count
+        self.checkpoints: dict[int, str] = {}
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Return what names the stage in the fleet."""
+        return (self.job.id, self.occurrence, self.number)
+
+    @property
+    def finished(self) -> bool:
+        """Return whether every task ended as done."""
+        return all(self.done)
+
+    @property
+    def accelerators(self) -> int:
+        """Return the accelerators of all tasks together."""
+        return self.step.count * self.step.accelerators
+
+    def task(self, index: int) -> str:
+        """Return the name of a task."""
+        return str(TaskId(self.job.id, self.occurrence, self.number, index))
+
+    def placed(self) -> list[int]:
+        """Return the tasks that are on runners."""
+        return [index for index, runner in enumerate(self.runners) if runner]
+
+    def waiting(self) -> list[int]:
+        """Return the tasks that are neither done nor on a runner."""
+        return [
+            index
+            for index, runner in enumerate(self.runners)
+            if not runner and not self.done[index]
+        ]
+
+    def next_run(self) -> int:
+        """Return a number above that of every earlier start."""
+        return max(self.runs, default=0) + 1
+
+    def checkpoint(self, index: int) -> str:
+        """Return where a task resumes; the members of a gang share one checkpoint."""
+        return self.checkpoints.get(0 if self.step.gang else index, "")
+
+    def keep_checkpoint(self, index: int, checkpoint: str) -> None:
+        """Remember where a task resumes."""
+        if checkpoint:
+            self.checkpoints[0 if self.step.gang else index] = checkpoint
+
+    def end_done(self, index: int) -> None:
+        """Count a task as done; the end of one member of a gang stands for all."""
+        if self.step.gang:
+            for member in range(self.step.count):
+                self.done[member] = 1
+        else:
+            self.done[index] = 1
+
+    def to_record(self) -> pb.StepProgress:
+        """Return the stage as it is kept in the store."""
+        names: list[str] = []
+        places = []
+        for runner in self.runners:
+            if runner and runner not in names:
+                names.append(runner)
+            places.append(names.index(runner) + 1 if runner else 0)
+        return pb.StepProgress(
+            occurrence=self.occurrence,
+            step=self.number,
+            runs=self.runs,
+            done=bytes(self.done),
+            failures=self.failures,
+            places=places,
+            runners=names,
+            checkpoints=self.checkpoints,
+            failed_run=self.failed_run,
+        )
+
+    def end_failed(self, index: int) -> int:
+        """Count a failure of a task, or of the gang's run, and return how many there were."""
+        if not self.step.gang:
+            self.failures[index] += 1
+            return self.failures[index]
+        if self.runs[index] > self.failed_run:
+            self.failed_run = self.runs[index]
+            self.failures[0] += 1
+        return self.failures[0]
+
+    def apply(self, record: pb.StepProgress) -> None:
+        """Take over what a record says."""
+        count = self.step.count
+        if not len(record.runs) == len(record.done) == len(record.places) == count:
+            raise RecordError(f"progress of job {self.job.id} does not match its steps")
+        self.runs = list(record.runs)
+        self.done = bytearray(record.done)
+        self.failures = list(record.failures)
+        self.failed_run = record.failed_run
+        self.runners = [record.runners[place - 1] if place else "" for place in record.places]
+        self.checkpoints = dict(record.checkpoints)
+
+
+class Job:
+    """An accepted job."""
+
+    __slots__ = ("cancelled", "ended_ms", "failed", "id", "reason", "record", "stages_by_key")
+
+    def __init__(self, record: pb.Job) -> None:
+        self.id = record.id
+        self.record = record
+        self.cancelled = False
+        self.failed = False
+        self.reason = ""
+        self.ended_ms: float | None = None
+        self.stages_by_key: dict[tuple[int, int], Stage] = {}
+
+    def stage(self, occurrence: int, step: int) -> Stage:
+        """Return a stage, making it when it is first asked for."""
+        found = self.stages_by_key.get((occurrence, step))
+        if found is None:
+            found = Stage(self, occurrence, step)
+            self.stages_by_key[occurrence, step] = found
+        return found
+
+    @property
+    def occurrences(self) -> int:
+        """Return how many times the steps run."""
+        return max(1, self.record.occurrences)
+
+    @property
+    def closed(self) -> bool:
+        """Return whether nothing of the job is to be started any more."""
+        return self.cancelled or self.failed or self.completed
+
+    @property
+    def completed(self) -> bool:
+        """Return whether every task of every occurrence ended as done."""
+        if self.ended_ms is not None:
+            return not self.cancelled and not self.failed
+        if len(self.stages_by_key) < self.occurrences * len(self.record.steps):
+            return False
+        return all(stage.finished for stage in self.stages_by_key.values())
+
+    @property
+    def started(self) -> bool:
+        """Return whether a task was ever ordered to a runner."""
+        return any(any(stage.runs) for stage in self.stages_by_key.values())
+
+    @property
+    def state(self) -> str:
+        """Return the job's state, as callers are told."""
+        if self.cancelled:
+            return CANCELLED
+        if self.failed:
+            return FAILED
+        if self.completed:
+            return COMPLETED
+        return RUNNING if self.started else QUEUED
+
+    def open_stages(self, wall_ms: float) -> Iterator[Stage]:
+        """Yield the stages whose turn has come and that are not finished."""
+        if self.closed:
+            return
+        for occurrence in range(self.occurrences):
+            if self.record.occurrences:
+                due_ms = self.record.first_due_ms + occurrence * self.record.interval_ms
+                if wall_ms < due_ms:
+                    return
+            for number, step in enumerate(self.record.steps):
+                stage = self.stage(occurrence, number)
+                if stage.finished:
+                    continue
+                if all(self.stage(occurrence, earlier).finished for earlier in step.depends_on):
+                    yield stage
+
+    def chain_ms(self, occurrence_steps: dict[int, float] | None = None) -> float:
+        """Return the longest chain of declared work through the steps."""
+        longest: list[float] = []
+        for number, step in enumerate(self.record.steps):
+            own = step.estimate_ms
+            if occurrence_steps is not None:
+                own = occurrence_steps.get(number, own)
+            longest.append(own + max((longest[one] for one in step.depends_on), default=0.0))
+        return max(longest, default=0.0)
+
+    def to_progress(self, term: int) -> pb.Progress:
+        """Return the record that replaces the job's earlier progress."""
+        return pb.Progress(
+            steps=[stage.to_record() for stage in self.stages_by_key.values()],
+            failed=self.failed,
+            reason=self.reason,
+            term=term,
+        )
+
+
+class JobBook:
+    """All jobs, by id, as of an offset of the log.
+
+    Records may be applied from pages that are no snapshot: of each key only a newer record counts.
+    """
+
+    def __init__(self) -> None:
+        self.jobs_by_id: dict[str, Job] = {}
+        self.open_by_id: dict[str, Job] = {}
+        self.offset = 0
+        self._offset_by_key: dict[str, int] = {}
+        self._early_by_id: dict[str, list[tuple[str, bytes]]] = {}
+
+    def apply(self, offset: int, key: str, value: bytes, now_ms: float) -> Job | None:
+        """Take over a record and return the job that it changes.
+
+        :raises RecordError: the record cannot be read.
+        """
+        if offset <= self._offset_by_key.get(key, -1):
+            return None
+        self._offset_by_key[key] = offset
+        kind, job_id = key[:2], key[2:]
+        if not value:
+            self._drop(kind, job_id)
+            return None
+        try:
+            return self._apply(kind, job_id, value, now_ms)
+        except (DecodeError, IndexError) as error:
+            raise RecordError(f"record {key} at {offset} cannot be read: {error}") from error
+
+    def _apply(self, kind: str, job_id: str, value: bytes, now_ms: float) -> Job | None:
+        job = self.jobs_by_id.get(job_id)
+        if kind == JOB_KEY:
+            if job is None:
+                job = Job(pb.Job.FromString(value))
+                self.jobs_by_id[job_id] = job
+                self.open_by_id[job_id] = job
+                for early_kind, early_value in self._early_by_id.pop(job_id, ()):
+                    self._apply(early_kind, job_id, early_value, now_ms)
+            return job
+        if job is None:
+            self._early_by_id.setdefault(job_id, []).append((kind, value))
+            return None
+        if kind == CANCEL_KEY:
+            if not job.closed:
+                job.cancelled = True
+        elif kind == PROGRESS_KEY:
+            record = pb.Progress.FromString(value)
+            job.failed = record.failed
+            job.reason = record.reason
+            for item in record.steps:
+                job.stage(item.occurrence, item.step).apply(item)
+        self.settle(job, now_ms)
+        return job
+
+    def settle(self, job: Job, now_ms: float) -> None:
+        """Move a job out of the open ones once nothing of it is left to do."""
+        if job.id not in self.open_by_id or not job.closed:
+            return
+        placed = any(stage.placed() for stage in job.stages_by_key.values())
+        if not placed:
+            job.ended_ms = now_ms
+            del self.open_by_id[job.id]
+
+    def reset(self) -> None:
+        """Forget the progress of all jobs, so that the newest records are applied anew."""
+        self._offset_by_key.clear()
+        for job in self.jobs_by_id.values():
+            job.stages_by_key.clear()
+            job.cancelled = False
+            job.failed = False
+            job.reason = ""
+            job.ended_ms = None
+        self.open_by_id = dict(self.jobs_by_id)
+
+    def _drop(self, kind: str, job_id: str) -> None:
+        if kind == JOB_KEY:
+            self.jobs_by_id.pop(job_id, None)
+            self.open_by_id.pop(job_id, None)
+
+    def forget(self, job_id: str) -> list[str]:
+        """Drop a job and return the keys of its records."""
+        self.jobs_by_id.pop(job_id, None)
+        self.open_by_id.pop(job_id, None)
+        keys = [kind + job_id for kind in (JOB_KEY, CANCEL_KEY, PROGRESS_KEY)]
+        for key in keys:
+            self._offset_by_key.pop(key, None)
+        return keys
+
+    def pending(self, queue: str) -> int:
+        """Return the accepted jobs of a queue of which no task has started."""
+        return sum(
+            1
+            for job in self.open_by_id.values()
+            if job.record.queue == queue and not job.closed and not job.started
+        )
--- /dev/null
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -0,0 +1,177 @@
+"""What callers ask for: submitting, watching, cancelling and counting jobs."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from carawayroute.clock import Clock
+from carawayroute.exceptions import CarawayrouteError
+from carawayroute.fleet.admission import Admission
+from carawayroute.fleet.book import CANCEL_KEY, JOB_KEY, Job, JobBook
+from carawayroute.fleet.exceptions import StoreRefusedError
+from carawayroute.fleet.follower import TopicFollower
+from carawayroute.fleet.types import Queue, Team
+from carawayroute.fleet.writer import LogWriter
+from carawayroute_schema import records_pb2 as pb
+
+# A job that is not known is looked for in the store when the state is older than this.
+STALE_MS = 1_000
+STORE_RETRY_MS = 1_000
+# Time that is left for the answer to travel.
+ANSWER_MARGIN_MS = 250
+
+log = structlog.get_logger()
+
+
+class NotAcceptedError(CarawayrouteError):
+    """The job was certainly not accepted and never runs.
+
+    :param overload: there is more work than the fleet can do in time.
+    :param retry_after_ms: when another try may do better.
+    """
+
+    def __init__(self, reason: str, overload: bool, retry_after_ms: float) -> None:
+        super().__init__(reason)
+        self.overload = overload
+        self.retry_after_ms = retry_after_ms
+
+
+class OutcomeUnknownError(CarawayrouteError):
+    """The store did not answer in time; the wish may have been recorded."""
+
+
+class StateUnknownError(CarawayrouteError):
+    """This instance cannot tell now."""
+
+
+class NoSuchJobError(CarawayrouteError):
+    """No such job was accepted."""
+
+
+class EntryService:
+    """Serve callers from the followed state; write what they want to the store."""
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        book: JobBook,
+        follower: TopicFollower,
+        writer: LogWriter,
+        admission: Admission,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._book = book
+        self._follower = follower
+        self._writer = writer
+        self.admission = admission
+        self._on_change = on_change
+
+    async def submit(self, queue: Queue, team: Team | None, job: pb.Job, wait_ms: float) -> None:
+        """Accept a job; the same id again is the same job.
+
+        :raises NotAcceptedError: it never runs.
+        :raises OutcomeUnknownError: it may have been accepted.
+        """
+        if job.id in self._book.jobs_by_id:
+            log.info("job_repeated", job=job.id)
+            return
+        if not self._follower.loaded.is_set():
+            raise NotAcceptedError("this instance is starting", False, STORE_RETRY_MS)
+        job.queue = queue.name
+        job.service = queue.service
+        job.team = team.name if team is not None else ""
+        job.priority = queue.priority
+        job.max_attempts = queue.max_attempts
+        job.stretch = queue.deadline_factor
+        job.target_ms = queue.target_ms
+        job.accepted_ms = self._clock.wall_ms()
+        job.entry = self._name
+        verdict = self.admission.judge(job, Job(job).chain_ms())
+        if not verdict.accepted:
+            log.info(
+                "job_rejected",
+                job=job.id,
+                queue=queue.name,
+                team=job.team,
+                reason=verdict.reason,
+                retry_after_ms=round(verdict.retry_after_ms),
+                state_age_ms=round(self._follower.lag_ms()),
+            )
+            raise NotAcceptedError(verdict.reason, True, verdict.retry_after_ms)
+        await self._write(JOB_KEY + job.id, job.SerializeToString(), job.id, wait_ms)
+        log.info(
+            "job_accepted",
+            job=job.id,
+            queue=queue.name,
+            team=job.team,
+            tasks=[step.count for step in job.steps],
+            accelerators=[step.accelerators for step in job.steps],
+            took_ms=self._clock.wall_ms() - job.accepted_ms,
+        )
+        self._on_change()
+
+    async def _write(self, key: str, value: bytes, job_id: str, wait_ms: float) -> None:
+        try:
+            async with asyncio.timeout(max(0.0, wait_ms - ANSWER_MARGIN_MS) / 1000):
+                await self._writer.write([(key, value)])
+        except StoreRefusedError as error:
+            log.info("wish_not_stored", job=job_id, key=key[:1], error=str(error))
+            raise NotAcceptedError("the store is not available", False, STORE_RETRY_MS) from error
+        except TimeoutError as error:
+            log.warning("wish_outcome_unknown", job=job_id, key=key[:1])
+            raise OutcomeUnknownError("the store did not answer in time") from error
+
+    async def _find(self, job_id: str, wait_ms: float) -> Job:
+        """Return a job, after reading on where the state may be too old to know it."""
+        job = self._book.jobs_by_id.get(job_id)
+        if job is not None and self._follower.loaded.is_set():
+            return job
+        until_ms = self._clock.now_ms() + wait_ms - ANSWER_MARGIN_MS
+        while not self._follower.loaded.is_set() or self._follower.lag_ms() > STALE_MS:
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                raise StateUnknownError("the state of jobs cannot be read")
+            self._follower.changed.clear()
+            try:
+                await asyncio.wait_for(self._follower.changed.wait(), left_ms / 1000)
+            except TimeoutError:
+                continue
+        job = self._book.jobs_by_id.get(job_id)
+        if job is None:
+            raise NoSuchJobError(job_id)
+        return job
+
+    async def state(self, job_id: str, wait_ms: float) -> str:
+        """Return a job's state.
+
+        :raises NoSuchJobError: there is none.
+        :raises StateUnknownError: this instance cannot tell now.
+        """
+        return (await self._find(job_id, wait_ms)).state
+
+    async def cancel(self, job_id: str, wait_ms: float) -> None:
+        """Record that a job is to be cancelled.
+
+        :raises NoSuchJobError: there is none.
+        :raises NotAcceptedError: the wish was certainly not recorded.
+        """
+        job = await self._find(job_id, wait_ms)
+        if job.closed:
+            return
+        cancel = pb.Cancel(entry=self._name, at_ms=self._clock.wall_ms())
+        await self._write(CANCEL_KEY + job_id, cancel.SerializeToString(), job_id, wait_ms)
+        log.info("job_cancelled", job=job_id, was=job.state)
+        self._on_change()
+
+    def pending(self, queue: Queue) -> int:
+        """Return the accepted jobs of a queue that wait for their first task to start.
+
+        :raises StateUnknownError: this instance cannot tell now.
+        """
+        if not self._follower.loaded.is_set():
+            raise StateUnknownError("the state of jobs cannot be read")
+        return self._book.pending(queue.name)
--- /dev/null
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -0,0 +1,137 @@
+"""Following a keyed topic of the store."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from carawayroute.clock import Clock
+from carawayroute.fleet.exceptions import StoreError, StoreTrimmedError
+from carawayroute.fleet.ports import KeyedRecord, Store
+from carawayroute.retries import Backoff
+
+# A read waits this long for a record, so that a silent connection shows within a second or so.
+READ_WAIT_MS = 800
+FIRST_RETRY_MS = 30
+MAX_RETRY_MS = 300
+
+log = structlog.get_logger()
+
+
+class TopicFollower:
+    """Read a topic from its newest records on, and hand every record to a function.
+
+    :param apply: takes a record.
+    :param replaced: takes the keys that there are after the topic was read anew, so that those
+        that were dropped meanwhile can be forgotten.
+    :param pace_ms: least time between two reads, which bounds their number.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        topic: str,
+        apply: Callable[[KeyedRecord], None],
+        replaced: Callable[[set[str]], None] | None = None,
+        pace_ms: float = 0.0,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self.topic = topic
+        self._apply = apply
+        self._replaced = replaced
+        self._pace_ms = pace_ms
+        self.offset = 0
+        self.loaded = asyncio.Event()
+        self.changed = asyncio.Event()
+        self._fresh_ms: float | None = None
+        self.regained_ms = 0.0
+        self._hurry = asyncio.Event()
+
+    def lag_ms(self) -> float:
+        """Return the age of what is known: the time since the topic was read to its end."""
+        if self._fresh_ms is None:
+            return float("inf")
+        return self._clock.now_ms() - self._fresh_ms
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        backoff = Backoff(FIRST_RETRY_MS, MAX_RETRY_MS)
+        failing = False
+        while True:
+            sent_ms = self._clock.now_ms()
+            try:
+                if not self.loaded.is_set():
+                    await self._load()
+                else:
+                    await self._read(sent_ms)
+            except StoreTrimmedError as error:
+                log.info("topic_trimmed", topic=self.topic, first=error.first, at=self.offset)
+                self.loaded.clear()
+                continue
+            except StoreError as error:
+                if not failing:
+                    log.warning("store_read_failing", topic=self.topic, error=str(error))
+                failing = True
+                await self._clock.sleep_ms(backoff.next_ms())
+                continue
+            if failing:
+                log.info("store_read_regained", topic=self.topic, offset=self.offset)
+                self.regained_ms = self._clock.now_ms()
+                failing = False
+            backoff.reset()
+            await self._rest(sent_ms)
+
+    async def _rest(self, sent_ms: float) -> None:
+        left_ms = self._pace_ms - (self._clock.now_ms() - sent_ms)
+        if left_ms <= 0:
+            return
+        try:
+            await asyncio.wait_for(self._hurry.wait(), left_ms / 1000)
+        except TimeoutError:
+            return
+        self._hurry.clear()
+
+    def set_pace(self, pace_ms: float) -> None:
+        """Change the least time between two reads."""
+        self._pace_ms = pace_ms
+        self.hurry()
+
+    def hurry(self) -> None:
+        """Read now, without waiting for the pace."""
+        self._hurry.set()
+
+    def reload(self) -> None:
+        """Read the newest records anew."""
+        self.loaded.clear()
+        self.hurry()
+
+    async def read_to(self, end: int) -> None:
+        """Return once the topic has been read up to an offset."""
+        while self.offset < end or not self.loaded.is_set():
+            self.hurry()
+            self.changed.clear()
+            await self.changed.wait()
+
+    async def _load(self) -> None:
+        sent_ms = self._clock.now_ms()
+        found = await self._store.newest(self.topic)
+        for record in found.records:
+            self._apply(record)
+        if self._replaced is not None:
+            self._replaced({record.key for record in found.records})
+        self.offset = found.next_offset
+        self._fresh_ms = sent_ms
+        self.loaded.set()
+        self.changed.set()
+        log.info("topic_loaded", topic=self.topic, keys=len(found.records), offset=self.offset)
+
+    async def _read(self, sent_ms: float) -> None:
+        found = await self._store.read(self.topic, self.offset, READ_WAIT_MS)
+        for record in found.records:
+            self._apply(record)
+        self.offset = found.next_offset
+        if self.offset >= found.end:
+            self._fresh_ms = self._clock.now_ms() if found.records else sent_ms
+        self.changed.set()
--- /dev/null
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -0,0 +1,151 @@
+"""Which instance plans: the one whose record opened the newest term in the store."""
+
+import asyncio
+import random
+
+import structlog
+
+from carawayroute.clock import Clock
+from carawayroute.fleet.exceptions import StoreConflictError, StoreError
+from carawayroute.fleet.follower import TopicFollower
+from carawayroute.fleet.ports import KeyedRecord, Store
+from carawayroute_schema import records_pb2 as pb
+
+TOPIC = "keyed.lead"
+KEY = "leader"
+BEAT_MS = 400
+# A planner whose beats stop is replaced after this time; three beats and a slow answer.
+TERM_TIMEOUT_MS = 1_500
+# Spread of the candidates' attempts, so that one of them is first.
+STAGGER_MS = 300
+# What is known of the topic must be at most this old to judge the planner by it.
+FRESH_MS = 1_100
+CHECK_MS = 50
+
+log = structlog.get_logger()
+
+
+class Leadership:
+    """Hold the planner's term, or take it when its holder falls silent.
+
+    A term is opened by a record that is appended under the condition that no other record came
+    between; its offset plus one is the term, which rises with each holder and serves as a fencing
+    token. The holder appends a beat under the same condition.
+
+    :param holder: names this process; a new one after a restart.
+    :param handicap_ms: extra wait before this instance is a candidate.
+    """
+
+    def __init__(
+        self, store: Store, clock: Clock, holder: str, address: str, handicap_ms: float = 0.0
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._holder = holder
+        self._address = address
+        self._handicap_ms = handicap_ms
+        self.follower = TopicFollower(store, clock, TOPIC, self._apply)
+        self._newest: pb.Leader | None = None
+        self._newest_offset = -1
+        self._changed_ms = 0.0
+        self._stagger_ms = random.uniform(0, STAGGER_MS)
+        self.term = 0
+        self.candidate = True
+        self.changed = asyncio.Event()
+
+    @property
+    def leads(self) -> bool:
+        """Return whether this process holds the newest term that it knows of."""
+        return self.term > 0
+
+    def current(self) -> pb.Leader | None:
+        """Return the newest record."""
+        return self._newest
+
+    def current_term(self) -> int:
+        """Return the newest term."""
+        if self._newest is None:
+            return 0
+        return self._newest.term or self._newest_offset + 1
+
+    def _apply(self, record: KeyedRecord) -> None:
+        if record.offset <= self._newest_offset:
+            return
+        leader = pb.Leader.FromString(record.value)
+        self._newest = leader
+        self._newest_offset = record.offset
+        self._changed_ms = self._clock.now_ms()
+        self._stagger_ms = random.uniform(0, STAGGER_MS)
+        mine = leader.instance == self._holder and not leader.resigned
+        self._set_term(self.current_term() if mine else 0)
+
+    def _set_term(self, term: int) -> None:
+        if term == self.term:
+            return
+        was, self.term = self.term, term
+        newest = self._newest
+        log.info(
+            "term_gained" if term else "term_lost",
+            term=term or was,
+            holder=newest.instance if newest else "",
+            newest=self.current_term(),
+        )
+        self.changed.set()
+
+    def lost(self) -> None:
+        """Give the term up since the store or a runner knows a newer one."""
+        self._set_term(0)
+
+    def _vacant(self) -> bool:
+        """Return whether the term may be taken now."""
+        if not self.candidate or not self.follower.loaded.is_set():
+            return False
+        if self.follower.lag_ms() > FRESH_MS:
+            return False
+        now_ms = self._clock.now_ms()
+        since_ms = max(self._changed_ms, self.follower.regained_ms)
+        wait_ms = self._stagger_ms + self._handicap_ms
+        if self._newest is not None and not self._newest.resigned:
+            wait_ms += TERM_TIMEOUT_MS
+        return now_ms - since_ms > wait_ms
+
+    async def run(self) -> None:
+        """Beat while this process leads, and stand as a candidate otherwise."""
+        while True:
+            if self.leads:
+                await self._append(pb.Leader(instance=self._holder, term=self.term))
+                await self._clock.sleep_ms(BEAT_MS)
+            elif self._vacant():
+                log.info("term_claimed", silent_ms=round(self._clock.now_ms() - self._changed_ms))
+                await self._append(pb.Leader(instance=self._holder))
+                self._stagger_ms = random.uniform(0, STAGGER_MS)
+                await self._clock.sleep_ms(CHECK_MS)
+            else:
+                await self._clock.sleep_ms(CHECK_MS)
+
+    async def resign(self) -> None:
+        """Let another instance take the term at once."""
+        self.candidate = False
+        if self.leads:
+            record = pb.Leader(instance=self._holder, term=self.term, resigned=True)
+            await self._append(record)
+
+    async def _append(self, leader: pb.Leader) -> None:
+        leader.address = self._address
+        at = self._newest_offset + 1
+        try:
+            result = await self._store.append(TOPIC, [(KEY, leader.SerializeToString())], at=at)
+        except StoreConflictError as error:
+            # Another's record, or one of ours whose answer was lost; reading on tells.
+            await self._read_on(error.end)
+            return
+        except StoreError as error:
+            log.warning("beat_failed", term=self.term, error=str(error))
+            return
+        self._apply(KeyedRecord(result.offset, KEY, leader.SerializeToString()))
+
+    async def _read_on(self, end: int) -> None:
+        try:
+            await asyncio.wait_for(self.follower.read_to(end), TERM_TIMEOUT_MS / 1000)
+        except TimeoutError:
+            log.warning("beat_conflict_unread", end=end, offset=self.follower.offset)
--- /dev/null
+++ b/packages/library/carawayroute/fleet/links.py
@@ -0,0 +1,144 @@
+"""The planner's link to one runner: its lease, what it reports, and acknowledged ends."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from carawayroute.clock import Clock
+from carawayroute.fleet.exceptions import RunnerError, RunnerRefusedError
+from carawayroute.fleet.ports import RunnerOrders
+from carawayroute.fleet.types import Runner, RunnerReport
+
+# A look waits this long for an end, and the lease is extended with every look.
+LOOK_WAIT_MS = 1_000
+# While ends wait to be stored, looks that extend the lease come at this interval.
+UNSTORED_WAIT_MS = 300
+FAILED_LOOK_WAIT_MS = 150
+# Runners' clocks may be this much slow.
+CLOCK_SLOWNESS = 0.02
+LEASE_MARGIN_MS = 150
+# A runner without a good look for longer gets nothing new.
+SILENT_MS = 2_600
+
+log = structlog.get_logger()
+
+
+class RunnerLink:
+    """Look at a runner for as long as the planner holds its term.
+
+    :param lease_ms: length of the lease that each look asks for.
+    :param first_lapse_ms: when every lease of an earlier planner has lapsed for certain.
+    :param on_report: takes a report and the time when the look was sent.
+    :param on_fenced: called when the runner knows a newer term.
+    """
+
+    def __init__(
+        self,
+        runner: Runner,
+        term: int,
+        orders: RunnerOrders,
+        clock: Clock,
+        lease_ms: int,
+        first_lapse_ms: float,
+        on_report: Callable[["RunnerLink", RunnerReport, float], None],
+        on_fenced: Callable[["RunnerLink"], None],
+    ) -> None:
+        self.runner = runner
+        self._term = term
+        self._orders = orders
+        self._clock = clock
+        self._lease_ms = lease_ms
+        self._on_report = on_report
+        self._on_fenced = on_fenced
+        self.lapse_ms = first_lapse_ms
+        self.born_ms = 0
+        self.seen_ms: float | None = None
+        self.reachable = False
+        self.acknowledged = 0
+        self.handled = 0
+        self._clock_sample: tuple[int, float] | None = None
+        self.stored = asyncio.Event()
+        self.listed = True
+
+    @property
+    def usable(self) -> bool:
+        """Return whether the runner answers and may get work."""
+        if not self.reachable or self.seen_ms is None or not self.listed:
+            return False
+        return self._clock.now_ms() - self.seen_ms < SILENT_MS
+
+    @property
+    def unstored(self) -> bool:
+        """Return whether ends of the runner are not in the store yet."""
+        return self.handled > self.acknowledged
+
+    def lease_until_ms(self) -> int:
+        """Return the end of a lease from now on by the runner's clock, 0 while it is unknown."""
+        if self._clock_sample is None:
+            return 0
+        clock_ms, at_ms = self._clock_sample
+        until_ms = clock_ms + (self._clock.now_ms() - at_ms) + self._lease_ms
+        lapse_ms = at_ms + (until_ms - clock_ms) * (1 + 2 * CLOCK_SLOWNESS) + LEASE_MARGIN_MS
+        self.lapse_ms = max(self.lapse_ms, lapse_ms)
+        return int(until_ms)
+
+    def lapsed(self) -> bool:
+        """Return whether nothing that was started there can still run."""
+        return self._clock.now_ms() > self.lapse_ms
+
+    def take_clock(self, clock_ms: int) -> None:
+        """Remember what a runner's clock showed just now."""
+        self._clock_sample = (clock_ms, self._clock.now_ms())
+
+    def store_through(self, number: int) -> None:
+        """Acknowledge ends up to a number with the next look."""
+        if number > self.acknowledged:
+            self.acknowledged = number
+            self.stored.set()
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        while True:
+            await self._look()
+            if not self.reachable:
+                await self._clock.sleep_ms(FAILED_LOOK_WAIT_MS)
+            elif self.unstored:
+                self.stored.clear()
+                try:
+                    await asyncio.wait_for(self.stored.wait(), UNSTORED_WAIT_MS / 1000)
+                except TimeoutError:
+                    continue
+
+    async def _look(self) -> None:
+        wait_ms = LOOK_WAIT_MS if self.reachable and not self.unstored else 0
+        sent_ms = self._clock.now_ms()
+        born_ms = self.born_ms
+        try:
+            report = await self._orders.hold(
+                self.runner, self._term, self.acknowledged, self.lease_until_ms(), wait_ms
+            )
+        except RunnerRefusedError as error:
+            if error.reason == "fence":
+                self._on_fenced(self)
+            self._note_lost(error)
+            return
+        except RunnerError as error:
+            self._note_lost(error)
+            return
+        self.take_clock(report.clock_ms)
+        if not self.reachable:
+            log.info("runner_reached", runner=self.runner.id, clock_ms=report.clock_ms)
+        self.reachable = True
+        self.seen_ms = self._clock.now_ms()
+        if born_ms and report.born_ms != born_ms:
+            log.warning("runner_reborn", runner=self.runner.id, born_ms=report.born_ms)
+            self.acknowledged = 0
+            self.handled = 0
+        self.born_ms = report.born_ms
+        self._on_report(self, report, sent_ms)
+
+    def _note_lost(self, error: RunnerError) -> None:
+        if self.reachable:
+            log.warning("runner_lost", runner=self.runner.id, error=str(error))
+        self.reachable = False
--- /dev/null
+++ b/packages/library/carawayroute/fleet/packing.py
@@ -0,0 +1,125 @@
+"""Where tasks go: the tightest place that holds them, so that whole runners and racks stay free.
+
+Answers a mix of small and large tasks under a high load, in which gangs of whole runners starve
+once single accelerators are taken everywhere.
+"""
+
+from collections.abc import Iterable
+
+from carawayroute.fleet.book import Stage
+from carawayroute.fleet.types import Capacity, Runner
+
+# More tasks on one runner than any runner holds.
+UNBOUNDED = 1_000_000
+
+
+class Room:
+    """What is free on a runner that may get work.
+
+    :param speed: work done in a unit of time, 1.0 for a usual runner.
+    """
+
+    __slots__ = ("free", "runner", "speed")
+
+    def __init__(self, runner: Runner, free: Capacity, speed: float = 1.0) -> None:
+        self.runner = runner
+        self.free = free
+        self.speed = speed
+
+
+def suits(stage: Stage, runner: Runner) -> bool:
+    """Return whether a runner may run the tasks of a stage at all."""
+    if runner.service != stage.job.record.service or runner.draining:
+        return False
+    label = stage.step.label
+    return not label or label in runner.labels
+
+
+def racks(rooms: Iterable[Room]) -> dict[str, list[Room]]:
+    """Return rooms by rack."""
+    by_rack: dict[str, list[Room]] = {}
+    for room in rooms:
+        by_rack.setdefault(room.runner.rack, []).append(room)
+    return by_rack
+
+
+def _most(stage: Stage, runner: str) -> int:
+    """Return how many more tasks of a stage may go to a runner."""
+    bound = stage.step.most_per_runner
+    if not bound:
+        return UNBOUNDED
+    return max(0, bound - sum(1 for placed in stage.runners if placed == runner))
+
+
+def copies(stage: Stage, room: Room) -> int:
+    """Return how many tasks of a stage fit on a runner now."""
+    return room.free.copies_of(stage.need, _most(stage, room.runner.id))
+
+
+def fill(stage: Stage, rooms: list[Room], count: int) -> list[str]:
+    """Return runners for up to ``count`` tasks of a stage, the tightest places first."""
+    need = stage.need
+
+    def rank(room: Room) -> tuple[int, int, float, str]:
+        left = room.free.accelerators
+        each = max(1, need.accelerators)
+        return (left % each, left, -room.speed, room.runner.id)
+
+    places: list[str] = []
+    for room in sorted(rooms, key=rank):
+        fitting = min(copies(stage, room), count - len(places))
+        places.extend([room.runner.id] * fitting)
+        if len(places) == count:
+            break
+    return places
+
+
+def _domains(stage: Stage, rooms: list[Room]) -> list[list[Room]]:
+    """Return the groups of rooms in which a stage runs at full speed, best first."""
+    if stage.step.data_rack:
+        near = [room for room in rooms if room.runner.rack == stage.step.data_rack]
+        return [near] if near else []
+    if stage.step.same_rack and stage.step.count > 1:
+        return list(racks(rooms).values())
+    return [rooms]
+
+
+def choose(stage: Stage, rooms: list[Room], count: int, whole: bool) -> list[str] | None:
+    """Return runners for tasks of a stage where they run at full speed.
+
+    :param whole: all of them or none; otherwise as many as fit, at least one.
+    """
+    best: list[str] | None = None
+    best_rank: tuple[int, int] | None = None
+    for domain in _domains(stage, rooms):
+        places = fill(stage, domain, count)
+        if not places or (whole and len(places) < count):
+            continue
+        left = sum(room.free.accelerators for room in domain)
+        rank = (-len(places), left)
+        if best_rank is None or rank < best_rank:
+            best, best_rank = places, rank
+    return best
+
+
+def full_speed_possible(stage: Stage, rooms: list[Room], count: int) -> bool:
+    """Return whether the tasks would fit at full speed if the runners were empty."""
+    for domain in _domains(stage, rooms):
+        total = sum(
+            room.runner.capacity.copies_of(stage.need, _most(stage, room.runner.id))
+            for room in domain
+        )
+        if total >= count:
+            return True
+    return False
+
+
+def ever_fits(stage: Stage, rooms: list[Room], count: int) -> bool:
+    """Return whether the tasks would fit at all if the runners were empty."""
+    total = 0
+    for room in rooms:
+        most = stage.step.most_per_runner or UNBOUNDED
+        total += room.runner.capacity.copies_of(stage.need, most)
+        if total >= count:
+            return True
+    return False
--- /dev/null
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -0,0 +1,671 @@
+"""The planner: carries out placements on runners while its instance holds the term."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from carawayroute.clock import Clock
+from carawayroute.estimates import RunTimes
+from carawayroute.fleet.book import PROGRESS_KEY, Job, JobBook, Stage
+from carawayroute.fleet.exceptions import (
+    RunnerError,
+    RunnerRefusedError,
+    RunnerUnansweredError,
+    StoreFencedError,
+)
+from carawayroute.fleet.follower import TopicFollower
+from carawayroute.fleet.links import RunnerLink
+from carawayroute.fleet.packing import Room
+from carawayroute.fleet.ports import RunnerOrders, Store
+from carawayroute.fleet.scheduler import Pass, Placement, RunClock
+from carawayroute.fleet.trust import RunnerTrust
+from carawayroute.fleet.types import (
+    Configuration,
+    EndedTask,
+    Runner,
+    RunnerReport,
+    RunningTask,
+    TaskId,
+)
+from carawayroute.fleet.writer import LogWriter
+from carawayroute.misc import TaskGroup
+
+PRODUCER = "planner"
+# Time that the first looks may take before work is placed on those that answered.
+FIRST_LOOKS_MS = 400
+PASS_INTERVAL_MS = 250
+# Changes within this time are answered by one pass.
+PASS_DELAY_MS = 4
+# An order without an answer is repeated until this time has passed.
+START_GIVE_UP_MS = 1_800
+RETRY_MS = 40
+# Victims that do not end within this time lead to another placement.
+ROOM_TIMEOUT_MS = 1_500
+
+log = structlog.get_logger()
+
+RunKey = tuple[str, int]
+
+
+class Run:
+    """What the planner knows of one start of a task.
+
+    :param settled_ms: when an answer to its last order came; a look sent later tells the truth.
+    """
+
+    __slots__ = (
+        "checkpoint",
+        "checkpoint_ms",
+        "index",
+        "percent",
+        "progress_ms",
+        "run",
+        "runner",
+        "settled_ms",
+        "stage",
+        "started_ms",
+        "withdrawn",
+    )
+
+    def __init__(self, stage: Stage, index: int, run: int, runner: str) -> None:
+        self.stage = stage
+        self.index = index
+        self.run = run
+        self.runner = runner
+        self.settled_ms: float | None = None
+        self.started_ms: float | None = None
+        self.withdrawn = ""
+        self.checkpoint = ""
+        self.checkpoint_ms: float | None = None
+        self.percent = -1
+        self.progress_ms = 0.0
+
+
+class PlannerSettings:
+    """Figures of the deployment that the planner needs.
+
+    :param lease_ms: lease that runners are given.
+    :param most_lease_ms: longest lease that a runner grants to anybody.
+    :param stop_ms: time that a stop takes at most.
+    """
+
+    __slots__ = ("lease_ms", "most_lease_ms", "stop_ms")
+
+    def __init__(self, lease_ms: int, most_lease_ms: int, stop_ms: int) -> None:
+        self.lease_ms = lease_ms
+        self.most_lease_ms = most_lease_ms
+        self.stop_ms = stop_ms
+
+
+class Planner:
+    """Plan for the whole fleet during one term."""
+
+    def __init__(
+        self,
+        term: int,
+        settings: PlannerSettings,
+        clock: Clock,
+        store: Store,
+        orders: RunnerOrders,
+        book: JobBook,
+        jobs_follower: TopicFollower,
+        configuration: Callable[[], Configuration | None],
+        make_runners_follower: Callable[["Planner"], TopicFollower],
+        on_lost: Callable[[], None],
+    ) -> None:
+        self.term = term
+        self._settings = settings
+        self._clock = clock
+        self._orders = orders
+        self.book = book
+        self._jobs_follower = jobs_follower
+        self._configuration = configuration
+        self._on_lost = on_lost
+        self._tasks = TaskGroup()
+        self._writer = LogWriter(store, clock, jobs_follower.topic, PRODUCER, term, persistent=True)
+        self._runners_follower = make_runners_follower(self)
+        self.links_by_id: dict[str, RunnerLink] = {}
+        self._link_tasks: dict[str, asyncio.Task] = {}
+        self.runs_by_key: dict[RunKey, Run] = {}
+        self._lapse_by_departed: dict[str, float] = {}
+        self._changed = asyncio.Event()
+        self._reported = asyncio.Event()
+        self.run_times = RunTimes()
+        self.trust = RunnerTrust(clock)
+        self._taken_ms = clock.now_ms()
+        self._ready = False
+        self.placing = True
+
+    # ------------------------------------------------------------------ term
+
+    async def run(self) -> None:
+        """Take over from the planner before and plan until cancelled."""
+        self._tasks.start(self._writer.run(), "planner writer")
+        try:
+            await self._take_over()
+            while True:
+                await self._wait_change()
+                if self.placing:
+                    await self._pass()
+        except StoreFencedError:
+            log.warning("planner_fenced", term=self.term, by="store")
+            self._on_lost()
+        finally:
+            await self._tasks.cancel()
+
+    async def _take_over(self) -> None:
+        # From here on the planner before can put no start on record.
+        await self._writer.write([])
+        self._tasks.start(self._runners_follower.run(), "follow runners")
+        await self._read_book()
+        for job in self.book.open_by_id.values():
+            for stage in job.stages_by_key.values():
+                for index in stage.placed():
+                    self._adopt(stage, index)
+        await self._runners_follower.loaded.wait()
+        await self._first_looks()
+        self._ready = True
+        self._changed.set()
+        log.info(
+            "planner_ready",
+            term=self.term,
+            jobs=len(self.book.open_by_id),
+            adopted=len(self.runs_by_key),
+            runners=sum(link.reachable for link in self.links_by_id.values()),
+            listed=len(self.links_by_id),
+            took_ms=round(self._clock.now_ms() - self._taken_ms),
+        )
+
+    async def _read_book(self) -> None:
+        """Read what was on record when the term was fenced."""
+        await self._jobs_follower.loaded.wait()
+        while self._jobs_follower.lag_ms() > self._clock.now_ms() - self._taken_ms:
+            self._jobs_follower.changed.clear()
+            await self._jobs_follower.changed.wait()
+
+    async def _first_looks(self) -> None:
+        until_ms = self._clock.now_ms() + FIRST_LOOKS_MS
+        while any(not link.reachable for link in self.links_by_id.values()):
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return
+            self._reported.clear()
+            try:
+                await asyncio.wait_for(self._reported.wait(), left_ms / 1000)
+            except TimeoutError:
+                return
+
+    def _adopt(self, stage: Stage, index: int) -> None:
+        run = Run(stage, index, stage.runs[index], stage.runners[index])
+        run.settled_ms = self._taken_ms
+        run.checkpoint = stage.checkpoint(index)
+        self.runs_by_key[stage.task(index), run.run] = run
+
+    def _fenced(self, link: RunnerLink) -> None:
+        log.warning("planner_fenced", term=self.term, by=link.runner.id)
+        self._on_lost()
+
+    def _first_lapse_ms(self) -> float:
+        return self._taken_ms + self._settings.most_lease_ms * 1.04 + 500
+
+    # ------------------------------------------------------------------ runners
+
+    def set_runner(self, runner: Runner) -> None:
+        """Take over what the platform's list says of a runner."""
+        link = self.links_by_id.get(runner.id)
+        if link is not None and link.runner.address == runner.address:
+            was_draining = link.runner.draining
+            link.runner = runner
+            link.listed = True
+            if runner.draining and not was_draining:
+                log.info("runner_draining", runner=runner.id)
+            return
+        first_lapse_ms = self._first_lapse_ms()
+        if link is not None:
+            first_lapse_ms = max(first_lapse_ms, link.lapse_ms)
+            self._drop_link(runner.id)
+        departed_ms = self._lapse_by_departed.pop(runner.id, 0.0)
+        link = RunnerLink(
+            runner,
+            self.term,
+            self._orders,
+            self._clock,
+            self._settings.lease_ms,
+            max(first_lapse_ms, departed_ms),
+            self._take_report,
+            self._fenced,
+        )
+        self.links_by_id[runner.id] = link
+        self._link_tasks[runner.id] = self._tasks.start(link.run(), f"runner {runner.id}")
+        log.info("runner_listed", runner=runner.id, address=runner.address, rack=runner.rack)
+
+    def remove_runner(self, runner_id: str) -> None:
+        """Note that a runner is not listed any more; it may run on until its lease ends."""
+        link = self.links_by_id.get(runner_id)
+        if link is not None and link.listed:
+            log.info("runner_unlisted", runner=runner_id, reachable=link.reachable)
+            link.listed = False
+
+    def keep_runners(self, listed: set[str]) -> None:
+        """Drop the runners that a whole new list does not name."""
+        for runner_id in list(self.links_by_id):
+            if runner_id not in listed:
+                self.remove_runner(runner_id)
+
+    def _drop_link(self, runner_id: str) -> None:
+        task = self._link_tasks.pop(runner_id, None)
+        if task is not None:
+            task.cancel()
+        link = self.links_by_id.pop(runner_id, None)
+        if link is not None:
+            self._lapse_by_departed[runner_id] = link.lapse_ms
+
+    def _certainly_ended(self, run: Run) -> bool:
+        """Return whether a run's runner can run nothing of it any more by its lease."""
+        link = self.links_by_id.get(run.runner)
+        if link is None:
+            lapse_ms = self._lapse_by_departed.get(run.runner, self._first_lapse_ms())
+            return self._clock.now_ms() > lapse_ms
+        return not link.reachable and link.lapsed()
+
+    # ------------------------------------------------------------------ reports
+
+    def _take_report(self, link: RunnerLink, report: RunnerReport, sent_ms: float) -> None:
+        """Compare a report with what is believed, and act on every difference."""
+        self._reported.set()
+        for ended in report.ended:
+            if ended.number > link.handled:
+                self._take_end(link, ended)
+        last = max((ended.number for ended in report.ended), default=0)
+        if last > link.handled:
+            link.handled = last
+            self._tasks.start(self._store_ends(link, last, report), f"ends of {link.runner.id}")
+        listed = {(item.task, item.run) for item in report.running}
+        listed.update((ended.task, ended.run) for ended in report.ended)
+        for item in report.running:
+            self._take_running(link, item)
+        for key, run in list(self.runs_by_key.items()):
+            if run.runner != link.runner.id or key in listed:
+                continue
+            if run.settled_ms is not None and run.settled_ms < sent_ms:
+                log.warning("run_vanished", task=key[0], run=key[1], runner=run.runner)
+                self._end_run(key, run, "lapsed", run.checkpoint)
+
+    async def _store_ends(self, link: RunnerLink, last: int, report: RunnerReport) -> None:
+        jobs = {}
+        for ended in report.ended:
+            job = self.book.jobs_by_id.get(ended.task.split(".", 1)[0])
+            if job is not None:
+                jobs[job.id] = job
+        if jobs:
+            await self._persist(list(jobs.values()))
+        if self.links_by_id.get(link.runner.id) is link and link.born_ms == report.born_ms:
+            link.store_through(last)
+
+    def _take_running(self, link: RunnerLink, item: RunningTask) -> None:
+        run = self.runs_by_key.get((item.task, item.run))
+        if run is None or run.runner != link.runner.id:
+            log.warning("stray_run", task=item.task, run=item.run, runner=link.runner.id)
+            self._tasks.start(self._stop_stray(link, item), f"stop {item.task}")
+            return
+        now_ms = self._clock.now_ms()
+        if run.started_ms is None:
+            run.started_ms = now_ms
+            self._changed.set()
+        if item.checkpoint and item.checkpoint != run.checkpoint:
+            run.checkpoint = item.checkpoint
+            run.checkpoint_ms = now_ms
+        if item.percent != run.percent:
+            run.percent = item.percent
+            run.progress_ms = now_ms
+
+    async def _stop_stray(self, link: RunnerLink, item: RunningTask) -> None:
+        try:
+            await self._orders.stop(link.runner, self.term, item.task, item.run)
+        except RunnerError as error:
+            log.warning("stray_stop_failed", task=item.task, run=item.run, error=str(error))
+
+    def _take_end(self, link: RunnerLink, ended: EndedTask) -> None:
+        key = (ended.task, ended.run)
+        run = self.runs_by_key.get(key)
+        if run is None or run.runner != link.runner.id:
+            self._take_foreign_end(link, ended)
+            return
+        self._end_run(key, run, ended.outcome, ended.checkpoint)
+
+    def _take_foreign_end(self, link: RunnerLink, ended: EndedTask) -> None:
+        """Count the end of a run that is not on record as running: a done one must not be lost."""
+        log.info(
+            "end_unmatched",
+            task=ended.task,
+            run=ended.run,
+            runner=link.runner.id,
+            outcome=ended.outcome,
+        )
+        try:
+            task = TaskId.parse(ended.task)
+        except ValueError:
+            return
+        job = self.book.jobs_by_id.get(task.job_id)
+        if ended.outcome != "done" or job is None or task.step >= len(job.record.steps):
+            return
+        stage = job.stage(task.occurrence, task.step)
+        if not stage.finished and task.index < stage.step.count:
+            self._finish_task(stage, task.index)
+            self.book.settle(job, self._clock.now_ms())
+
+    def _finish_task(self, stage: Stage, index: int) -> None:
+        """Count a task as done and withdraw whatever else runs of it."""
+        if stage.step.long_running:
+            return
+        stage.end_done(index)
+        members = range(stage.step.count) if stage.step.gang else (index,)
+        for member in members:
+            run = self.runs_by_key.get((stage.task(member), stage.runs[member]))
+            if run is not None and not run.withdrawn:
+                self._withdraw(run, "done elsewhere")
+
+    def _end_run(self, key: RunKey, run: Run, outcome: str, checkpoint: str) -> None:
+        """Take over the end of a run and free its room."""
+        stage, index = run.stage, run.index
+        job = stage.job
+        now_ms = self._clock.now_ms()
+        del self.runs_by_key[key]
+        stage.runners[index] = ""
+        stage.keep_checkpoint(index, checkpoint or run.checkpoint)
+        failures = 0
+        if outcome == "done" and not stage.step.long_running:
+            self._note_done(stage, index, run)
+        elif outcome == "failed" and not stage.step.long_running and not stage.done[index]:
+            failures = stage.end_failed(index)
+            if failures >= max(1, job.record.max_attempts):
+                job.failed = True
+                job.reason = f"task {key[0]} failed {failures} times"
+        log.info(
+            "task_ended",
+            job=job.id,
+            task=key[0],
+            run=key[1],
+            runner=run.runner,
+            outcome=outcome,
+            failures=failures,
+            withdrawn=run.withdrawn,
+            ran_ms=round(now_ms - run.started_ms) if run.started_ms else -1,
+        )
+        self.trust.note_end(run.runner, job.id, outcome, bool(run.withdrawn))
+        if stage.step.gang and outcome != "done":
+            self._withdraw_gang(stage, run.run, "member ended")
+        if job.closed:
+            self._withdraw_job(job)
+        self.book.settle(job, now_ms)
+        if outcome not in ("done", "failed", "stopped"):
+            # Room and checkpoints are on record before the task is placed again.
+            self._tasks.start(self._persist([job]), f"persist {job.id}")
+        self._changed.set()
+
+    def _note_done(self, stage: Stage, index: int, run: Run) -> None:
+        stage.end_done(index)
+        if run.started_ms is not None and not stage.checkpoint(index):
+            ran_ms = self._clock.now_ms() - run.started_ms
+            declared_ms = max(1, stage.step.estimate_ms)
+            self.run_times.observe(stage.job.record.queue, ran_ms / declared_ms)
+
+    # ------------------------------------------------------------------ withdrawing
+
+    def _withdraw_gang(self, stage: Stage, number: int, reason: str) -> None:
+        for index in stage.placed():
+            run = self.runs_by_key.get((stage.task(index), number))
+            if run is not None and not run.withdrawn:
+                self._withdraw(run, reason)
+
+    def _withdraw_job(self, job: Job) -> None:
+        for stage in job.stages_by_key.values():
+            for index in stage.placed():
+                run = self.runs_by_key.get((stage.task(index), stage.runs[index]))
+                if run is not None and not run.withdrawn:
+                    self._withdraw(run, job.state)
+
+    def _withdraw(self, run: Run, reason: str) -> None:
+        """Stop a run, or see to it that it never starts."""
+        run.withdrawn = reason
+        run.settled_ms = None
+        task = run.stage.task(run.index)
+        log.info("run_withdrawn", task=task, run=run.run, runner=run.runner, reason=reason)
+        self._tasks.start(self._stop_until_ended(run), f"withdraw {task}")
+
+    async def _stop_until_ended(self, run: Run) -> None:
+        key = (run.stage.task(run.index), run.run)
+        while self.runs_by_key.get(key) is run:
+            link = self.links_by_id.get(run.runner)
+            if self._certainly_ended(run):
+                self._end_run(key, run, "lapsed", run.checkpoint)
+                return
+            if link is None:
+                await self._clock.sleep_ms(PASS_INTERVAL_MS)
+                continue
+            try:
+                await self._orders.stop(link.runner, self.term, *key)
+            except RunnerRefusedError as error:
+                if error.reason == "fence":
+                    self._fenced(link)
+                    return
+            except RunnerError as error:
+                log.info("stop_unanswered", task=key[0], runner=run.runner, error=str(error))
+                await self._clock.sleep_ms(RETRY_MS)
+                continue
+            run.settled_ms = self._clock.now_ms()
+            await self._clock.sleep_ms(self._settings.stop_ms + 2 * PASS_INTERVAL_MS)
+
+    # ------------------------------------------------------------------ placing
+
+    def changed(self) -> None:
+        """Note that a pass may find something to do."""
+        self._changed.set()
+
+    async def _wait_change(self) -> None:
+        try:
+            await asyncio.wait_for(self._changed.wait(), PASS_INTERVAL_MS / 1000)
+            await self._clock.sleep_ms(PASS_DELAY_MS)
+        except TimeoutError:
+            pass
+        self._changed.clear()
+
+    def _rooms(self) -> list[Room]:
+        """Return the runners that may get work, with what is free on them."""
+        free_by_id = {
+            link.runner.id: link.runner.capacity.copy()
+            for link in self.links_by_id.values()
+            if link.usable and not link.runner.draining
+        }
+        for run in self.runs_by_key.values():
+            free = free_by_id.get(run.runner)
+            if free is not None:
+                free.take(run.stage.need)
+        return [
+            Room(self.links_by_id[name].runner, free, self.trust.speed(name))
+            for name, free in free_by_id.items()
+            if self.trust.is_trusted(name)
+        ]
+
+    def _estimate_ms(self, stage: Stage) -> float:
+        ratio = self.run_times.expect_ms(stage.job.record.queue, 1.0)
+        return stage.step.estimate_ms * ratio
+
+    def _run_clock(self, stage: Stage, index: int) -> RunClock:
+        run = self.runs_by_key.get((stage.task(index), stage.runs[index]))
+        if run is None or run.withdrawn:
+            return RunClock(0.0, False)
+        link = self.links_by_id.get(run.runner)
+        if link is None or not link.usable:
+            return RunClock(0.0, False)
+        now_ms = self._clock.now_ms()
+        since_ms = run.started_ms if run.started_ms is not None else now_ms
+        if stage.step.checkpoints and run.checkpoint_ms is not None:
+            since_ms = run.checkpoint_ms
+        return RunClock(now_ms - since_ms, True)
+
+    def _hold_back(self, stage: Stage) -> bool:
+        """Return whether runs of a stage are still being withdrawn."""
+        if not stage.step.gang:
+            return False
+        return any(stage.runners)
+
+    async def _pass(self) -> None:
+        configuration = self._configuration()
+        if configuration is None or not self._ready:
+            return
+        self._end_cancelled()
+        self._end_lapsed()
+        placements = Pass(
+            self.book,
+            configuration,
+            self._rooms(),
+            self._clock.wall_ms(),
+            self._estimate_ms,
+            self._run_clock,
+            self._hold_back,
+        ).run()
+        if placements:
+            self._launch(placements)
+
+    def _end_cancelled(self) -> None:
+        for job in list(self.book.open_by_id.values()):
+            if job.closed:
+                self._withdraw_job(job)
+
+    def _end_lapsed(self) -> None:
+        """End the runs of runners that have been out of reach for longer than any lease."""
+        for key, run in list(self.runs_by_key.items()):
+            if self._certainly_ended(run):
+                self._end_run(key, run, "lapsed", run.checkpoint)
+        for runner_id, link in list(self.links_by_id.items()):
+            if not link.listed and not link.reachable and link.lapsed():
+                self._drop_link(runner_id)
+
+    def _launch(self, placements: list[Placement]) -> None:
+        """Put placements on record, clear their room and start them."""
+        for placement in placements:
+            stage = placement.stage
+            number = stage.next_run()
+            runs = []
+            for index, place in zip(placement.indices, placement.places, strict=True):
+                if not stage.step.gang:
+                    number = stage.runs[index] + 1
+                stage.runs[index] = number
+                stage.runners[index] = place
+                run = Run(stage, index, number, place)
+                self.runs_by_key[stage.task(index), number] = run
+                runs.append(run)
+            log.info(
+                "placed",
+                job=stage.job.id,
+                occurrence=stage.occurrence,
+                step=stage.number,
+                run=number,
+                tasks=len(runs),
+                runners=",".join(placement.places),
+                guaranteed=placement.guaranteed,
+                victims=",".join(victim.stage.job.id for victim in placement.victims),
+            )
+            self._tasks.start(self._start(placement, runs), f"start {stage.job.id}")
+
+    async def _persist(self, jobs: list[Job]) -> None:
+        """Put the state of jobs on record."""
+        records = [
+            (PROGRESS_KEY + job.id, job.to_progress(self.term).SerializeToString()) for job in jobs
+        ]
+        try:
+            await self._writer.write(records)
+        except StoreFencedError:
+            log.warning("planner_fenced", term=self.term, by="store")
+            self._on_lost()
+            raise asyncio.CancelledError from None
+
+    async def _start(self, placement: Placement, runs: list[Run]) -> None:
+        for victim in placement.victims:
+            for index in victim.indices:
+                stage = victim.stage
+                run = self.runs_by_key.get((stage.task(index), stage.runs[index]))
+                if run is not None and not run.withdrawn:
+                    self._withdraw(run, f"preempted by {placement.stage.job.id}")
+        await self._persist([placement.stage.job])
+        if placement.victims and not await self._wait_room(placement):
+            log.warning("room_not_cleared", job=placement.stage.job.id)
+            for run in runs:
+                if not run.withdrawn:
+                    self._withdraw(run, "room not cleared")
+            return
+        await asyncio.gather(*(self._start_task(run) for run in runs))
+
+    async def _wait_room(self, placement: Placement) -> bool:
+        """Return whether the victims made room in time."""
+        until_ms = self._clock.now_ms() + ROOM_TIMEOUT_MS
+        waiting = {
+            (victim.stage.task(index), victim.stage.runs[index])
+            for victim in placement.victims
+            for index in victim.indices
+        }
+        while self._clock.now_ms() < until_ms:
+            if not any(key in self.runs_by_key for key in waiting):
+                return True
+            self._reported.clear()
+            try:
+                await asyncio.wait_for(self._reported.wait(), 0.1)
+            except TimeoutError:
+                continue
+        return False
+
+    async def _start_task(self, run: Run) -> None:
+        """Order a start until its outcome is certain, or withdraw it."""
+        stage = run.stage
+        task = stage.task(run.index)
+        give_up_ms = self._clock.now_ms() + START_GIVE_UP_MS
+        while not run.withdrawn and self.runs_by_key.get((task, run.run)) is run:
+            link = self.links_by_id.get(run.runner)
+            if link is None or self._clock.now_ms() > give_up_ms:
+                self._fail_start(run, "no answer")
+                return
+            try:
+                clock_ms = await self._orders.start(
+                    link.runner,
+                    self.term,
+                    task,
+                    run.run,
+                    stage.job.record.spec,
+                    stage.checkpoint(run.index),
+                    link.lease_until_ms(),
+                )
+            except RunnerUnansweredError as error:
+                log.info("start_unanswered", task=task, runner=run.runner, error=str(error))
+                await self._clock.sleep_ms(RETRY_MS)
+                continue
+            except RunnerRefusedError as error:
+                if error.reason == "late":
+                    continue
+                if error.reason == "fence":
+                    self._fenced(link)
+                    return
+                self.trust.note_refusal(run.runner, error.reason)
+                self._fail_start(run, error.reason)
+                return
+            link.take_clock(clock_ms)
+            run.settled_ms = self._clock.now_ms()
+            run.started_ms = run.settled_ms
+            return
+
+    def _fail_start(self, run: Run, reason: str) -> None:
+        """Take a start back, and the rest of its gang with it."""
+        log.info(
+            "start_failed",
+            task=run.stage.task(run.index),
+            run=run.run,
+            runner=run.runner,
+            reason=reason,
+        )
+        if run.withdrawn:
+            return
+        if run.stage.step.gang:
+            self._withdraw_gang(run.stage, run.run, f"start failed: {reason}")
+        else:
+            self._withdraw(run, f"start failed: {reason}")
--- /dev/null
+++ b/packages/library/carawayroute/fleet/trust.py
@@ -0,0 +1,56 @@
+"""Which runners get work: those that fail or refuse what they are given are avoided for a while.
+
+Answers runners that fail all that they start while their health answers are good, told apart from
+work that fails wherever it runs.
+"""
+
+from carawayroute.clock import Clock
+
+# Failures of different jobs in a row after which a runner is avoided.
+FAILURES_TO_AVOID = 2
+FIRST_AVOID_MS = 3_000
+MOST_AVOID_MS = 20_000
+REFUSAL_AVOID_MS = 1_000
+
+
+class _Record:
+    __slots__ = ("avoid_ms", "failed_jobs", "until_ms")
+
+    def __init__(self) -> None:
+        self.failed_jobs: set[str] = set()
+        self.avoid_ms = FIRST_AVOID_MS
+        self.until_ms = 0.0
+
+
+class RunnerTrust:
+    """Judge runners by what became of the tasks on them."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._by_runner: dict[str, _Record] = {}
+
+    def note_end(self, runner: str, job_id: str, outcome: str, withdrawn: bool) -> None:
+        """Count how a run ended."""
+        if outcome == "done":
+            self._by_runner.pop(runner, None)
+        elif outcome == "failed" and not withdrawn:
+            record = self._by_runner.setdefault(runner, _Record())
+            record.failed_jobs.add(job_id)
+            if len(record.failed_jobs) >= FAILURES_TO_AVOID:
+                record.until_ms = self._clock.now_ms() + record.avoid_ms
+                record.avoid_ms = min(MOST_AVOID_MS, record.avoid_ms * 2)
+
+    def note_refusal(self, runner: str, reason: str) -> None:
+        """Count a start that the runner refused."""
+        if reason in ("unhealthy", "room"):
+            record = self._by_runner.setdefault(runner, _Record())
+            record.until_ms = max(record.until_ms, self._clock.now_ms() + REFUSAL_AVOID_MS)
+
+    def is_trusted(self, runner: str) -> bool:
+        """Return whether a runner may get work now."""
+        record = self._by_runner.get(runner)
+        return record is None or record.until_ms <= self._clock.now_ms()
+
+    def speed(self, runner: str) -> float:
+        """Return the work that a runner does in a unit of time, 1.0 for a usual one."""
+        return 1.0
--- /dev/null
+++ b/packages/library/carawayroute/fleet/types.py
@@ -0,0 +1,268 @@
+"""Plain data of the fleet: configuration, runners and what they report."""
+
+
+class Queue:
+    """A queue of jobs.
+
+    :param deadline_factor: an answer counts in full within this many times the longest chain of
+        work, and ``target_ms`` more.
+    :param needs_advice: only runners that the advice service names may run its steps.
+    """
+
+    __slots__ = (
+        "deadline_factor",
+        "host",
+        "max_attempts",
+        "name",
+        "needs_advice",
+        "prefix",
+        "priority",
+        "public",
+        "service",
+        "target_ms",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        prefix: str,
+        service: str,
+        priority: int = 0,
+        max_attempts: int = 1,
+        deadline_factor: float = 1.0,
+        target_ms: int = 0,
+        public: bool = False,
+        needs_advice: bool = False,
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.service = service
+        self.priority = priority
+        self.max_attempts = max_attempts
+        self.deadline_factor = deadline_factor
+        self.target_ms = target_ms
+        self.public = public
+        self.needs_advice = needs_advice
+
+
+class Team:
+    """A team, its keys and the accelerators that are its own at any time."""
+
+    __slots__ = ("guaranteed_accelerators", "keys", "name")
+
+    def __init__(self, name: str, keys: list[str], guaranteed_accelerators: int = 0) -> None:
+        self.name = name
+        self.keys = keys
+        self.guaranteed_accelerators = guaranteed_accelerators
+
+
+class CallerLimits:
+    """Bounds on what callers send."""
+
+    __slots__ = ("body_bytes", "header_bytes", "header_timeout_ms", "idle_timeout_ms")
+
+    def __init__(
+        self,
+        header_bytes: int = 16_384,
+        body_bytes: int = 262_144,
+        header_timeout_ms: int = 3_000,
+        idle_timeout_ms: int = 15_000,
+    ) -> None:
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_timeout_ms = header_timeout_ms
+        self.idle_timeout_ms = idle_timeout_ms
+
+
+class Configuration:
+    """One version of the operators' configuration."""
+
+    __slots__ = (
+        "guarding_services",
+        "limits",
+        "queues_by_host",
+        "queues_by_name",
+        "standby_services",
+        "teams_by_key",
+        "teams_by_name",
+        "version",
+    )
+
+    def __init__(
+        self,
+        version: int,
+        queues: list[Queue],
+        teams: list[Team],
+        limits: CallerLimits,
+        guarding_services: frozenset[str] = frozenset(),
+        standby_services: frozenset[str] = frozenset(),
+    ) -> None:
+        self.version = version
+        self.limits = limits
+        self.guarding_services = guarding_services
+        self.standby_services = standby_services
+        self.queues_by_name = {queue.name: queue for queue in queues}
+        self.queues_by_host: dict[str, list[Queue]] = {}
+        for queue in queues:
+            self.queues_by_host.setdefault(queue.host, []).append(queue)
+        for found in self.queues_by_host.values():
+            found.sort(key=lambda queue: len(queue.prefix), reverse=True)
+        self.teams_by_name = {team.name: team for team in teams}
+        self.teams_by_key = {key: team for team in teams for key in team.keys}
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of a path."""
+        for queue in self.queues_by_host.get(host, ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
+
+
+class Capacity:
+    """Room on a runner, or what a task takes of it."""
+
+    __slots__ = ("accelerators", "cpu_millis", "memory_mb")
+
+    def __init__(self, cpu_millis: int, memory_mb: int, accelerators: int) -> None:
+        self.cpu_millis = cpu_millis
+        self.memory_mb = memory_mb
+        self.accelerators = accelerators
+
+    def copies_of(self, need: "Capacity", most: int) -> int:
+        """Return how many times a need fits, up to a bound."""
+        count = most
+        if need.cpu_millis > 0:
+            count = min(count, self.cpu_millis // need.cpu_millis)
+        if need.memory_mb > 0:
+            count = min(count, self.memory_mb // need.memory_mb)
+        if need.accelerators > 0:
+            count = min(count, self.accelerators // need.accelerators)
+        return max(0, count)
+
+    def take(self, need: "Capacity", count: int = 1) -> None:
+        """Subtract a need."""
+        self.cpu_millis -= need.cpu_millis * count
+        self.memory_mb -= need.memory_mb * count
+        self.accelerators -= need.accelerators * count
+
+    def overdrawn(self) -> bool:
+        """Return whether more was taken than there was."""
+        return self.cpu_millis < 0 or self.memory_mb < 0 or self.accelerators < 0
+
+    def copy(self) -> "Capacity":
+        """Return a capacity that can be changed by itself."""
+        return Capacity(self.cpu_millis, self.memory_mb, self.accelerators)
+
+
+class Runner:
+    """A runner as the platform lists it.
+
+    :param id: names the runner; it may be started again under the same id.
+    :param born_ms: wall clock of its start, 0 where it does not say.
+    """
+
+    __slots__ = (
+        "address",
+        "born_ms",
+        "capacity",
+        "data_centre",
+        "draining",
+        "id",
+        "labels",
+        "rack",
+        "service",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        service: str,
+        address: str,
+        data_centre: str,
+        capacity: Capacity,
+        labels: frozenset[str] = frozenset(),
+        rack: str = "",
+        draining: bool = False,
+        born_ms: int = 0,
+    ) -> None:
+        self.id = id
+        self.service = service
+        self.address = address
+        self.data_centre = data_centre
+        self.capacity = capacity
+        self.labels = labels
+        self.rack = rack
+        self.draining = draining
+        self.born_ms = born_ms
+
+
+class TaskId:
+    """Names a task: job, occurrence, step and index."""
+
+    __slots__ = ("index", "job_id", "occurrence", "step")
+
+    def __init__(self, job_id: str, occurrence: int, step: int, index: int) -> None:
+        self.job_id = job_id
+        self.occurrence = occurrence
+        self.step = step
+        self.index = index
+
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
+
+    @staticmethod
+    def parse(text: str) -> "TaskId":
+        """Return the id in a task's name.
+
+        :raises ValueError: the text names no task.
+        """
+        job_id, occurrence, step, index = text.split(".")
+        return TaskId(job_id, int(occurrence), int(step), int(index))
+
+
+class RunningTask:
+    """A run that a runner lists."""
+
+    __slots__ = ("checkpoint", "percent", "run", "task")
+
+    def __init__(self, task: str, run: int, checkpoint: str, percent: int) -> None:
+        self.task = task
+        self.run = run
+        self.checkpoint = checkpoint
+        self.percent = percent
+
+
+class EndedTask:
+    """An end that a runner lists until it is acknowledged.
+
+    :param outcome: ``done``, ``failed``, ``stopped``, ``lapsed``, ``broken`` or ``alone``.
+    """
+
+    __slots__ = ("checkpoint", "number", "outcome", "run", "task")
+
+    def __init__(self, number: int, task: str, run: int, outcome: str, checkpoint: str) -> None:
+        self.number = number
+        self.task = task
+        self.run = run
+        self.outcome = outcome
+        self.checkpoint = checkpoint
+
+
+class RunnerReport:
+    """A runner's answer to a look.
+
+    :param clock_ms: the runner's own clock.
+    :param born_ms: wall clock of its start, 0 where it does not say.
+    """
+
+    __slots__ = ("born_ms", "clock_ms", "ended", "running")
+
+    def __init__(
+        self, clock_ms: int, born_ms: int, running: list[RunningTask], ended: list[EndedTask]
+    ) -> None:
+        self.clock_ms = clock_ms
+        self.born_ms = born_ms
+        self.running = running
+        self.ended = ended
--- /dev/null
+++ b/packages/library/carawayroute/fleet/writer.py
@@ -0,0 +1,185 @@
+"""Appending records in batches, each batch exactly once although answers get lost."""
+
+import asyncio
+
+import structlog
+
+from carawayroute.clock import Clock
+from carawayroute.fleet.exceptions import (
+    StoreError,
+    StoreFencedError,
+    StoreRefusedError,
+    StoreSequenceError,
+)
+from carawayroute.fleet.ports import Store
+from carawayroute.retries import Backoff
+
+# A store silent for longer gets no new records; some hundred times its usual answer.
+SILENCE_MS = 700
+FIRST_RETRY_MS = 20
+MAX_RETRY_MS = 400
+# Bound on the bytes of one batch; the platform takes 2 MB in a call.
+MAX_BATCH_BYTES = 1_000_000
+
+log = structlog.get_logger()
+
+
+class _Write:
+    __slots__ = ("done", "records", "size")
+
+    def __init__(self, records: list[tuple[str, bytes]], done: asyncio.Future) -> None:
+        self.records = records
+        self.done = done
+        self.size = sum(len(key) + len(value) for key, value in records)
+
+
+class LogWriter:
+    """Append records to a topic, one batch at a time, under a producer's name and epoch.
+
+    The store numbers a producer's batches, so that a batch that is sent again counts once.
+
+    :param persistent: keep trying what the store refuses, instead of telling the caller.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        topic: str,
+        producer: str,
+        epoch: int = 1,
+        persistent: bool = False,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._topic = topic
+        self._producer = producer
+        self._epoch = epoch
+        self._persistent = persistent
+        self._sequence = 0
+        self._waiting: list[_Write] = []
+        self._wake = asyncio.Event()
+        self._failing_since_ms: float | None = None
+        self.fenced = False
+
+    @property
+    def silent_ms(self) -> float:
+        """Return for how long the store has not answered an append."""
+        if self._failing_since_ms is None:
+            return 0.0
+        return self._clock.now_ms() - self._failing_since_ms
+
+    async def write(self, records: list[tuple[str, bytes]]) -> None:
+        """Append records and return once the store has them.
+
+        :raises StoreRefusedError: they are certainly not in the store and never will be.
+        :raises StoreFencedError: another producer has taken over.
+        """
+        if self.fenced:
+            raise StoreFencedError("a producer with a higher epoch has written")
+        if not self._persistent and self.silent_ms > SILENCE_MS:
+            raise StoreRefusedError("the store does not answer")
+        item = _Write(records, asyncio.get_running_loop().create_future())
+        self._waiting.append(item)
+        self._wake.set()
+        # The batch goes on when one of its callers leaves.
+        await asyncio.shield(item.done)
+
+    async def run(self) -> None:
+        """Append what is waiting until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._waiting:
+                await self._append(self._next_batch())
+
+    def _next_batch(self) -> list[_Write]:
+        batch: list[_Write] = []
+        size = 0
+        while self._waiting and (not batch or size + self._waiting[0].size < MAX_BATCH_BYTES):
+            item = self._waiting.pop(0)
+            size += item.size
+            batch.append(item)
+        return batch
+
+    async def _append(self, batch: list[_Write]) -> None:
+        """Append one batch, repeating it until its outcome is certain."""
+        records = [record for item in batch for record in item.records]
+        backoff = Backoff(FIRST_RETRY_MS, MAX_RETRY_MS)
+        uncertain = False
+        while True:
+            error = await self._try(records, uncertain)
+            if error is None:
+                self._answered()
+                self._sequence += 1
+                _resolve(batch, None)
+                return
+            if isinstance(error, StoreFencedError):
+                self.fenced = True
+                _resolve([*batch, *self._waiting], error)
+                self._waiting.clear()
+                return
+            if isinstance(error, StoreRefusedError):
+                self._note_failure(error)
+                if not uncertain and not self._persistent:
+                    _resolve(batch, error)
+                    return
+            elif not isinstance(error, StoreSequenceError):
+                uncertain = True
+                self._note_failure(error)
+            self._refuse_unsent()
+            await self._clock.sleep_ms(backoff.next_ms())
+
+    async def _try(self, records: list[tuple[str, bytes]], uncertain: bool) -> StoreError | None:
+        """Send a batch once and return what went wrong."""
+        try:
+            await self._store.append(
+                self._topic,
+                records,
+                producer=self._producer,
+                epoch=self._epoch,
+                sequence=self._sequence,
+            )
+        except StoreSequenceError as error:
+            if uncertain and error.expected == self._sequence + 1:
+                return None
+            log.warning(
+                "append_number_differs",
+                topic=self._topic,
+                sent=self._sequence,
+                expected=error.expected,
+            )
+            self._sequence = error.expected
+            return error
+        except StoreError as error:
+            return error
+        return None
+
+    def _refuse_unsent(self) -> None:
+        """Tell the callers whose records were never sent that the store does not answer."""
+        if self._persistent or self.silent_ms <= SILENCE_MS:
+            return
+        _resolve(self._waiting, StoreRefusedError("the store does not answer"))
+        self._waiting.clear()
+
+    def _note_failure(self, error: StoreError) -> None:
+        if self._failing_since_ms is None:
+            self._failing_since_ms = self._clock.now_ms()
+            log.warning("store_append_failing", topic=self._topic, error=str(error))
+
+    def _answered(self) -> None:
+        if self._failing_since_ms is not None:
+            log.info("store_append_regained", topic=self._topic, after_ms=round(self.silent_ms))
+            self._failing_since_ms = None
+
+
+def _resolve(batch: list[_Write], error: StoreError | None) -> None:
+    for item in batch:
+        if item.done.done():
+            continue
+        if error is None:
+            item.done.set_result(None)
+        else:
+            item.done.set_exception(error)
+            # The caller may have left; the error was logged by the writer.
+            item.done.exception()
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -18,16 +18,17 @@
 
 
 def generate_messages() -> None:
-    """Run the protobuf compiler over schema/carawayroute.proto."""
+    """Run the protobuf compiler over the messages in schema/."""
     arguments = [
         "protoc",
         f"-I{ROOT / 'schema'}",
         f"--python_out={TARGET}",
         f"--pyi_out={TARGET}",
-        f"--grpc_python_out={TARGET}",
-        "carawayroute.proto",
     ]
-    if protoc.main(arguments) != 0:
+    services = f"--grpc_python_out={TARGET}"
+    if protoc.main([*arguments, services, "carawayroute.proto"]) != 0:
+        sys.exit("protoc failed")
+    if protoc.main([*arguments, "records.proto"]) != 0:
         sys.exit("protoc failed")
     grpc_module = TARGET / "carawayroute_pb2_grpc.py"
     text = grpc_module.read_text()
