Adopt before looking at runners; weigh room, worth and preemption cost in one unit

Change: fence, read to the fence's end, adopt, then look; order by worth per room with aging; preemption only while the worth lost stays below a part of the gain; one reservation for a gang that waited long.

--- a/packages/library/carawayroute/fleet/order.py
+++ b/packages/library/carawayroute/fleet/order.py
@@ -1,58 +1,93 @@
 """In which order waiting work is placed.
 
 Answers a load above what the fleet holds: urgent work within guarantees first, then what brings
-callers the most for the room that it takes, as long as it can still end in time.
+callers the most for the room that it takes, as long as it can still end in time. What has waited
+long gains on what has just come, so that nothing accepted waits for ever.
 """
 
-from carawayroute.fleet.book import Job, Stage
-from carawayroute.fleet.types import Configuration
+from carawayroute.fleet.book import Job, JobBook, Stage
+from carawayroute.fleet.types import Capacity, Configuration
+from carawayroute_schema import records_pb2 as pb
 
 # Work that ends within this many times its objective still counts, as late.
 LATE_FACTOR = 3.0
-# Worth of a late end beside one in time; the platform's sheets give 0.2 to 0.3.
+# Worth of a late end beside one in time; the deployments' sheets give 0.2 to 0.3.
 LATE_SHARE = 0.27
-# Part of a job's worth that does not grow with its size.
+# Part of a job's worth that does not grow with its size, and the bound on the rest, by the sheets.
 BASE_SHARE = 0.3
+MOST_SHARE = 4.0
 URGENT_PRIORITY = 0
+# Worth of a usual job by priority, as the deployments' sheets weigh their kinds of request.
+WORTH_BY_PRIORITY = (4.0, 3.0, 1.0)
+# Waiting this long doubles a job's claim on room.
+AGING_MS = 15_000
 
 
-class Timeliness:
-    """When a job must end to count in full, and to count at all, by the wall clock."""
+class Room:
+    """How much of the fleet work takes: the largest share of a usual runner, times time."""
 
-    __slots__ = ("full_by_ms", "late_by_ms", "remaining_ms")
+    __slots__ = ("usual",)
 
-    def __init__(self, job: Job, remaining_ms: float, chain_ms: float) -> None:
-        record = job.record
-        allowed_ms = record.stretch * chain_ms + record.target_ms
-        self.full_by_ms = record.accepted_ms + allowed_ms
-        self.late_by_ms = record.accepted_ms + LATE_FACTOR * allowed_ms
-        self.remaining_ms = remaining_ms
+    def __init__(self, usual: Capacity) -> None:
+        self.usual = usual
 
-    def share(self, wall_ms: float) -> float:
-        """Return the part of its worth that a job still brings if it is placed now."""
-        end_ms = wall_ms + self.remaining_ms
-        if end_ms <= self.full_by_ms:
-            return 1.0
-        return LATE_SHARE if end_ms <= self.late_by_ms else 0.0
+    def of_step(self, step: pb.Step, count: int) -> float:
+        """Return runners taken by a number of tasks of a step."""
+        usual = self.usual
+        share = max(
+            step.accelerators / max(1, usual.accelerators),
+            0.0 if step.fills else step.cpu_millis / max(1, usual.cpu_millis),
+            step.memory_mb / max(1, usual.memory_mb),
+        )
+        return share * count
 
+    def of_job(self, job: pb.Job) -> float:
+        """Return runner-milliseconds of a whole job as declared."""
+        return sum(self.of_step(step, step.count) * step.estimate_ms for step in job.steps)
 
-class Demand:
-    """What a job asks of the fleet.
 
-    :param work: accelerator-milliseconds of all that is not done.
-    :param mean_work: the same for a usual job of its queue.
-    """
+class Worth:
+    """What jobs are worth to their callers, by the mean size of their queue's jobs."""
+
+    __slots__ = ("_mean_by_queue", "room")
+
+    def __init__(self, book: JobBook, room: Room) -> None:
+        self.room = room
+        sums: dict[str, list[float]] = {}
+        for job in book.jobs_by_id.values():
+            sums.setdefault(job.record.queue, []).append(room.of_job(job.record))
+        self._mean_by_queue = {queue: sum(found) / len(found) for queue, found in sums.items()}
+
+    def of(self, job: pb.Job) -> float:
+        """Return the worth of a job that ends in time."""
+        own = self.room.of_job(job)
+        mean = self._mean_by_queue.get(job.queue, own)
+        relative = own / mean if mean > 0 else 1.0
+        usual = WORTH_BY_PRIORITY[min(job.priority, len(WORTH_BY_PRIORITY) - 1)]
+        return usual * min(MOST_SHARE, BASE_SHARE + (1 - BASE_SHARE) * relative)
 
-    __slots__ = ("mean_work", "work")
+    def per_room(self, job: pb.Job) -> float:
+        """Return worth for each runner-millisecond of a job."""
+        return self.of(job) / max(1.0, self.room.of_job(job))
+
+
+def share_in_time(job: Job, chain_ms: float, remaining_ms: float, wall_ms: float) -> float:
+    """Return the part of its worth that a job still brings if it is placed now.
+
+    :param chain_ms: expected time of the longest chain of its steps.
+    :param remaining_ms: expected time of what is left of it.
+    """
+    record = job.record
+    allowed_ms = record.stretch * chain_ms + record.target_ms
+    spent_ms = wall_ms - record.accepted_ms + remaining_ms
+    if spent_ms <= allowed_ms:
+        return 1.0
+    return LATE_SHARE if spent_ms <= LATE_FACTOR * allowed_ms else 0.0
 
-    def __init__(self, work: float, mean_work: float) -> None:
-        self.work = work
-        self.mean_work = mean_work
 
-    def worth_per_room(self) -> float:
-        """Return worth for each unit of room and time."""
-        relative = self.work / max(1.0, self.mean_work)
-        return (BASE_SHARE + (1 - BASE_SHARE) * relative) / max(1.0, self.work)
+def aging(job: Job, wall_ms: float) -> float:
+    """Return the factor by which waiting raises a job's claim."""
+    return 1.0 + max(0.0, wall_ms - job.record.accepted_ms) / AGING_MS
 
 
 def urgent_within_guarantees(jobs: list[Job], configuration: Configuration) -> set[str]:
@@ -76,6 +111,11 @@
     return within
 
 
-def remaining_ms(stage: Stage, estimate_ms: float) -> float:
-    """Return the declared or learnt time that a stage still takes once it is placed."""
-    return estimate_ms if any(not done for done in stage.done) else 0.0
+def remaining_chain_ms(job: Job, occurrence: int, estimates: list[float]) -> float:
+    """Return the expected time of the longest chain of steps that are not finished."""
+    longest: list[float] = []
+    for number, step in enumerate(job.record.steps):
+        stage: Stage | None = job.stages_by_key.get((occurrence, number))
+        own = 0.0 if stage is not None and stage.finished else estimates[number]
+        longest.append(own + max((longest[one] for one in step.depends_on), default=0.0))
+    return max(longest, default=0.0)
--- a/packages/library/carawayroute/fleet/packing.py
+++ b/packages/library/carawayroute/fleet/packing.py
@@ -104,22 +104,24 @@
 
 def full_speed_possible(stage: Stage, rooms: list[Room], count: int) -> bool:
     """Return whether the tasks would fit at full speed if the runners were empty."""
-    for domain in _domains(stage, rooms):
-        total = sum(
-            room.runner.capacity.copies_of(stage.need, _most(stage, room.runner.id))
-            for room in domain
-        )
-        if total >= count:
-            return True
-    return False
-
-
-def ever_fits(stage: Stage, rooms: list[Room], count: int) -> bool:
-    """Return whether the tasks would fit at all if the runners were empty."""
-    total = 0
-    for room in rooms:
-        most = stage.step.most_per_runner or UNBOUNDED
-        total += room.runner.capacity.copies_of(stage.need, most)
-        if total >= count:
-            return True
-    return False
+    return any(_empty_copies(stage, domain) >= count for domain in _domains(stage, rooms))
+
+
+def closest_domain(stage: Stage, rooms: list[Room], count: int) -> list[Room]:
+    """Return the rooms in which a gang would fit if they were empty and that are emptiest now."""
+    domains = _domains(stage, rooms)
+    able = [domain for domain in domains if _empty_copies(stage, domain) >= count]
+    if not able:
+        able = [rooms] if _empty_copies(stage, rooms) >= count else []
+
+    def rank(domain: list[Room]) -> tuple[int, int]:
+        fitting = sum(copies(stage, room) for room in domain)
+        return (min(fitting, count), sum(room.free.accelerators for room in domain))
+
+    return max(able, key=rank, default=[])
+
+
+def _empty_copies(stage: Stage, rooms: list[Room]) -> int:
+    """Return how many tasks of a stage would fit if the runners were empty."""
+    most = stage.step.most_per_runner or UNBOUNDED
+    return sum(room.runner.capacity.copies_of(stage.need, most) for room in rooms)
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -12,6 +12,7 @@
     RunnerError,
     RunnerRefusedError,
     RunnerUnansweredError,
+    StoreError,
     StoreFencedError,
 )
 from carawayroute.fleet.follower import TopicFollower
@@ -30,6 +31,7 @@
 )
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import TaskGroup
+from carawayroute.retries import Backoff
 
 PRODUCER = "planner"
 # Time that the first looks may take before work is placed on those that answered.
@@ -117,6 +119,7 @@
         self.term = term
         self._settings = settings
         self._clock = clock
+        self._store = store
         self._orders = orders
         self.book = book
         self._jobs_follower = jobs_follower
@@ -150,19 +153,21 @@
                     await self._pass()
         except StoreFencedError:
             log.warning("planner_fenced", term=self.term, by="store")
-            self._on_lost()
         finally:
+            # A planner that ended for any reason must not keep its term.
+            self._on_lost()
             await self._tasks.cancel()
 
     async def _take_over(self) -> None:
-        # From here on the planner before can put no start on record.
-        await self._writer.write([])
-        self._tasks.start(self._runners_follower.run(), "follow runners")
-        await self._read_book()
+        await self._jobs_follower.loaded.wait()
+        end = await self._fence()
+        await self._jobs_follower.read_to(end)
         for job in self.book.open_by_id.values():
             for stage in job.stages_by_key.values():
                 for index in stage.placed():
                     self._adopt(stage, index)
+        # Reports are compared with what was adopted, so no runner is looked at before.
+        self._tasks.start(self._runners_follower.run(), "follow runners")
         await self._runners_follower.loaded.wait()
         await self._first_looks()
         self._ready = True
@@ -177,12 +182,21 @@
             took_ms=round(self._clock.now_ms() - self._taken_ms),
         )
 
-    async def _read_book(self) -> None:
-        """Read what was on record when the term was fenced."""
-        await self._jobs_follower.loaded.wait()
-        while self._jobs_follower.lag_ms() > self._clock.now_ms() - self._taken_ms:
-            self._jobs_follower.changed.clear()
-            await self._jobs_follower.changed.wait()
+    async def _fence(self) -> int:
+        """Bar the planner before from putting starts on record; return the end of the record."""
+        backoff = Backoff(RETRY_MS, PASS_INTERVAL_MS)
+        while True:
+            try:
+                fenced = await self._store.append(
+                    self._jobs_follower.topic, [], producer=PRODUCER, epoch=self.term
+                )
+            except StoreFencedError:
+                raise
+            except StoreError as error:
+                log.warning("fence_failed", term=self.term, error=str(error))
+                await self._clock.sleep_ms(backoff.next_ms())
+                continue
+            return fenced.end
 
     async def _first_looks(self) -> None:
         until_ms = self._clock.now_ms() + FIRST_LOOKS_MS
@@ -505,12 +519,6 @@
             since_ms = run.checkpoint_ms
         return RunClock(now_ms - since_ms, True)
 
-    def _hold_back(self, stage: Stage) -> bool:
-        """Return whether runs of a stage are still being withdrawn."""
-        if not stage.step.gang:
-            return False
-        return any(stage.runners)
-
     async def _pass(self) -> None:
         configuration = self._configuration()
         if configuration is None or not self._ready:
@@ -524,7 +532,6 @@
             self._clock.wall_ms(),
             self._estimate_ms,
             self._run_clock,
-            self._hold_back,
         ).run()
         if placements:
             self._launch(placements)
--- a/packages/library/carawayroute/fleet/preemption.py
+++ b/packages/library/carawayroute/fleet/preemption.py
@@ -15,18 +15,15 @@
     """Running work that may be stopped: a whole gang, or one task.
 
     :param lost_ms: run time of each task that no checkpoint keeps.
-    :param weight: worth of its work beside that of others.
+    :param rate: worth that a millisecond of its running brings.
     """
 
     __slots__ = ("cost", "indices", "stage")
 
-    def __init__(
-        self, stage: Stage, indices: list[int], lost_ms: float, weight: float = 1.0
-    ) -> None:
+    def __init__(self, stage: Stage, indices: list[int], lost_ms: float, rate: float) -> None:
         self.stage = stage
         self.indices = indices
-        size = max(1, stage.need.accelerators) * len(indices)
-        self.cost = (lost_ms + RESTART_MS) * size * weight
+        self.cost = (lost_ms + RESTART_MS) * rate
 
     def runners(self) -> list[str]:
         """Return the runner of each task."""
@@ -47,7 +44,7 @@
 def choose(
     stage: Stage, rooms: list[Room], count: int, victims: list[Victim], spread: bool
 ) -> Preemption | None:
-    """Return the places at which the least work is lost.
+    """Return the places at which the least worth is lost.
 
     :param spread: also consider places over several racks for a gang that wants one.
     """
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -1,13 +1,20 @@
 """One pass over the waiting work: what is placed where, and what is stopped for it."""
 
+from collections.abc import Callable
+
 from carawayroute.fleet import order, packing, preemption
-from carawayroute.fleet.book import Job, JobBook, Stage
+from carawayroute.fleet.book import JobBook, Stage
 from carawayroute.fleet.packing import Room
 from carawayroute.fleet.preemption import Victim
-from carawayroute.fleet.types import Configuration
+from carawayroute.fleet.types import Capacity, Configuration
 
 # Stages looked at in one pass; the rest wait for the next one.
 MAX_TRIED = 400
+# Worth that may be lost by stopping other work, as a part of what the placed job brings.
+PREEMPTION_GAIN = 0.4
+# A gang that has waited this long gets room kept for it.
+RESERVE_AFTER_MS = 4_000
+MOST_RESERVATIONS = 1
 
 
 class RunClock:
@@ -47,9 +54,8 @@
     """Plan placements on a view of the fleet.
 
     :param rooms: runners that may get work, with what is free; changed as work is placed.
-    :param runs_by_stage: what runs, by stage key.
     :param estimate_ms: returns the run time expected of a task of a stage.
-    :param hold_back: returns whether a job is not to be tried now.
+    :param run_clock: returns what is known of a task's current run.
     """
 
     def __init__(
@@ -58,9 +64,8 @@
         configuration: Configuration,
         rooms: list[Room],
         wall_ms: float,
-        estimate_ms,
-        run_clock,
-        hold_back,
+        estimate_ms: Callable[[Stage], float],
+        run_clock: Callable[[Stage, int], RunClock],
     ) -> None:
         self.book = book
         self.configuration = configuration
@@ -69,19 +74,22 @@
         self.wall_ms = wall_ms
         self.estimate_ms = estimate_ms
         self.run_clock = run_clock
-        self.hold_back = hold_back
         self.guaranteed_jobs = order.urgent_within_guarantees(
             list(book.open_by_id.values()), configuration
         )
+        self.worth = order.Worth(book, order.Room(usual_capacity(rooms)))
         self._stopped: set[tuple[tuple[str, int, int], int]] = set()
+        self._reserved = 0
 
     def run(self) -> list[Placement]:
         """Return what is to be placed, in order."""
+        if not self.rooms:
+            return []
         waiting = [
             stage
             for job in self.book.open_by_id.values()
             for stage in job.open_stages(self.wall_ms)
-            if self._is_waiting(stage) and not self.hold_back(stage)
+            if self._is_waiting(stage)
         ]
         waiting.sort(key=self._rank)
         placements = []
@@ -90,6 +98,8 @@
             if placement is not None:
                 self._take(placement)
                 placements.append(placement)
+            elif self._deserves_reservation(stage):
+                self._reserve(stage)
         return placements
 
     @staticmethod
@@ -100,31 +110,27 @@
             not runner and not done for runner, done in zip(stage.runners, stage.done, strict=True)
         )
 
+    # ------------------------------------------------------------------ order
+
     def _rank(self, stage: Stage) -> tuple:
         job = stage.job
         if job.id in self.guaranteed_jobs:
             return (0, job.record.accepted_ms, job.id, stage.number)
         share = self._share(stage)
-        urgency = 1 if job.record.priority == order.URGENT_PRIORITY and share > 0 else 2
-        return (urgency, -share * self._worth_per_room(job), job.record.accepted_ms, job.id)
-
-    def _chain_ms(self, job: Job) -> float:
-        estimates = {
-            number: self.estimate_ms(job.stage(0, number))
-            for number in range(len(job.record.steps))
-        }
-        return job.chain_ms(estimates)
+        claim = share * self.worth.per_room(job.record) * order.aging(job, self.wall_ms)
+        return (1, -claim, job.record.accepted_ms, job.id, stage.number)
 
     def _share(self, stage: Stage) -> float:
         job = stage.job
-        chain_ms = self._chain_ms(job)
-        return order.Timeliness(job, chain_ms, chain_ms).share(self.wall_ms)
+        estimates = [
+            self.estimate_ms(job.stage(stage.occurrence, number))
+            for number in range(len(job.record.steps))
+        ]
+        chain_ms = job.chain_ms(dict(enumerate(estimates)))
+        remaining_ms = order.remaining_chain_ms(job, stage.occurrence, estimates)
+        return order.share_in_time(job, chain_ms, remaining_ms, self.wall_ms)
 
-    def _worth_per_room(self, job: Job) -> float:
-        work = sum(
-            step.count * max(1, step.accelerators) * step.estimate_ms for step in job.record.steps
-        )
-        return order.Demand(work, work).worth_per_room()
+    # ------------------------------------------------------------------ places
 
     def _place(self, stage: Stage) -> Placement | None:
         rooms = [room for room in self.rooms if packing.suits(stage, room.runner)]
@@ -139,52 +145,59 @@
                 places = None
         if places:
             return Placement(stage, indices[: len(places)], places, [], guaranteed)
-        if stage.job.record.priority != order.URGENT_PRIORITY:
-            return None
-        if not guaranteed and self._share(stage) < 1.0:
-            return None
         return self._preempt(stage, rooms, indices, guaranteed)
 
     def _preempt(
         self, stage: Stage, rooms: list[Room], indices: list[int], guaranteed: bool
     ) -> Placement | None:
-        victims = self._victims(guaranteed)
+        if not guaranteed and not whole_gain(stage):
+            return None
+        victims = self._victims(stage, guaranteed)
+        if not victims:
+            return None
         count = len(indices)
-        found = preemption.choose(stage, rooms, count, victims, spread=False)
+        spread = not packing.full_speed_possible(stage, rooms, count)
+        found = preemption.choose(stage, rooms, count, victims, spread)
         if found is None and guaranteed:
             found = preemption.choose(stage, rooms, count, victims, spread=True)
         if found is None:
             return None
+        gain = self._share(stage) * self.worth.of(stage.job.record)
+        if not guaranteed and found.cost > PREEMPTION_GAIN * gain:
+            return None
         return Placement(stage, indices, found.places, found.victims, guaranteed)
 
-    def _victims(self, guaranteed: bool) -> list[Victim]:
-        """Return what may be stopped for an urgent stage."""
+    def _victims(self, stage: Stage, guaranteed: bool) -> list[Victim]:
+        """Return what may be stopped for a stage: less urgent work, or what exceeds guarantees."""
+        priority = stage.job.record.priority
         victims = []
         for job in self.book.open_by_id.values():
-            urgent = job.record.priority == order.URGENT_PRIORITY
-            if urgent and (not guaranteed or job.id in self.guaranteed_jobs):
+            less_urgent = job.record.priority > priority
+            exceeds = guaranteed and job.id not in self.guaranteed_jobs
+            if not less_urgent and not exceeds:
                 continue
-            for stage in job.stages_by_key.values():
-                victims.extend(self._victims_of(stage, urgent))
+            rate = self.worth.per_room(job.record)
+            for other in job.stages_by_key.values():
+                victims.extend(self._victims_of(other, rate))
         return victims
 
-    def _victims_of(self, stage: Stage, urgent: bool) -> list[Victim]:
-        weight = 4.0 if urgent else 1.0
+    def _victims_of(self, stage: Stage, worth_per_room: float) -> list[Victim]:
         placed = [index for index in stage.placed() if (stage.key, index) not in self._stopped]
         if not placed:
             return []
+        task_rate = worth_per_room * self.worth.room.of_step(stage.step, 1)
         if stage.step.gang:
             if len(placed) < len(stage.placed()):
                 return []
-            clock = self.run_clock(stage, placed[0])
-            if not clock.stoppable:
+            clocks = [self.run_clock(stage, index) for index in placed]
+            if not all(clock.stoppable for clock in clocks):
                 return []
-            return [Victim(stage, placed, clock.lost_ms, weight)]
+            return [Victim(stage, placed, clocks[0].lost_ms, task_rate * len(placed))]
         found = []
         for index in placed:
             clock = self.run_clock(stage, index)
             if clock.stoppable:
-                found.append(Victim(stage, [index], clock.lost_ms, weight))
+                found.append(Victim(stage, [index], clock.lost_ms, task_rate))
         return found
 
     def _take(self, placement: Placement) -> None:
@@ -197,3 +210,38 @@
                     room.free.take(victim.stage.need, -1)
         for place in placement.places:
             self.rooms_by_id[place].free.take(placement.stage.need)
+
+    # ------------------------------------------------------------------ reservations
+
+    def _deserves_reservation(self, stage: Stage) -> bool:
+        if self._reserved >= MOST_RESERVATIONS or not whole_gain(stage):
+            return False
+        return self.wall_ms - stage.job.record.accepted_ms > RESERVE_AFTER_MS
+
+    def _reserve(self, stage: Stage) -> None:
+        """Keep later work off the runners on which a waiting gang will fit soonest."""
+        rooms = [room for room in self.rooms if packing.suits(stage, room.runner)]
+        count = len(stage.waiting())
+        domain = packing.closest_domain(stage, rooms, count)
+        if not domain:
+            return
+        self._reserved += 1
+        kept = 0
+        for room in sorted(domain, key=lambda room: -room.free.accelerators):
+            if kept >= count:
+                break
+            kept += room.runner.capacity.copies_of(stage.need, count - kept)
+            room.free = Capacity(0, 0, 0)
+
+
+def whole_gain(stage: Stage) -> bool:
+    """Return whether a stage gains only from room for all of its tasks at once."""
+    return stage.step.gang
+
+
+def usual_capacity(rooms: list[Room]) -> Capacity:
+    """Return the capacity of a usual runner."""
+    if not rooms:
+        return Capacity(1, 1, 1)
+    ordered = sorted(rooms, key=lambda room: room.runner.capacity.accelerators)
+    return ordered[len(ordered) // 2].runner.capacity
--- a/packages/library/carawayroute/misc.py
+++ b/packages/library/carawayroute/misc.py
@@ -5,6 +5,10 @@
 import random
 from collections.abc import Coroutine, Iterable
 
+import structlog
+
+log = structlog.get_logger()
+
 
 def new_id(prefix: str) -> str:
     """Return an id that no other process makes."""
@@ -31,9 +35,14 @@
         """Run a coroutine in the background."""
         task = asyncio.get_running_loop().create_task(work, name=name)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
         return task
 
+    def _ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("background_task_failed", task=task.get_name(), exc_info=task.exception())
+
     async def cancel(self) -> None:
         """Cancel every task and wait until all have ended."""
         tasks = list(self._tasks)
