End withdrawn runs by a look sent after the stop's answer

Cause: each repeated stop moved the moment after which a look is believed, so a run that was not there was never given up; and the room of victims was lent to later work in the same pass before they had ended.

--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -100,7 +100,7 @@
     async def run(self) -> None:
         """Look until cancelled."""
         while True:
-            await self._look()
+            await self._look(LOOK_WAIT_MS if self.reachable and not self.unstored else 0)
             if not self.reachable:
                 await self._clock.sleep_ms(FAILED_LOOK_WAIT_MS)
             elif self.unstored:
@@ -110,8 +110,11 @@
                 except TimeoutError:
                     continue
 
-    async def _look(self) -> None:
-        wait_ms = LOOK_WAIT_MS if self.reachable and not self.unstored else 0
+    async def look_now(self) -> None:
+        """Look once, beside the look that waits for an end."""
+        await self._look(0)
+
+    async def _look(self, wait_ms: int) -> None:
         sent_ms = self._clock.now_ms()
         born_ms = self.born_ms
         try:
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -45,6 +45,10 @@
 # Victims that do not end within this time lead to another placement.
 ROOM_TIMEOUT_MS = 1_500
 
+STATUS_INTERVAL_MS = 2_000
+# Jobs named in a status line.
+MOST_NAMED = 5
+
 log = structlog.get_logger()
 
 RunKey = tuple[str, int]
@@ -138,6 +142,7 @@
         self.trust = RunnerTrust(clock)
         self._taken_ms = clock.now_ms()
         self._ready = False
+        self._status_ms = 0.0
         self.placing = True
 
     # ------------------------------------------------------------------ term
@@ -468,8 +473,12 @@
                 log.info("stop_unanswered", task=key[0], runner=run.runner, error=str(error))
                 await self._clock.sleep_ms(RETRY_MS)
                 continue
-            run.settled_ms = self._clock.now_ms()
-            await self._clock.sleep_ms(self._settings.stop_ms + 2 * PASS_INTERVAL_MS)
+            if run.settled_ms is None:
+                run.settled_ms = self._clock.now_ms()
+            await self._clock.sleep_ms(self._settings.stop_ms)
+            if self.runs_by_key.get(key) is run:
+                # The look under way was sent too early to tell that the run is not there.
+                await link.look_now()
 
     # ------------------------------------------------------------------ placing
 
@@ -535,6 +544,33 @@
         ).run()
         if placements:
             self._launch(placements)
+        self._report_status()
+
+    def _report_status(self) -> None:
+        """Log now and then what waits and what holds room, for those who ask why a job waits."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._status_ms < STATUS_INTERVAL_MS:
+            return
+        self._status_ms = now_ms
+        waiting = [
+            stage.task(0)
+            for job in self.book.open_by_id.values()
+            for stage in job.open_stages(self._clock.wall_ms())
+            if stage.waiting() and not stage.placed()
+        ]
+        rooms = self._rooms()
+        log.info(
+            "planner_status",
+            term=self.term,
+            jobs=len(self.book.open_by_id),
+            waiting=len(waiting),
+            first_waiting=waiting[:MOST_NAMED],
+            runs=len(self.runs_by_key),
+            withdrawn=sum(1 for run in self.runs_by_key.values() if run.withdrawn),
+            runners_listed=len(self.links_by_id),
+            runners_usable=len(rooms),
+            accelerators_free=sum(max(0, room.free.accelerators) for room in rooms),
+        )
 
     def _end_cancelled(self) -> None:
         for job in list(self.book.open_by_id.values()):
@@ -628,6 +664,7 @@
         stage = run.stage
         task = stage.task(run.index)
         give_up_ms = self._clock.now_ms() + START_GIVE_UP_MS
+        unanswered = False
         while not run.withdrawn and self.runs_by_key.get((task, run.run)) is run:
             link = self.links_by_id.get(run.runner)
             if link is None or self._clock.now_ms() > give_up_ms:
@@ -644,6 +681,7 @@
                     link.lease_until_ms(),
                 )
             except RunnerUnansweredError as error:
+                unanswered = True
                 log.info("start_unanswered", task=task, runner=run.runner, error=str(error))
                 await self._clock.sleep_ms(RETRY_MS)
                 continue
@@ -654,25 +692,25 @@
                     self._fenced(link)
                     return
                 self.trust.note_refusal(run.runner, error.reason)
-                self._fail_start(run, error.reason)
+                self._fail_start(run, error.reason, certain=not unanswered)
                 return
             link.take_clock(clock_ms)
             run.settled_ms = self._clock.now_ms()
             run.started_ms = run.settled_ms
             return
 
-    def _fail_start(self, run: Run, reason: str) -> None:
-        """Take a start back, and the rest of its gang with it."""
-        log.info(
-            "start_failed",
-            task=run.stage.task(run.index),
-            run=run.run,
-            runner=run.runner,
-            reason=reason,
-        )
+    def _fail_start(self, run: Run, reason: str, certain: bool = False) -> None:
+        """Take a start back, and the rest of its gang with it.
+
+        :param certain: the runner did nothing, and no order for the run is under way.
+        """
+        key = (run.stage.task(run.index), run.run)
+        log.info("start_failed", task=key[0], run=run.run, runner=run.runner, reason=reason)
         if run.withdrawn:
             return
-        if run.stage.step.gang:
+        if certain:
+            self._end_run(key, run, "refused", run.checkpoint)
+        elif run.stage.step.gang:
             self._withdraw_gang(run.stage, run.run, f"start failed: {reason}")
         else:
             self._withdraw(run, f"start failed: {reason}")
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -201,15 +201,20 @@
         return found
 
     def _take(self, placement: Placement) -> None:
-        """Count a placement, and its victims as gone."""
+        """Count a placement; room of victims that it does not use is free only once they ended."""
+        before_by_id: dict[str, Capacity] = {}
         for victim in placement.victims:
             for index in victim.indices:
                 self._stopped.add((victim.stage.key, index))
-                room = self.rooms_by_id.get(victim.stage.runners[index])
+                runner = victim.stage.runners[index]
+                room = self.rooms_by_id.get(runner)
                 if room is not None:
+                    before_by_id.setdefault(runner, room.free.copy())
                     room.free.take(victim.stage.need, -1)
         for place in placement.places:
             self.rooms_by_id[place].free.take(placement.stage.need)
+        for runner, before in before_by_id.items():
+            self.rooms_by_id[runner].free.lower_to(before)
 
     # ------------------------------------------------------------------ reservations
 
--- a/packages/library/carawayroute/fleet/types.py
+++ b/packages/library/carawayroute/fleet/types.py
@@ -147,9 +147,11 @@
         self.memory_mb -= need.memory_mb * count
         self.accelerators -= need.accelerators * count
 
-    def overdrawn(self) -> bool:
-        """Return whether more was taken than there was."""
-        return self.cpu_millis < 0 or self.memory_mb < 0 or self.accelerators < 0
+    def lower_to(self, bound: "Capacity") -> None:
+        """Lower each part to that of a bound where it is larger."""
+        self.cpu_millis = min(self.cpu_millis, bound.cpu_millis)
+        self.memory_mb = min(self.memory_mb, bound.memory_mb)
+        self.accelerators = min(self.accelerators, bound.accelerators)
 
     def copy(self) -> "Capacity":
         """Return a capacity that can be changed by itself."""
