--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -7,15 +7,18 @@
 
 import structlog
 from aiohttp import web
+from google.protobuf.message import DecodeError
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.admission import Admission
 from carawayroute.fleet.book import PROGRESS_KEY, JobBook, RecordError
 from carawayroute.fleet.entry import EntryService
+from carawayroute.fleet.exceptions import StoreError
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.leadership import Leadership
 from carawayroute.fleet.planner import Planner, PlannerSettings
 from carawayroute.fleet.ports import KeyedRecord
+from carawayroute.fleet.relay import RelayedStore
 from carawayroute.fleet.types import Configuration
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import TaskGroup
@@ -29,15 +32,18 @@
 from carawayrouted.platform.runners import HttpRunners, RunnerEntryError, decode_runner
 from carawayrouted.platform.settings import PlatformSettings
 from carawayrouted.platform.store import HttpStore
+from carawayrouted.relay_links import RelayLinks
 
 JOBS_TOPIC = "keyed.jobs"
+MEMBER_KEY = "m/"
+ANNOUNCE_RETRY_MS = 1_000
 # Least time between two reads of the jobs by an instance that does not plan.
 FOLLOW_PACE_MS = 120
 # A lease that outlasts a planner's replacement several times, within what runners grant.
 LEASE_MS = 8_000
 METRICS_PORT = 9464
 # The store must have answered this recently for an instance to ask for new connections.
-READY_LAG_MS = 2_500
+READY_LAG_MS = 1_800
 # The balancer needs two failed looks, a second apart, to send no new connections.
 DRAIN_MS = 3_300
 DRAIN_CHECK_MS = 50
@@ -55,7 +61,9 @@
         self.metrics = FleetMetrics()
         self._pool = HttpPool()
         self._runner_pool = HttpPool()
-        self.store = HttpStore(self._pool, settings.store)
+        self.direct_store = HttpStore(self._pool, settings.store)
+        self.links = RelayLinks(str(settings.peer), self._serve_peer)
+        self.store = RelayedStore(self.direct_store, self.links, self.clock, str(settings.peer))
         self.orders = HttpRunners(self._runner_pool)
         self.book = JobBook()
         self.configuration: Configuration | None = None
@@ -82,6 +90,7 @@
             self._job_written,
         )
         self.callers = CallerApp(self.service, lambda: self.configuration, self._count)
+        self._address_by_member: dict[str, str] = {}
         self._draining = False
         self._sites: list[web.ServerRunner] = []
         self._add_gauges()
@@ -89,7 +98,8 @@
     def _add_gauges(self) -> None:
         gauge = self.metrics.gauge
         gauge("planner_term", "Term that this instance plans in, or 0.", self._planner_term)
-        gauge("store_calls", "Calls to the platform's store.", lambda: self.store.calls)
+        gauge("store_calls", "Calls to the platform's store.", lambda: self.direct_store.calls)
+        gauge("store_calls_relayed", "Calls made by peers.", lambda: self.store.relayed)
         gauge("runner_looks", "Looks at runners.", lambda: self.orders.looks)
         gauge("jobs_open", "Jobs that have not ended.", lambda: len(self.book.open_by_id))
         gauge("jobs_lag_ms", "Age of the state of jobs.", self.jobs_follower.lag_ms)
@@ -101,6 +111,9 @@
             lambda: self.configuration.version if self.configuration else 0,
         )
 
+    async def _serve_peer(self, message: bytes) -> bytes:
+        return await self.store.serve(message)
+
     def _planner_term(self) -> int:
         return self._planner.term if self._planner else 0
 
@@ -136,7 +149,45 @@
         if self._planner is not None:
             self._planner.changed()
 
+    def _apply_member(self, record: KeyedRecord) -> None:
+        """Learn the address of a peer."""
+        try:
+            member = pb.Member.FromString(record.value)
+        except DecodeError as error:
+            log.warning("record_unreadable", key=record.key, error=str(error))
+            return
+        name = record.key[len(MEMBER_KEY) :]
+        before = self._address_by_member.pop(name, None)
+        if before is not None:
+            self.store.addresses.discard(before)
+        if record.value:
+            self._address_by_member[name] = member.address
+            self.store.addresses.add(member.address)
+
+    async def _announce(self) -> None:
+        """Tell the other instances how to reach this one."""
+        settings = self.settings
+        member = pb.Member(
+            instance=settings.instance,
+            address=str(settings.peer),
+            region=settings.region,
+            data_centre=settings.data_centre,
+            cores=settings.cores,
+            link_mbps=settings.link_mbps,
+        )
+        records = [(MEMBER_KEY + settings.instance, member.SerializeToString())]
+        while True:
+            try:
+                await self.writer.write(records)
+                return
+            except StoreError as error:
+                log.warning("announcement_failed", error=str(error))
+                await self.clock.sleep_ms(ANNOUNCE_RETRY_MS)
+
     def _apply_job(self, record: KeyedRecord) -> None:
+        if record.key.startswith(MEMBER_KEY):
+            self._apply_member(record)
+            return
         if self._planner is not None and record.key.startswith(PROGRESS_KEY):
             progress = pb.Progress.FromString(record.value)
             if progress.term == self._planner.term:
@@ -261,6 +312,8 @@
             (self.leadership.follower.run(), "follow terms"),
             (self.leadership.run(), "leadership"),
             (self.writer.run(), "writer"),
+            (self.links.run(), "peers"),
+            (self._announce(), "announce"),
             (self._plan_while_leading(), "planner"),
         ):
             self._tasks.start(work, name)
--- /dev/null
+++ b/packages/daemon/carawayrouted/relay_links.py
@@ -0,0 +1,75 @@
+"""Links between instances by pynng: one task for each served request, one socket for each peer."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pynng
+import structlog
+
+from carawayroute.fleet.relay import PeerError
+from carawayroute.misc import TaskGroup
+
+SERVING_CONTEXTS = 4
+
+log = structlog.get_logger()
+
+
+class RelayLinks:
+    """Answer peers, and ask them.
+
+    :param serve: returns the reply to a message.
+    """
+
+    def __init__(self, address: str, serve: Callable[[bytes], Awaitable[bytes]]) -> None:
+        self._address = address
+        self._serve = serve
+        self._server: pynng.Rep0 | None = None
+        self._sockets_by_address: dict[str, pynng.Req0] = {}
+
+    async def run(self) -> None:
+        """Answer peers until cancelled."""
+        self._server = pynng.Rep0(listen=f"tcp://{self._address}")
+        tasks = TaskGroup()
+        try:
+            await asyncio.gather(
+                *(
+                    tasks.start(self._answer(self._server.new_context()), "answer peers")
+                    for _ in range(SERVING_CONTEXTS)
+                )
+            )
+        finally:
+            await tasks.cancel()
+            self._server.close()
+            for socket in self._sockets_by_address.values():
+                socket.close()
+
+    async def _answer(self, context: pynng.Context) -> None:
+        while True:
+            try:
+                message = await context.arecv()
+                await context.asend(await self._serve(message))
+            except pynng.NNGException as error:
+                log.warning("peer_request_failed", error=str(error))
+                await asyncio.sleep(0.05)
+
+    async def ask(self, address: str, message: bytes, timeout_ms: float) -> bytes:
+        """Send a message to a peer and return its reply."""
+        socket = self._sockets_by_address.get(address)
+        try:
+            if socket is None:
+                socket = pynng.Req0(resend_time=-1)
+                socket.dial(f"tcp://{address}", block=False)
+                self._sockets_by_address[address] = socket
+            context = socket.new_context()
+            try:
+                async with asyncio.timeout(timeout_ms / 1000):
+                    await context.asend(message)
+                    return await context.arecv()
+            finally:
+                context.close()
+        except (pynng.NNGException, TimeoutError) as error:
+            # A silent connection is replaced by the next call.
+            stale = self._sockets_by_address.pop(address, None)
+            if stale is not None:
+                stale.close()
+            raise PeerError(f"{address}: {type(error).__name__}") from error
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -11,13 +11,18 @@
 from carawayroute.fleet.book import CANCEL_KEY, JOB_KEY, Job, JobBook
 from carawayroute.fleet.exceptions import StoreRefusedError
 from carawayroute.fleet.follower import TopicFollower
+from carawayroute.fleet.order import LATE_FACTOR
 from carawayroute.fleet.types import Queue, Team
 from carawayroute.fleet.writer import LogWriter
 from carawayroute_schema import records_pb2 as pb
 
 # A job that is not known is looked for in the store when the state is older than this.
 STALE_MS = 1_000
-STORE_RETRY_MS = 1_000
+# An outage of the store is expected to last as long again as it has, within these bounds; callers
+# try a few times, so the later bound spreads them over the time in which the job still counts.
+LEAST_RETRY_MS = 1_000
+RETRY_SHARE = 0.2
+MOST_RETRY_MS = 5_000
 # Time that is left for the answer to travel.
 ANSWER_MARGIN_MS = 250
 
@@ -80,7 +85,7 @@
             log.info("job_repeated", job=job.id)
             return
         if not self._follower.loaded.is_set():
-            raise NotAcceptedError("this instance is starting", False, STORE_RETRY_MS)
+            raise NotAcceptedError("this instance is starting", False, LEAST_RETRY_MS)
         job.queue = queue.name
         job.service = queue.service
         job.team = team.name if team is not None else ""
@@ -102,7 +107,8 @@
                 state_age_ms=round(self._follower.lag_ms()),
             )
             raise NotAcceptedError(verdict.reason, True, verdict.retry_after_ms)
-        await self._write(JOB_KEY + job.id, job.SerializeToString(), job.id, wait_ms)
+        counts_ms = LATE_FACTOR * (job.stretch * Job(job).chain_ms() + job.target_ms)
+        await self._write(JOB_KEY + job.id, job.SerializeToString(), job.id, wait_ms, counts_ms)
         log.info(
             "job_accepted",
             job=job.id,
@@ -114,13 +120,21 @@
         )
         self._on_change()
 
-    async def _write(self, key: str, value: bytes, job_id: str, wait_ms: float) -> None:
+    async def _write(
+        self, key: str, value: bytes, job_id: str, wait_ms: float, counts_ms: float = 0.0
+    ) -> None:
+        """Put a wish on record.
+
+        :param counts_ms: time in which what is wished for still counts.
+        """
         try:
             async with asyncio.timeout(max(0.0, wait_ms - ANSWER_MARGIN_MS) / 1000):
                 await self._writer.write([(key, value)])
         except StoreRefusedError as error:
             log.info("wish_not_stored", job=job_id, key=key[:1], error=str(error))
-            raise NotAcceptedError("the store is not available", False, STORE_RETRY_MS) from error
+            most_ms = min(MOST_RETRY_MS, RETRY_SHARE * counts_ms)
+            retry_ms = max(LEAST_RETRY_MS, min(most_ms, self._writer.silent_ms))
+            raise NotAcceptedError("the store is not available", False, retry_ms) from error
         except TimeoutError as error:
             log.warning("wish_outcome_unknown", job=job_id, key=key[:1])
             raise OutcomeUnknownError("the store did not answer in time") from error
--- /dev/null
+++ b/packages/library/carawayroute/fleet/relay.py
@@ -0,0 +1,249 @@
+"""Reaching the store through a peer while it turns this instance away.
+
+Answers a store that is down for some instances only, and links that are cut to it alone.
+"""
+
+import random
+from typing import Protocol
+
+import structlog
+from google.protobuf.message import DecodeError
+
+from carawayroute.clock import Clock
+from carawayroute.exceptions import CarawayrouteError
+from carawayroute.fleet.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreFencedError,
+    StoreRefusedError,
+    StoreSequenceError,
+    StoreTrimmedError,
+    StoreUnansweredError,
+)
+from carawayroute.fleet.ports import Appended, KeyedRecord, Records, Store
+from carawayroute_schema import records_pb2 as pb
+
+# A relayed call is given up after this time beyond the wait that it asks for.
+RELAY_TIMEOUT_MS = 600
+# Peers asked for one call before it counts as failed.
+MOST_PEERS_ASKED = 2
+# A store that failed this instance is tried directly again after this time.
+DIRECT_RETRY_MS = 500
+# A relayed read waits no longer for a record, so that a cut to the peer shows soon.
+RELAYED_WAIT_MS = 200
+
+log = structlog.get_logger()
+
+
+class PeerError(CarawayrouteError):
+    """A peer did not answer."""
+
+
+class Peers(Protocol):
+    """Links to the other instances."""
+
+    async def ask(self, address: str, message: bytes, timeout_ms: float) -> bytes:
+        """Send a message to a peer and return its reply.
+
+        :raises PeerError: there was none in time.
+        """
+
+
+class RelayedStore:
+    """The store, directly where it answers, else through peers.
+
+    :param own_address: of this instance's link, which is never asked.
+    """
+
+    def __init__(self, direct: Store, peers: Peers, clock: Clock, own_address: str) -> None:
+        self._direct = direct
+        self._peers = peers
+        self._clock = clock
+        self._own_address = own_address
+        self.addresses: set[str] = set()
+        self._failed_ms: float | None = None
+        self._good_peer = ""
+        self._relaying = False
+        self.relayed = 0
+
+    @property
+    def reached_directly(self) -> bool:
+        """Return whether the last direct call was answered."""
+        return self._failed_ms is None
+
+    async def append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes]],
+        at: int | None = None,
+        producer: str = "",
+        epoch: int = 0,
+        sequence: int | None = None,
+    ) -> Appended:
+        """Append records, all or none."""
+        call = pb.StoreCall(
+            kind=pb.StoreCall.APPEND,
+            topic=topic,
+            records=[pb.KeyedRecord(key=key.encode(), value=value) for key, value in records],
+            conditional=at is not None,
+            at=at or 0,
+            producer=producer,
+            epoch=epoch,
+            numbered=sequence is not None,
+            sequence=sequence or 0,
+        )
+        answer = await self._call(call)
+        return Appended(answer.offset, answer.end)
+
+    async def read(self, topic: str, offset: int, wait_ms: int) -> Records:
+        """Return records from an offset on."""
+        call = pb.StoreCall(
+            kind=pb.StoreCall.READ, topic=topic, offset=offset, wait_ms=int(wait_ms)
+        )
+        return _records(await self._call(call))
+
+    async def newest(self, topic: str) -> Records:
+        """Return the newest record of each key."""
+        return _records(await self._call(pb.StoreCall(kind=pb.StoreCall.NEWEST, topic=topic)))
+
+    async def _call(self, call: pb.StoreCall) -> pb.StoreAnswer:
+        """Make a call directly, and through peers when the store does not serve this instance."""
+        failure: StoreError | None = None
+        if self._direct_is_due():
+            answer = await make_call(self._direct, call)
+            failure = _error(answer)
+            if not isinstance(failure, StoreRefusedError | StoreUnansweredError):
+                self._note_direct(None)
+                return _checked(answer)
+            self._note_direct(failure)
+        uncertain = isinstance(failure, StoreUnansweredError)
+        answer = await self._relay(call)
+        if answer is not None:
+            return _checked(answer)
+        if uncertain or failure is None:
+            raise StoreUnansweredError("neither the store nor a peer answered")
+        raise failure
+
+    def _direct_is_due(self) -> bool:
+        if self._failed_ms is None or not self.addresses:
+            return True
+        return self._clock.now_ms() - self._failed_ms > DIRECT_RETRY_MS or not self._good_peer
+
+    def _note_direct(self, failure: StoreError | None) -> None:
+        if failure is None:
+            if self._failed_ms is not None:
+                log.info("store_regained")
+            self._failed_ms = None
+            self._relaying = False
+            return
+        if self._failed_ms is None:
+            log.warning("store_lost", error=str(failure))
+        self._failed_ms = self._clock.now_ms()
+
+    async def _relay(self, call: pb.StoreCall) -> pb.StoreAnswer | None:
+        """Return what the store answered a peer, or ``None`` if no peer could reach it."""
+        others = sorted(self.addresses - {self._own_address, self._good_peer})
+        random.shuffle(others)
+        candidates = ([self._good_peer] if self._good_peer else []) + others
+        call.wait_ms = min(call.wait_ms, RELAYED_WAIT_MS)
+        message = call.SerializeToString()
+        for address in candidates[:MOST_PEERS_ASKED]:
+            try:
+                reply = await self._peers.ask(address, message, RELAY_TIMEOUT_MS + call.wait_ms)
+                answer = pb.StoreAnswer.FromString(reply)
+            except (PeerError, DecodeError) as error:
+                log.info("relay_failed", peer=address, error=str(error))
+                self._good_peer = ""
+                continue
+            if answer.outcome in (pb.StoreAnswer.REFUSED, pb.StoreAnswer.UNANSWERED):
+                self._good_peer = ""
+                continue
+            if not self._relaying:
+                log.info("store_relayed", peer=address)
+            self._relaying = True
+            self._good_peer = self._good_peer or address
+            self.relayed += 1
+            return answer
+        return None
+
+    async def serve(self, message: bytes) -> bytes:
+        """Make a call for a peer, if the store answers this instance directly."""
+        try:
+            call = pb.StoreCall.FromString(message)
+        except DecodeError as error:
+            log.warning("relay_call_unreadable", error=str(error))
+            return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
+        if not self.reached_directly:
+            return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
+        return (await make_call(self._direct, call)).SerializeToString()
+
+
+async def make_call(store: Store, call: pb.StoreCall) -> pb.StoreAnswer:
+    """Make a call and return its outcome as a message."""
+    try:
+        if call.kind == pb.StoreCall.APPEND:
+            appended = await store.append(
+                call.topic,
+                [(record.key.decode(), record.value) for record in call.records],
+                at=call.at if call.conditional else None,
+                producer=call.producer,
+                epoch=call.epoch,
+                sequence=call.sequence if call.numbered else None,
+            )
+            return pb.StoreAnswer(offset=appended.offset, end=appended.end)
+        if call.kind == pb.StoreCall.NEWEST:
+            found = await store.newest(call.topic)
+        else:
+            found = await store.read(call.topic, call.offset, call.wait_ms)
+    except StoreConflictError as error:
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.CONFLICT, detail=error.end)
+    except StoreFencedError as error:
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.FENCED, reason=str(error))
+    except StoreSequenceError as error:
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.OUT_OF_SEQUENCE, detail=error.expected)
+    except StoreTrimmedError as error:
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.TRIMMED, detail=error.first)
+    except StoreRefusedError as error:
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED, reason=str(error))
+    except StoreError as error:
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.UNANSWERED, reason=str(error))
+    return pb.StoreAnswer(
+        records=[
+            pb.KeyedRecord(offset=record.offset, key=record.key.encode(), value=record.value)
+            for record in found.records
+        ],
+        next_offset=found.next_offset,
+        end=found.end,
+    )
+
+
+def _error(answer: pb.StoreAnswer) -> StoreError | None:
+    outcomes = pb.StoreAnswer
+    if answer.outcome == outcomes.DONE:
+        return None
+    if answer.outcome == outcomes.REFUSED:
+        return StoreRefusedError(answer.reason)
+    if answer.outcome == outcomes.CONFLICT:
+        return StoreConflictError(answer.detail)
+    if answer.outcome == outcomes.FENCED:
+        return StoreFencedError(answer.reason)
+    if answer.outcome == outcomes.OUT_OF_SEQUENCE:
+        return StoreSequenceError(answer.detail)
+    if answer.outcome == outcomes.TRIMMED:
+        return StoreTrimmedError(answer.detail)
+    return StoreUnansweredError(answer.reason)
+
+
+def _checked(answer: pb.StoreAnswer) -> pb.StoreAnswer:
+    error = _error(answer)
+    if error is not None:
+        raise error
+    return answer
+
+
+def _records(answer: pb.StoreAnswer) -> Records:
+    records = [
+        KeyedRecord(record.offset, record.key.decode(errors="replace"), record.value)
+        for record in answer.records
+    ]
+    return Records(records, answer.next_offset, answer.end)
