Move what an instance is made of into the library, apart from its transports

Cause: followed state, entry, term and planner could only be run with HTTP servers, so no test could play them.

--- a/packages/daemon/carawayrouted/fleet_metrics.py
+++ b/packages/daemon/carawayrouted/fleet_metrics.py
@@ -27,6 +27,11 @@
             registry=self.registry,
         )
 
+    def count_call(self, method: str, status: int, took_ms: float) -> None:
+        """Count an answered call."""
+        self.requests.labels(method, str(status)).inc()
+        self.call_seconds.labels(method).observe(took_ms / 1000)
+
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read when the metrics are."""
         Gauge(f"carawayroute_{name}", text, registry=self.registry).set_function(read)
--- a/packages/daemon/carawayrouted/platform/callers.py
+++ b/packages/daemon/carawayrouted/platform/callers.py
@@ -4,6 +4,7 @@
 import json
 import math
 import re
+import time
 from collections.abc import Callable
 
 import structlog
@@ -44,7 +45,7 @@
         self,
         service: EntryService,
         configuration: Callable[[], Configuration | None],
-        count: Callable[[str, int], None],
+        count: Callable[[str, int, float], None],
     ) -> None:
         self._service = service
         self._configuration = configuration
@@ -54,13 +55,15 @@
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer one request."""
         self.open_requests += 1
+        arrived_s = time.monotonic()
         try:
             response = await self._answer(request)
         except web.HTTPException as error:
             response = _reply(error.status)
         finally:
             self.open_requests -= 1
-        self._count(request.method, response.status)
+        took_ms = (time.monotonic() - arrived_s) * 1000
+        self._count(request.method, response.status, took_ms)
         return response
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
--- a/packages/daemon/carawayrouted/platform/configuration.py
+++ b/packages/daemon/carawayrouted/platform/configuration.py
@@ -2,18 +2,14 @@
 
 import json
 
-from carawayroute.exceptions import CarawayrouteError
+from carawayroute.fleet.exceptions import FormatError
 from carawayroute.fleet.types import CallerLimits, Configuration, Queue, Team
 
 
-class ConfigurationFormatError(CarawayrouteError):
-    """A configuration cannot be read."""
-
-
 def decode_configuration(value: bytes) -> Configuration:
     """Return a configuration.
 
-    :raises ConfigurationFormatError: it cannot be read.
+    :raises FormatError: it cannot be read.
     """
     try:
         fields = json.loads(value)
@@ -29,7 +25,7 @@
             frozenset(one["name"] for one in services if one.get("standby")),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise ConfigurationFormatError(f"{type(error).__name__}: {error}") from error
+        raise FormatError(f"{type(error).__name__}: {error}") from error
 
 
 def _queue(route: dict) -> Queue:
--- a/packages/daemon/carawayrouted/platform/runners.py
+++ b/packages/daemon/carawayrouted/platform/runners.py
@@ -2,8 +2,11 @@
 
 import json
 
-from carawayroute.exceptions import CarawayrouteError
-from carawayroute.fleet.exceptions import RunnerRefusedError, RunnerUnansweredError
+from carawayroute.fleet.exceptions import (
+    FormatError,
+    RunnerRefusedError,
+    RunnerUnansweredError,
+)
 from carawayroute.fleet.types import Capacity, EndedTask, Runner, RunnerReport, RunningTask
 from carawayrouted.platform import words
 from carawayrouted.platform.http import HttpPool, NeverSentError
@@ -13,25 +16,21 @@
 RACK_MARK = "-"
 
 
-class RunnerEntryError(CarawayrouteError):
-    """An entry of the list names no runner that can be used."""
-
-
 def decode_runner(runner_id: str, value: bytes) -> Runner:
     """Return the runner that an entry describes.
 
-    :raises RunnerEntryError: the entry is malformed, or of another writer.
+    :raises FormatError: the entry is malformed, or of another writer.
     """
     try:
         fields = json.loads(value)
         room = fields["capacity"]
         labels = [label for label in fields["labels"] if isinstance(label, str)]
         if fields["state"] not in ("ready", "draining"):
-            raise RunnerEntryError(f"state {fields['state']!r} is not known")
+            raise FormatError(f"state {fields['state']!r} is not known")
         address = fields["address"]
         host, _, port = address.rpartition(":")
         if not host or not port.isdigit():
-            raise RunnerEntryError(f"address {address!r} cannot be called")
+            raise FormatError(f"address {address!r} cannot be called")
         return Runner(
             runner_id,
             _text(fields["service"]),
@@ -44,7 +43,7 @@
             _whole(fields.get("born", 0)),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise RunnerEntryError(f"{type(error).__name__}: {error}") from error
+        raise FormatError(f"{type(error).__name__}: {error}") from error
 
 
 def _rack(labels: list[str]) -> str:
--- a/packages/library/carawayroute/fleet/exceptions.py
+++ b/packages/library/carawayroute/fleet/exceptions.py
@@ -74,3 +74,7 @@
 
 class TermLostError(CarawayrouteError):
     """Another instance holds the planner's term."""
+
+
+class FormatError(CarawayrouteError):
+    """What another writer put in the store cannot be read."""
--- /dev/null
+++ b/packages/library/carawayroute/fleet/node.py
@@ -0,0 +1,316 @@
+"""An instance of the fleet without its transports: state, entry, term and planner."""
+
+import asyncio
+import time
+from contextlib import suppress
+
+import structlog
+from google.protobuf.message import DecodeError
+
+from carawayroute.clock import Clock
+from carawayroute.fleet.admission import Admission
+from carawayroute.fleet.book import PROGRESS_KEY, JobBook, RecordError
+from carawayroute.fleet.entry import EntryService
+from carawayroute.fleet.exceptions import FormatError, StoreError
+from carawayroute.fleet.follower import TopicFollower
+from carawayroute.fleet.leadership import Leadership
+from carawayroute.fleet.planner import Planner, PlannerSettings
+from carawayroute.fleet.ports import KeyedRecord, PlatformFormat, RunnerOrders, Store
+from carawayroute.fleet.relay import Peers, RelayedStore
+from carawayroute.fleet.types import Configuration
+from carawayroute.fleet.writer import LogWriter
+from carawayroute.misc import TaskGroup
+from carawayroute_schema import records_pb2 as pb
+
+JOBS_TOPIC = "keyed.jobs"
+MEMBER_KEY = "m/"
+ANNOUNCE_RETRY_MS = 1_000
+# Least time between two reads of the jobs by an instance that does not plan.
+FOLLOW_PACE_MS = 120
+# A lease that outlasts a planner's replacement several times, within what runners grant.
+LEASE_MS = 8_000
+# The store must have answered this recently for an instance to ask for new connections.
+READY_LAG_MS = 1_800
+
+log = structlog.get_logger()
+
+
+class FleetSettings:
+    """What an instance must know of itself and its deployment.
+
+    :param address: of its link to peers.
+    :param cores: processor that it may use.
+    :param most_lease_ms: longest lease that runners grant.
+    :param stop_ms: time that stopping a task takes at most.
+    :param memory_ms: how long the state of an ended job can be asked for.
+    """
+
+    __slots__ = (
+        "address",
+        "cores",
+        "data_centre",
+        "instance",
+        "link_mbps",
+        "memory_ms",
+        "most_lease_ms",
+        "region",
+        "stop_ms",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        address: str,
+        region: str,
+        data_centre: str,
+        most_lease_ms: int,
+        stop_ms: int,
+        memory_ms: int = 120_000,
+        cores: float = 1.0,
+        link_mbps: float = 1_000.0,
+    ) -> None:
+        self.instance = instance
+        self.address = address
+        self.region = region
+        self.data_centre = data_centre
+        self.most_lease_ms = most_lease_ms
+        self.stop_ms = stop_ms
+        self.memory_ms = memory_ms
+        self.cores = cores
+        self.link_mbps = link_mbps
+
+
+class FleetNode:
+    """Follow the store, serve callers, and plan while this instance holds the term."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        clock: Clock,
+        store: Store,
+        peers: Peers,
+        orders: RunnerOrders,
+        formats: PlatformFormat,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.store = RelayedStore(store, peers, clock, settings.address)
+        self.orders = orders
+        self._formats = formats
+        self.book = JobBook()
+        self.configuration: Configuration | None = None
+        self._tasks = TaskGroup()
+        self.planner: Planner | None = None
+        self._planner_task: asyncio.Task | None = None
+        self._address_by_member: dict[str, str] = {}
+        self.draining = False
+        boot = f"{settings.instance}.{time.time_ns() // 1_000_000}"
+        self.leadership = Leadership(self.store, clock, boot, settings.address)
+        self.jobs_follower = TopicFollower(
+            self.store, clock, JOBS_TOPIC, self._apply_job, pace_ms=FOLLOW_PACE_MS
+        )
+        self.config_follower = TopicFollower(
+            self.store, clock, formats.configuration_topic, self._apply_operator
+        )
+        self.writer = LogWriter(self.store, clock, JOBS_TOPIC, boot)
+        self.admission = Admission(self.book)
+        self.service = EntryService(
+            settings.instance,
+            clock,
+            self.book,
+            self.jobs_follower,
+            self.writer,
+            self.admission,
+            self._job_written,
+        )
+
+    def start(self) -> None:
+        """Start following, announcing and standing for the term."""
+        for work, name in (
+            (self.config_follower.run(), "follow configuration"),
+            (self.jobs_follower.run(), "follow jobs"),
+            (self.leadership.follower.run(), "follow terms"),
+            (self.leadership.run(), "leadership"),
+            (self.writer.run(), "writer"),
+            (self._announce(), "announce"),
+            (self._plan_while_leading(), "planner"),
+        ):
+            self._tasks.start(work, name)
+
+    async def stop(self) -> None:
+        """End every task."""
+        await self._tasks.cancel()
+
+    async def resign(self) -> None:
+        """Ask for no new connections and leave the term to another instance."""
+        self.draining = True
+        await self.leadership.resign()
+
+    def not_ready(self) -> str:
+        """Return why the instance asks for no new connections, or an empty text."""
+        if self.draining:
+            return "draining"
+        if self.configuration is None:
+            return "no configuration"
+        if not self.jobs_follower.loaded.is_set():
+            return "no state"
+        if self.jobs_follower.lag_ms() > READY_LAG_MS:
+            return "the store does not answer"
+        return ""
+
+    def planner_term(self) -> int:
+        """Return the term that this instance plans in, or 0."""
+        return self.planner.term if self.planner else 0
+
+    # ------------------------------------------------------------------ followed state
+
+    def _apply_operator(self, record: KeyedRecord) -> None:
+        if record.key != self._formats.configuration_key or not record.value:
+            return
+        try:
+            configuration = self._formats.decode_configuration(record.value)
+        except FormatError as error:
+            log.warning("configuration_unreadable", offset=record.offset, error=str(error))
+            return
+        self._adopt_configuration(configuration, "store")
+
+    def _adopt_configuration(self, configuration: Configuration, source: str) -> None:
+        """Put a configuration in force unless a newer one is."""
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self.configuration = configuration
+        log.info(
+            "configuration_in_force",
+            version=configuration.version,
+            before=current.version if current else 0,
+            queues=len(configuration.queues_by_name),
+            teams=len(configuration.teams_by_name),
+            source=source,
+        )
+        if self.planner is not None:
+            self.planner.changed()
+
+    def _apply_member(self, record: KeyedRecord) -> None:
+        """Learn the address of a peer."""
+        try:
+            member = pb.Member.FromString(record.value)
+        except DecodeError as error:
+            log.warning("record_unreadable", key=record.key, error=str(error))
+            return
+        name = record.key[len(MEMBER_KEY) :]
+        before = self._address_by_member.pop(name, None)
+        if before is not None:
+            self.store.addresses.discard(before)
+        if record.value:
+            self._address_by_member[name] = member.address
+            self.store.addresses.add(member.address)
+
+    async def _announce(self) -> None:
+        """Tell the other instances how to reach this one."""
+        settings = self.settings
+        member = pb.Member(
+            instance=settings.instance,
+            address=settings.address,
+            region=settings.region,
+            data_centre=settings.data_centre,
+            cores=settings.cores,
+            link_mbps=settings.link_mbps,
+        )
+        records = [(MEMBER_KEY + settings.instance, member.SerializeToString())]
+        while True:
+            try:
+                await self.writer.write(records)
+                return
+            except StoreError as error:
+                log.warning("announcement_failed", error=str(error))
+                await self.clock.sleep_ms(ANNOUNCE_RETRY_MS)
+
+    def _apply_job(self, record: KeyedRecord) -> None:
+        if record.key.startswith(MEMBER_KEY):
+            self._apply_member(record)
+            return
+        if self.planner is not None and record.key.startswith(PROGRESS_KEY):
+            progress = pb.Progress.FromString(record.value)
+            if progress.term == self.planner.term:
+                # The planner's own state is ahead of what it put on record.
+                return
+        try:
+            self.book.apply(record.offset, record.key, record.value, self.clock.now_ms())
+        except RecordError as error:
+            log.warning("record_unreadable", key=record.key, error=str(error))
+        if self.planner is not None:
+            self.planner.changed()
+
+    def _job_written(self) -> None:
+        if self.planner is not None:
+            self.jobs_follower.hurry()
+
+    # ------------------------------------------------------------------ planner
+
+    def _runners_follower(self, planner: Planner) -> TopicFollower:
+        def apply(record: KeyedRecord) -> None:
+            if not record.value:
+                planner.remove_runner(record.key)
+                return
+            try:
+                planner.set_runner(self._formats.decode_runner(record.key, record.value))
+            except FormatError as error:
+                log.warning("runner_entry_unusable", runner=record.key, error=str(error))
+
+        return TopicFollower(
+            self.store,
+            self.clock,
+            self._formats.runners_topic,
+            apply,
+            planner.keep_runners,
+            pace_ms=FOLLOW_PACE_MS,
+        )
+
+    async def _plan_while_leading(self) -> None:
+        """Run a planner whenever this instance holds the term."""
+        while True:
+            self.leadership.changed.clear()
+            term = self.leadership.term
+            if self.planner is not None and self.planner.term != term:
+                await self._stop_planner()
+            if term and self.planner is None:
+                self._start_planner(term)
+            await self.leadership.changed.wait()
+
+    def _start_planner(self, term: int) -> None:
+        settings = PlannerSettings(
+            min(LEASE_MS, self.settings.most_lease_ms),
+            self.settings.most_lease_ms,
+            self.settings.stop_ms,
+        )
+        self.jobs_follower.set_pace(0.0)
+        self.planner = Planner(
+            term,
+            settings,
+            self.clock,
+            self.store,
+            self.orders,
+            self.book,
+            self.jobs_follower,
+            lambda: self.configuration,
+            self._runners_follower,
+            self.leadership.lost,
+        )
+        self._planner_task = self._tasks.start(self.planner.run(), f"planner {term}")
+        log.info("planner_started", term=term)
+
+    async def _stop_planner(self) -> None:
+        planner, task = self.planner, self._planner_task
+        if planner is None or task is None:
+            return
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+        self.planner = None
+        self._planner_task = None
+        self.jobs_follower.set_pace(FOLLOW_PACE_MS)
+        # What was decided and not put on record is forgotten.
+        self.book.reset()
+        self.jobs_follower.reload()
+        log.info("planner_stopped", term=planner.term)
--- a/packages/library/carawayroute/fleet/ports.py
+++ b/packages/library/carawayroute/fleet/ports.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from carawayroute.fleet.types import Runner, RunnerReport
+from carawayroute.fleet.types import Configuration, Runner, RunnerReport
 
 
 class Appended:
@@ -110,3 +110,27 @@
 
         :raises RunnerError: as the class of the error says.
         """
+
+
+class PlatformFormat(Protocol):
+    """Where the platform keeps configuration and runners in the store, and how they read.
+
+    :ivar configuration_topic: topic of the configuration, under `configuration_key`.
+    :ivar runners_topic: topic of the runners, each under its id.
+    """
+
+    configuration_topic: str
+    configuration_key: str
+    runners_topic: str
+
+    def decode_configuration(self, value: bytes) -> Configuration:
+        """Return a configuration.
+
+        :raises FormatError: it cannot be read.
+        """
+
+    def decode_runner(self, runner_id: str, value: bytes) -> Runner:
+        """Return a runner.
+
+        :raises FormatError: the entry names none that can be used.
+        """
