--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -52,6 +52,7 @@
                 settings.memory_ms,
                 settings.cores,
                 settings.link_mbps,
+                settings.seeds,
             ),
             self.clock,
             self.direct_store,
--- a/packages/daemon/carawayrouted/platform/settings.py
+++ b/packages/daemon/carawayrouted/platform/settings.py
@@ -28,6 +28,7 @@
 class PlatformSettings:
     """What a process needs of the settings file.
 
+    :param seeds: addresses of some peers' links.
     :param most_lease_ms: longest lease that runners grant.
     :param stop_ms: time that a stop takes at most.
     :param grace_ms: from SIGTERM to SIGKILL.
@@ -47,6 +48,7 @@
         "peer",
         "readiness",
         "region",
+        "seeds",
         "stop_ms",
         "store",
     )
@@ -60,6 +62,9 @@
             self.callers = Address(fields["listen"]["front"])
             self.readiness = Address(fields["listen"]["ready"])
             self.peer = Address(f"{fields['ip']}:{fields['internal_ports'][0]}")
+            # The file names peers by another port; that of the links is the same on all machines.
+            seeds = [Address(text) for text in fields.get("seeds") or []]
+            self.seeds = tuple(f"{seed.host}:{self.peer.port}" for seed in seeds)
             self.store = Address(fields["platform"]["address"])
             self.advice = Address(fields["advice"]) if fields.get("advice") else None
             self.most_lease_ms = int(bounds["hold_max_ms"])
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -9,15 +9,13 @@
 from carawayroute.exceptions import CarawayrouteError
 from carawayroute.fleet.admission import Admission
 from carawayroute.fleet.book import CANCEL_KEY, JOB_KEY, Job, JobBook
-from carawayroute.fleet.exceptions import StoreRefusedError
+from carawayroute.fleet.exceptions import StoreError, StoreRefusedError
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.order import LATE_FACTOR
 from carawayroute.fleet.types import Queue, Team
 from carawayroute.fleet.writer import LogWriter
 from carawayroute_schema import records_pb2 as pb
 
-# A job that is not known is looked for in the store when the state is older than this.
-STALE_MS = 1_000
 # An outage of the store is expected to last as long again as it has, within these bounds; callers
 # try a few times, so the later bound spreads them over the time in which the job still counts.
 LEAST_RETRY_MS = 1_000
@@ -140,20 +138,15 @@
             raise OutcomeUnknownError("the store did not answer in time") from error
 
     async def _find(self, job_id: str, wait_ms: float) -> Job:
-        """Return a job, after reading on where the state may be too old to know it."""
-        job = self._book.jobs_by_id.get(job_id)
-        if job is not None and self._follower.loaded.is_set():
-            return job
-        until_ms = self._clock.now_ms() + wait_ms - ANSWER_MARGIN_MS
-        while not self._follower.loaded.is_set() or self._follower.lag_ms() > STALE_MS:
-            left_ms = until_ms - self._clock.now_ms()
-            if left_ms <= 0:
-                raise StateUnknownError("the state of jobs cannot be read")
-            self._follower.changed.clear()
-            try:
-                await asyncio.wait_for(self._follower.changed.wait(), left_ms / 1000)
-            except TimeoutError:
-                continue
+        """Return a job; one that is not known is looked for in the store first."""
+        try:
+            async with asyncio.timeout(max(0.0, wait_ms - ANSWER_MARGIN_MS) / 1000):
+                await self._follower.loaded.wait()
+                if job_id not in self._book.jobs_by_id:
+                    await self._follower.read_now()
+        except (TimeoutError, StoreError) as error:
+            log.info("job_state_unknown", job=job_id, state_age_ms=round(self._follower.lag_ms()))
+            raise StateUnknownError("the state of jobs cannot be read") from error
         job = self._book.jobs_by_id.get(job_id)
         if job is None:
             raise NoSuchJobError(job_id)
--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -8,6 +8,7 @@
 from carawayroute.clock import Clock
 from carawayroute.fleet.exceptions import StoreError, StoreTrimmedError
 from carawayroute.fleet.ports import KeyedRecord, Store
+from carawayroute.misc import wait_event
 from carawayroute.retries import Backoff
 
 # A read waits this long for a record, so that a silent connection shows within a second or so.
@@ -87,11 +88,8 @@
         left_ms = self._pace_ms - (self._clock.now_ms() - sent_ms)
         if left_ms <= 0:
             return
-        try:
-            await asyncio.wait_for(self._hurry.wait(), left_ms / 1000)
-        except TimeoutError:
-            return
-        self._hurry.clear()
+        if await wait_event(self._hurry, left_ms):
+            self._hurry.clear()
 
     def set_pace(self, pace_ms: float) -> None:
         """Change the least time between two reads."""
@@ -127,11 +125,23 @@
         self.changed.set()
         log.info("topic_loaded", topic=self.topic, keys=len(found.records), offset=self.offset)
 
-    async def _read(self, sent_ms: float) -> None:
-        found = await self._store.read(self.topic, self.offset, READ_WAIT_MS)
+    async def read_now(self) -> None:
+        """Read to the end beside the read that waits for a record.
+
+        :raises StoreError: the store did not answer.
+        """
+        try:
+            await self._read(self._clock.now_ms(), 0)
+        except StoreTrimmedError:
+            self.reload()
+            await self.loaded.wait()
+
+    async def _read(self, sent_ms: float, wait_ms: int = READ_WAIT_MS) -> None:
+        found = await self._store.read(self.topic, self.offset, wait_ms)
         for record in found.records:
-            self._apply(record)
-        self.offset = found.next_offset
+            if record.offset >= self.offset:
+                self._apply(record)
+        self.offset = max(self.offset, found.next_offset)
         if self.offset >= found.end:
             self._fresh_ms = self._clock.now_ms() if found.records else sent_ms
         self.changed.set()
--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -146,6 +146,7 @@
 
     async def _read_on(self, end: int) -> None:
         try:
-            await asyncio.wait_for(self.follower.read_to(end), TERM_TIMEOUT_MS / 1000)
+            async with asyncio.timeout(TERM_TIMEOUT_MS / 1000):
+                await self.follower.read_to(end)
         except TimeoutError:
             log.warning("beat_conflict_unread", end=end, offset=self.follower.offset)
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -9,6 +9,7 @@
 from carawayroute.fleet.exceptions import RunnerError, RunnerRefusedError
 from carawayroute.fleet.ports import RunnerOrders
 from carawayroute.fleet.types import Runner, RunnerReport
+from carawayroute.misc import wait_event
 
 # A look waits this long for an end, and the lease is extended with every look.
 LOOK_WAIT_MS = 1_000
@@ -105,10 +106,7 @@
                 await self._clock.sleep_ms(FAILED_LOOK_WAIT_MS)
             elif self.unstored:
                 self.stored.clear()
-                try:
-                    await asyncio.wait_for(self.stored.wait(), UNSTORED_WAIT_MS / 1000)
-                except TimeoutError:
-                    continue
+                await wait_event(self.stored, UNSTORED_WAIT_MS)
 
     async def look_now(self) -> None:
         """Look once, beside the look that waits for an end."""
@@ -117,9 +115,11 @@
     async def _look(self, wait_ms: int) -> None:
         sent_ms = self._clock.now_ms()
         born_ms = self.born_ms
+        # A runner out of reach gets no longer lease, or its work could never be given up.
+        lease_until_ms = self.lease_until_ms() if self.reachable else 0
         try:
             report = await self._orders.hold(
-                self.runner, self._term, self.acknowledged, self.lease_until_ms(), wait_ms
+                self.runner, self._term, self.acknowledged, lease_until_ms, wait_ms
             )
         except RunnerRefusedError as error:
             if error.reason == "fence":
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -1,7 +1,6 @@
 """An instance of the fleet without its transports: state, entry, term and planner."""
 
 import asyncio
-import time
 from contextlib import suppress
 
 import structlog
@@ -19,7 +18,7 @@
 from carawayroute.fleet.relay import Peers, RelayedStore
 from carawayroute.fleet.types import Configuration
 from carawayroute.fleet.writer import LogWriter
-from carawayroute.misc import TaskGroup
+from carawayroute.misc import TaskGroup, new_id
 from carawayroute_schema import records_pb2 as pb
 
 JOBS_TOPIC = "keyed.jobs"
@@ -40,6 +39,7 @@
 
     :param address: of its link to peers.
     :param cores: processor that it may use.
+    :param seeds: addresses of some peers, known before any state is read; they may be stale.
     :param most_lease_ms: longest lease that runners grant.
     :param stop_ms: time that stopping a task takes at most.
     :param memory_ms: how long the state of an ended job can be asked for.
@@ -54,6 +54,7 @@
         "memory_ms",
         "most_lease_ms",
         "region",
+        "seeds",
         "stop_ms",
     )
 
@@ -68,6 +69,7 @@
         memory_ms: int = 120_000,
         cores: float = 1.0,
         link_mbps: float = 1_000.0,
+        seeds: tuple[str, ...] = (),
     ) -> None:
         self.instance = instance
         self.address = address
@@ -78,6 +80,7 @@
         self.memory_ms = memory_ms
         self.cores = cores
         self.link_mbps = link_mbps
+        self.seeds = seeds
 
 
 class FleetNode:
@@ -95,6 +98,7 @@
         self.settings = settings
         self.clock = clock
         self.store = RelayedStore(store, peers, clock, settings.address)
+        self.store.addresses.update(settings.seeds)
         self.orders = orders
         self._formats = formats
         self.book = JobBook()
@@ -104,7 +108,7 @@
         self._planner_task: asyncio.Task | None = None
         self._address_by_member: dict[str, str] = {}
         self.draining = False
-        boot = f"{settings.instance}.{time.time_ns() // 1_000_000}"
+        boot = new_id(settings.instance)
         self.leadership = Leadership(self.store, clock, boot, settings.address)
         self.jobs_follower = TopicFollower(
             self.store, clock, JOBS_TOPIC, self._apply_job, pace_ms=FOLLOW_PACE_MS
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -30,7 +30,7 @@
     TaskId,
 )
 from carawayroute.fleet.writer import LogWriter
-from carawayroute.misc import TaskGroup
+from carawayroute.misc import TaskGroup, wait_event
 from carawayroute.retries import Backoff
 
 PRODUCER = "planner"
@@ -44,6 +44,7 @@
 RETRY_MS = 40
 # Victims that do not end within this time lead to another placement.
 ROOM_TIMEOUT_MS = 1_500
+ROOM_CHECK_MS = 100
 
 STATUS_INTERVAL_MS = 2_000
 # Jobs named in a status line.
@@ -210,10 +211,7 @@
             if left_ms <= 0:
                 return
             self._reported.clear()
-            try:
-                await asyncio.wait_for(self._reported.wait(), left_ms / 1000)
-            except TimeoutError:
-                return
+            await wait_event(self._reported, left_ms)
 
     def _adopt(self, stage: Stage, index: int) -> None:
         run = Run(stage, index, stage.runs[index], stage.runners[index])
@@ -487,11 +485,8 @@
         self._changed.set()
 
     async def _wait_change(self) -> None:
-        try:
-            await asyncio.wait_for(self._changed.wait(), PASS_INTERVAL_MS / 1000)
+        if await wait_event(self._changed, PASS_INTERVAL_MS):
             await self._clock.sleep_ms(PASS_DELAY_MS)
-        except TimeoutError:
-            pass
         self._changed.clear()
 
     def _rooms(self) -> list[Room]:
@@ -653,10 +648,7 @@
             if not any(key in self.runs_by_key for key in waiting):
                 return True
             self._reported.clear()
-            try:
-                await asyncio.wait_for(self._reported.wait(), 0.1)
-            except TimeoutError:
-                continue
+            await wait_event(self._reported, ROOM_CHECK_MS)
         return False
 
     async def _start_task(self, run: Run) -> None:
@@ -687,6 +679,7 @@
                 continue
             except RunnerRefusedError as error:
                 if error.reason == "late":
+                    await self._clock.sleep_ms(RETRY_MS)
                     continue
                 if error.reason == "fence":
                     self._fenced(link)
--- a/packages/library/carawayroute/misc.py
+++ b/packages/library/carawayroute/misc.py
@@ -23,6 +23,16 @@
     )
 
 
+async def wait_event(event: asyncio.Event, most_ms: float) -> bool:
+    """Wait for an event and return whether it came in time."""
+    try:
+        async with asyncio.timeout(max(0.0, most_ms) / 1000):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
 class TaskGroup:
     """Keep background tasks alive and cancel them together."""
 
--- /dev/null
+++ b/packages/standins/carawayroute_standins/fleet/judge.py
@@ -0,0 +1,36 @@
+"""Judges what the runners of the emulator really did; the product's own account plays no part."""
+
+from carawayroute_standins.journal import Journal
+
+
+def problems(journal: Journal) -> list[str]:
+    """Return every promise that was broken: work done twice, or a gang that ran in part."""
+    found: list[str] = []
+    running: dict[str, tuple[int, str]] = {}
+    acknowledged: set[str] = set()
+    for entry in journal.entries:
+        task = str(entry.fields.get("task", ""))
+        run = entry.fields.get("run")
+        if entry.what == "task_started":
+            if task in running:
+                found.append(f"{task} runs twice: {running[task]} and {run}")
+            if task in acknowledged:
+                found.append(f"{task} was started after its end as done was acknowledged")
+            running[task] = (run, str(entry.fields["runner"]))
+        elif entry.what in ("task_ended", "task_lost"):
+            if running.get(task, (None, ""))[0] == run:
+                del running[task]
+            if entry.fields.get("outcome") == "alone":
+                found.append(f"{task} waited in vain for the rest of its gang")
+        elif entry.what == "end_acknowledged" and entry.fields["outcome"] == "done":
+            acknowledged.add(task)
+    return found
+
+
+def starts(journal: Journal, job_id: str) -> list[str]:
+    """Return the tasks of a job that were started, in order."""
+    return [
+        str(entry.fields["task"])
+        for entry in journal.all("task_started")
+        if str(entry.fields["task"]).startswith(job_id)
+    ]
--- /dev/null
+++ b/packages/standins/carawayroute_standins/fleet/taskrunner.py
@@ -0,0 +1,345 @@
+"""A runner of tasks: capacity, leases, fencing, gangs, ends that wait to be acknowledged."""
+
+import asyncio
+import json
+
+from carawayroute.clock import Clock
+from carawayroute.fleet.exceptions import RunnerRefusedError, RunnerUnansweredError
+from carawayroute.fleet.types import (
+    Capacity,
+    EndedTask,
+    Runner,
+    RunnerReport,
+    RunningTask,
+    TaskId,
+)
+from carawayroute.misc import wait_event
+from carawayroute_standins.journal import Journal
+
+ORDER_MS = 1
+UNANSWERED_MS = 500
+TICK_MS = 20
+
+
+class Work:
+    """What a task of the emulator does, as its job's spec says in JSON.
+
+    :param run_ms: time that a task runs.
+    :param gang: members that must be present, 0 for a task by itself.
+    :param failures: runs that fail before one ends as done.
+    """
+
+    __slots__ = ("accelerators", "failures", "gang", "run_ms")
+
+    def __init__(self, spec: str) -> None:
+        fields = json.loads(spec)
+        self.run_ms = fields["run_ms"]
+        self.gang = fields.get("gang", 0)
+        self.failures = fields.get("failures", 0)
+        self.accelerators = fields.get("accelerators", 1)
+
+    @staticmethod
+    def spec(run_ms: int, gang: int = 0, failures: int = 0, accelerators: int = 1) -> str:
+        """Return the text that describes work."""
+        return json.dumps(
+            {"run_ms": run_ms, "gang": gang, "failures": failures, "accelerators": accelerators}
+        )
+
+
+class GangBoard:
+    """Which members of each gang's run are present, over all runners."""
+
+    def __init__(self) -> None:
+        self._members_by_run: dict[tuple[str, int], dict[int, _Run]] = {}
+
+    def join(self, run: "_Run") -> None:
+        """Note a member; the gang works once all are present."""
+        if not run.work.gang:
+            run.working = True
+            return
+        members = self._members_by_run.setdefault(run.gang_key, {})
+        members[run.task.index] = run
+        if len(members) == run.work.gang:
+            for member in members.values():
+                member.working = True
+
+    def leave(self, run: "_Run", outcome: str) -> None:
+        """Note the end of a member, which ends the others."""
+        members = self._members_by_run.pop(run.gang_key, None)
+        if members is None:
+            return
+        if outcome == "alone" or not run.working:
+            self._members_by_run[run.gang_key] = members
+            members.pop(run.task.index, None)
+            return
+        for member in members.values():
+            if member is not run and not member.ended:
+                member.model.end(member, "done" if outcome == "done" else "broken")
+
+
+class _Run:
+    __slots__ = (
+        "checkpoint",
+        "done_ms",
+        "ended",
+        "model",
+        "number",
+        "since_ms",
+        "task",
+        "text",
+        "work",
+        "working",
+    )
+
+    def __init__(self, model: "TaskRunner", text: str, number: int, work: Work) -> None:
+        self.model = model
+        self.text = text
+        self.task = TaskId.parse(text)
+        self.number = number
+        self.work = work
+        self.working = False
+        self.ended = False
+        self.done_ms = 0.0
+        self.since_ms = 0.0
+        self.checkpoint = ""
+
+    @property
+    def gang_key(self) -> tuple[str, int]:
+        return (self.text.rsplit(".", 1)[0], self.number)
+
+
+class TaskRunner:
+    """Run tasks for whoever holds the highest term.
+
+    :param clock_rate: how fast the runner's own clock goes.
+    :ivar mode: ``up``, ``cut`` (no answer, runs on), ``dead`` (no answer, runs nothing), ``hung``
+        (tasks stand still), ``failing`` (every task fails at once).
+    """
+
+    def __init__(
+        self,
+        listed: Runner,
+        clock: Clock,
+        journal: Journal,
+        gangs: GangBoard,
+        clock_rate: float = 0.98,
+        stop_ms: int = 200,
+        most_lease_ms: int = 10_000,
+        gang_wait_ms: int = 3_000,
+    ) -> None:
+        self.listed = listed
+        self.clock = clock
+        self.journal = journal
+        self.gangs = gangs
+        self._clock_rate = clock_rate
+        self._stop_ms = stop_ms
+        self._most_lease_ms = most_lease_ms
+        self._gang_wait_ms = gang_wait_ms
+        self.mode = "up"
+        self._failures_by_task: dict[str, int] = {}
+        self._ended_event = asyncio.Event()
+        self.born_ms = 0
+        self.be_born()
+
+    def be_born(self) -> None:
+        """Start anew under the same id: nothing runs and nothing is known."""
+        for run in list(getattr(self, "_runs", {}).values()):
+            run.ended = True
+            self.journal.note("task_lost", task=run.text, run=run.number, runner=self.listed.id)
+        self.born_ms += 1
+        self._term = 0
+        self._started_ms = self.clock.now_ms()
+        self._lease_ms = 0.0
+        self._runs: dict[tuple[str, int], _Run] = {}
+        self._barred_by_task: dict[str, int] = {}
+        self._ended: list[EndedTask] = []
+        self._numbers = 0
+
+    def clock_ms(self) -> int:
+        """Return the runner's own clock."""
+        return int(1_000 + (self.clock.now_ms() - self._started_ms) * self._clock_rate)
+
+    def free(self) -> int:
+        """Return the accelerators that nothing holds."""
+        held = sum(run.work.accelerators for run in self._runs.values())
+        return self.listed.capacity.accelerators - held
+
+    async def run(self) -> None:
+        """Let time pass for what runs, until cancelled."""
+        while True:
+            await self.clock.sleep_ms(TICK_MS)
+            if self.mode == "dead":
+                continue
+            if self._runs and self.clock_ms() > self._lease_ms:
+                for run in list(self._runs.values()):
+                    self.end(run, "lapsed")
+            for run in list(self._runs.values()):
+                self._advance(run)
+
+    def _advance(self, run: _Run) -> None:
+        now_ms = self.clock.now_ms()
+        if not run.working:
+            if run.work.gang and now_ms - run.since_ms > self._gang_wait_ms:
+                self.end(run, "alone")
+            return
+        if self.mode == "hung":
+            return
+        run.done_ms += TICK_MS
+        failures = self._failures_by_task.get(run.text, 0)
+        if self.mode == "failing":
+            self.end(run, "failed")
+        elif run.done_ms >= run.work.run_ms:
+            failing = run.number <= run.work.failures
+            self._failures_by_task[run.text] = failures + failing
+            self.end(run, "failed" if failing else "done")
+
+    def end(self, run: _Run, outcome: str) -> None:
+        """End a run and list its end."""
+        if run.ended:
+            return
+        run.ended = True
+        self._runs.pop((run.text, run.number), None)
+        self._barred_by_task[run.text] = max(run.number, self._barred_by_task.get(run.text, 0))
+        self._numbers += 1
+        self._ended.append(EndedTask(self._numbers, run.text, run.number, outcome, ""))
+        self.journal.note(
+            "task_ended",
+            task=run.text,
+            run=run.number,
+            runner=self.listed.id,
+            outcome=outcome,
+        )
+        self.gangs.leave(run, outcome)
+        self._ended_event.set()
+        self._ended_event = asyncio.Event()
+
+    # ------------------------------------------------------------------ orders
+
+    async def _admit(self, term: int) -> None:
+        if self.mode in ("cut", "dead"):
+            await self.clock.sleep_ms(UNANSWERED_MS)
+            raise RunnerUnansweredError(self.mode)
+        await self.clock.sleep_ms(ORDER_MS)
+        if term < self._term:
+            raise RunnerRefusedError("fence")
+        self._term = term
+
+    def _extend(self, lease_until_ms: int) -> None:
+        most_ms = self.clock_ms() + self._most_lease_ms
+        self._lease_ms = max(self._lease_ms, min(lease_until_ms, most_ms))
+
+    async def hold(
+        self, term: int, acknowledged: int, lease_until_ms: int, wait_ms: int
+    ) -> RunnerReport:
+        """Extend the lease, forget acknowledged ends, and report."""
+        await self._admit(term)
+        if lease_until_ms:
+            self._extend(lease_until_ms)
+        kept = []
+        for ended in self._ended:
+            if ended.number <= acknowledged:
+                self.journal.note(
+                    "end_acknowledged",
+                    task=ended.task,
+                    run=ended.run,
+                    runner=self.listed.id,
+                    outcome=ended.outcome,
+                )
+            else:
+                kept.append(ended)
+        self._ended = kept
+        if not self._ended and wait_ms:
+            await wait_event(self._ended_event, wait_ms)
+            await self._admit(term)
+        running = [
+            RunningTask(run.text, run.number, run.checkpoint, 0) for run in self._runs.values()
+        ]
+        return RunnerReport(self.clock_ms(), self.born_ms, running, list(self._ended))
+
+    async def start(self, term: int, task: str, run: int, spec: str, lease_until_ms: int) -> int:
+        """Start a task."""
+        await self._admit(term)
+        if (task, run) in self._runs:
+            return self.clock_ms()
+        if run <= self._barred_by_task.get(task, 0):
+            raise RunnerRefusedError("old")
+        if lease_until_ms <= self.clock_ms():
+            raise RunnerRefusedError("late")
+        self._extend(lease_until_ms)
+        started = _Run(self, task, run, Work(spec))
+        if started.work.accelerators > self.free():
+            raise RunnerRefusedError("room")
+        started.since_ms = self.clock.now_ms()
+        self._runs[task, run] = started
+        self.journal.note("task_started", task=task, run=run, runner=self.listed.id, term=term)
+        self.gangs.join(started)
+        return self.clock_ms()
+
+    async def stop(self, term: int, task: str, run: int) -> int:
+        """Stop a run, or bar it."""
+        await self._admit(term)
+        self._barred_by_task[task] = max(run, self._barred_by_task.get(task, 0))
+        found = self._runs.get((task, run))
+        if found is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._stop_ms / 1000, self.end, found, "stopped")
+        return self.clock_ms()
+
+
+class RunnerSet:
+    """Orders to the runners of the emulator, as one instance sends them.
+
+    :param cut_off: ids of runners that the instance does not reach.
+    """
+
+    def __init__(self, runners_by_id: dict[str, TaskRunner], clock: Clock) -> None:
+        self._runners_by_id = runners_by_id
+        self._clock = clock
+        self.cut_off: set[str] = set()
+
+    async def _find(self, runner: Runner) -> TaskRunner:
+        found = self._runners_by_id.get(runner.id)
+        if found is None or runner.id in self.cut_off:
+            await self._clock.sleep_ms(UNANSWERED_MS)
+            raise RunnerUnansweredError("no answer")
+        return found
+
+    async def hold(
+        self, runner: Runner, term: int, acknowledged: int, lease_until_ms: int, wait_ms: int
+    ) -> RunnerReport:
+        """Extend the lease and look."""
+        found = await self._find(runner)
+        return await found.hold(term, acknowledged, lease_until_ms, wait_ms)
+
+    async def start(
+        self,
+        runner: Runner,
+        term: int,
+        task: str,
+        run: int,
+        spec: str,
+        checkpoint: str,
+        lease_until_ms: int,
+        ticket: str = "",
+    ) -> int:
+        """Start a task."""
+        found = await self._find(runner)
+        return await found.start(term, task, run, spec, lease_until_ms)
+
+    async def stop(self, runner: Runner, term: int, task: str, run: int) -> int:
+        """Stop a run."""
+        found = await self._find(runner)
+        return await found.stop(term, task, run)
+
+
+def make_runner(name: str, rack: str, accelerators: int = 8, service: str = "render") -> Runner:
+    """Return a runner as the emulator lists it."""
+    return Runner(
+        name,
+        service,
+        f"127.0.0.1:{name}",
+        "south-a",
+        Capacity(64_000, 256_000, accelerators),
+        frozenset({"a", rack}),
+        rack,
+    )
--- /dev/null
+++ b/packages/standins/carawayroute_standins/fleet/topics.py
@@ -0,0 +1,198 @@
+"""The platform's store in memory: keyed topics with conditions, producers, and faults."""
+
+import asyncio
+import random
+
+from carawayroute.clock import Clock
+from carawayroute.fleet.exceptions import (
+    StoreConflictError,
+    StoreFencedError,
+    StoreRefusedError,
+    StoreSequenceError,
+    StoreTrimmedError,
+    StoreUnansweredError,
+)
+from carawayroute.fleet.ports import Appended, KeyedRecord, Records
+from carawayroute.misc import wait_event
+
+ANSWER_MS = 4
+# How long a client of the store waits for an answer that never comes.
+SILENCE_MS = 900
+REMEMBERED_APPENDS = 5
+
+
+class _Producer:
+    __slots__ = ("answers_by_sequence", "epoch", "next_sequence")
+
+    def __init__(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.next_sequence: int | None = None
+        self.answers_by_sequence: dict[int, Appended] = {}
+
+
+class _Topic:
+    __slots__ = ("first", "grown", "newest_by_key", "producers_by_name", "records")
+
+    def __init__(self) -> None:
+        self.records: list[KeyedRecord] = []
+        self.first = 0
+        self.newest_by_key: dict[str, KeyedRecord] = {}
+        self.producers_by_name: dict[str, _Producer] = {}
+        self.grown = asyncio.Event()
+
+
+class TopicStore:
+    """Keep topics in memory, and misbehave on demand.
+
+    :ivar mode: ``up``, ``refusing`` (every call is answered with a refusal), ``silent``.
+    :ivar lost_share: part of the appends that take effect without an answer.
+    :ivar late_ms: time after which a lost append takes effect.
+    :ivar refused: instances that are turned away.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.mode = "up"
+        self.answer_ms = ANSWER_MS
+        self.lost_share = 0.0
+        self.late_ms = 0
+        self.refused: set[str] = set()
+        self.appends = 0
+        self.reads = 0
+        self._topics_by_name: dict[str, _Topic] = {}
+
+    def topic(self, name: str) -> _Topic:
+        """Return a topic, making it when it is first used."""
+        return self._topics_by_name.setdefault(name, _Topic())
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Append a record of the platform's own and return its offset."""
+        return self._add(self.topic(topic), [(key, value)]).offset
+
+    def drop_history(self, topic: str) -> None:
+        """Forget every record but the newest of each key."""
+        found = self.topic(topic)
+        found.first += len(found.records)
+        found.records.clear()
+
+    def view(self, instance: str) -> "StoreView":
+        """Return the store as an instance calls it."""
+        return StoreView(self, instance)
+
+    async def admit(self, instance: str) -> None:
+        """Wait as long as a call takes, or fail it as the faults say."""
+        if self.mode == "silent":
+            await self.clock.sleep_ms(SILENCE_MS)
+            raise StoreUnansweredError("silent")
+        await self.clock.sleep_ms(self.answer_ms)
+        if self.mode == "refusing" or instance in self.refused:
+            raise StoreRefusedError("turned away")
+
+    def _add(self, topic: _Topic, records: list[tuple[str, bytes]]) -> Appended:
+        offset = topic.first + len(topic.records)
+        for number, (key, value) in enumerate(records):
+            record = KeyedRecord(offset + number, key, value)
+            topic.records.append(record)
+            if value:
+                topic.newest_by_key[key] = record
+            else:
+                topic.newest_by_key.pop(key, None)
+        topic.grown.set()
+        topic.grown = asyncio.Event()
+        return Appended(offset, offset + len(records))
+
+    def append(
+        self,
+        name: str,
+        records: list[tuple[str, bytes]],
+        at: int | None,
+        producer: str,
+        epoch: int,
+        sequence: int | None,
+    ) -> Appended:
+        """Check the conditions of an append and carry it out."""
+        topic = self.topic(name)
+        end = topic.first + len(topic.records)
+        if at is not None and at != end:
+            raise StoreConflictError(end)
+        known = None
+        if producer:
+            known = topic.producers_by_name.get(producer)
+            if known is not None and epoch < known.epoch:
+                raise StoreFencedError("fenced")
+            if known is None or epoch > known.epoch:
+                known = topic.producers_by_name[producer] = _Producer(epoch)
+        if not records:
+            return Appended(end, end)
+        if known is not None and sequence is not None:
+            repeated = known.answers_by_sequence.get(sequence)
+            if repeated is not None:
+                return repeated
+            if known.next_sequence is not None and sequence != known.next_sequence:
+                raise StoreSequenceError(known.next_sequence)
+        appended = self._add(topic, records)
+        if known is not None and sequence is not None:
+            known.next_sequence = sequence + 1
+            known.answers_by_sequence[sequence] = appended
+            known.answers_by_sequence.pop(sequence - REMEMBERED_APPENDS, None)
+        return appended
+
+
+class StoreView:
+    """The store's calls, as one instance makes them."""
+
+    def __init__(self, store: TopicStore, instance: str) -> None:
+        self._store = store
+        self._instance = instance
+
+    async def append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes]],
+        at: int | None = None,
+        producer: str = "",
+        epoch: int = 0,
+        sequence: int | None = None,
+    ) -> Appended:
+        """Append records, all or none."""
+        store = self._store
+        store.appends += 1
+        await store.admit(self._instance)
+        arguments = (topic, records, at, producer, epoch, sequence)
+        if records and random.random() < store.lost_share:
+            asyncio.get_running_loop().call_later(store.late_ms / 1000, self._late, arguments)
+            await store.clock.sleep_ms(SILENCE_MS)
+            raise StoreUnansweredError("the answer was lost")
+        return store.append(*arguments)
+
+    def _late(self, arguments: tuple) -> None:
+        """Carry out an append whose answer was lost; a condition may no longer hold."""
+        try:
+            self._store.append(*arguments)
+        except (StoreConflictError, StoreFencedError, StoreSequenceError):
+            return
+
+    async def read(self, topic: str, offset: int, wait_ms: int) -> Records:
+        """Return records from an offset on."""
+        store = self._store
+        store.reads += 1
+        await store.admit(self._instance)
+        found = store.topic(topic)
+        if offset < found.first:
+            raise StoreTrimmedError(found.first)
+        if offset >= found.first + len(found.records) and wait_ms > 0:
+            await wait_event(found.grown, wait_ms)
+            await store.admit(self._instance)
+        if offset < found.first:
+            raise StoreTrimmedError(found.first)
+        records = found.records[offset - found.first :]
+        return Records(list(records), offset + len(records), found.first + len(found.records))
+
+    async def newest(self, topic: str) -> Records:
+        """Return the newest record of each key."""
+        store = self._store
+        store.reads += 1
+        await store.admit(self._instance)
+        found = store.topic(topic)
+        end = found.first + len(found.records)
+        return Records(list(found.newest_by_key.values()), end, end)
--- /dev/null
+++ b/packages/standins/carawayroute_standins/fleet/world.py
@@ -0,0 +1,180 @@
+"""A whole fleet in one event loop: instances, the store and runners, with faults on demand."""
+
+import asyncio
+
+from carawayroute.clock import Clock
+from carawayroute.fleet.node import FleetNode, FleetSettings
+from carawayroute.fleet.ports import PlatformFormat
+from carawayroute.fleet.relay import PeerError
+from carawayroute.fleet.types import Queue, Team
+from carawayroute.misc import TaskGroup
+from carawayroute_schema import records_pb2 as pb
+from carawayroute_standins.fleet.taskrunner import GangBoard, RunnerSet, TaskRunner, make_runner
+from carawayroute_standins.fleet.topics import TopicStore
+from carawayroute_standins.journal import Journal
+
+STOP_MS = 200
+MOST_LEASE_MS = 10_000
+PEER_MS = 2
+SETTLE_MS = 20
+
+
+class WorldPeers:
+    """Links between the instances of a world."""
+
+    def __init__(self, world: "FleetWorld", instance: str) -> None:
+        self._world = world
+        self._instance = instance
+
+    async def ask(self, address: str, message: bytes, timeout_ms: float) -> bytes:
+        """Send a message to a peer and return its reply."""
+        world = self._world
+        peer = world.nodes_by_name.get(address)
+        if peer is None or {address, self._instance} & world.cut_peers:
+            await world.clock.sleep_ms(timeout_ms)
+            raise PeerError(address)
+        await world.clock.sleep_ms(PEER_MS)
+        return await peer.store.serve(message)
+
+
+class FleetWorld:
+    """Instances named n1, n2 and so on, and runners named w1, w2 and so on.
+
+    :param formats: how configuration and runners stand in the store.
+    :param list_runner: returns a runner's entry as it stands there.
+    :ivar cut_peers: instances that their peers do not reach.
+    """
+
+    def __init__(
+        self,
+        formats: PlatformFormat,
+        list_runner,
+        configuration: bytes,
+        instances: int = 3,
+        racks: int = 2,
+        runners_per_rack: int = 4,
+    ) -> None:
+        self.clock = Clock(wall_offset_ms=1_000_000.0)
+        self.journal = Journal(self.clock)
+        self.store = TopicStore(self.clock)
+        self.formats = formats
+        self._list_runner = list_runner
+        self.gangs = GangBoard()
+        self.tasks = TaskGroup()
+        self.cut_peers: set[str] = set()
+        self.nodes_by_name: dict[str, FleetNode] = {}
+        self.orders_by_name: dict[str, RunnerSet] = {}
+        self.runners_by_id: dict[str, TaskRunner] = {}
+        self.store.put(formats.configuration_topic, formats.configuration_key, configuration)
+        number = 0
+        for rack in range(racks):
+            for _ in range(runners_per_rack):
+                number += 1
+                self.add_runner(f"w{number}", f"r1-{rack}")
+        for number in range(1, instances + 1):
+            self.start_instance(f"n{number}")
+
+    def add_runner(self, name: str, rack: str, **options) -> TaskRunner:
+        """Start a runner and list it."""
+        listed = make_runner(name, rack)
+        runner = TaskRunner(
+            listed,
+            self.clock,
+            self.journal,
+            self.gangs,
+            stop_ms=STOP_MS,
+            most_lease_ms=MOST_LEASE_MS,
+            **options,
+        )
+        self.runners_by_id[name] = runner
+        self.tasks.start(runner.run(), name)
+        self.list(name)
+        return runner
+
+    def list(self, name: str, draining: bool = False) -> None:
+        """Write a runner's entry."""
+        listed = self.runners_by_id[name].listed
+        listed.draining = draining
+        self.store.put(self.formats.runners_topic, name, self._list_runner(listed))
+
+    def unlist(self, name: str) -> None:
+        """Remove a runner's entry."""
+        self.store.put(self.formats.runners_topic, name, b"")
+
+    def start_instance(self, name: str) -> FleetNode:
+        """Start an instance."""
+        orders = RunnerSet(self.runners_by_id, self.clock)
+        node = FleetNode(
+            FleetSettings(
+                name,
+                name,
+                "south",
+                "south-a",
+                MOST_LEASE_MS,
+                STOP_MS,
+                seeds=("n1", "n2", "n3"),
+            ),
+            self.clock,
+            self.store.view(name),
+            WorldPeers(self, name),
+            orders,
+            self.formats,
+        )
+        self.nodes_by_name[name] = node
+        self.orders_by_name[name] = orders
+        node.start()
+        return node
+
+    async def kill_instance(self, name: str) -> None:
+        """End an instance at once."""
+        node = self.nodes_by_name.pop(name)
+        await node.stop()
+
+    def planner_name(self) -> str:
+        """Return the instance that plans, or an empty text."""
+        terms = {name: node.planner_term() for name, node in self.nodes_by_name.items()}
+        planning = [name for name, term in terms.items() if term]
+        return max(planning, key=terms.__getitem__, default="")
+
+    async def wait_until(self, condition, most_ms: float, what: str) -> None:
+        """Wait until a condition holds.
+
+        :raises AssertionError: it does not in time.
+        """
+        until_ms = self.clock.now_ms() + most_ms
+        while not condition():
+            assert self.clock.now_ms() < until_ms, f"not in {most_ms} ms: {what}"
+            await self.clock.sleep_ms(SETTLE_MS)
+
+    async def wait_ready(self) -> None:
+        """Wait until an instance plans and all serve."""
+        await self.wait_until(
+            lambda: self.planner_name()
+            and all(not node.not_ready() for node in self.nodes_by_name.values()),
+            5_000,
+            "the fleet is ready",
+        )
+
+    async def submit(self, job: pb.Job, queue: Queue, team: Team, at: str = "") -> None:
+        """Hand a job in at an instance."""
+        name = at or sorted(self.nodes_by_name)[0]
+        await self.nodes_by_name[name].service.submit(queue, team, job, 3_000)
+        self.journal.note("job_accepted", job=job.id, entry=name)
+
+    async def state(self, job_id: str, at: str = "") -> str:
+        """Ask an instance for a job's state."""
+        name = at or sorted(self.nodes_by_name)[0]
+        return await self.nodes_by_name[name].service.state(job_id, 3_000)
+
+    async def wait_state(self, job_id: str, state: str, most_ms: float) -> None:
+        """Wait until some instance shows a job in a state."""
+        until_ms = self.clock.now_ms() + most_ms
+        while await self.state(job_id) != state:
+            now_ms = self.clock.now_ms()
+            assert now_ms < until_ms, f"{job_id} is not {state} in {most_ms} ms"
+            await self.clock.sleep_ms(SETTLE_MS)
+
+    async def close(self) -> None:
+        """End everything."""
+        await asyncio.gather(*(node.stop() for node in self.nodes_by_name.values()))
+        await self.tasks.cancel()
--- /dev/null
+++ b/tests/fleet_builders.py
@@ -0,0 +1,145 @@
+"""Builders of test data for the fleet."""
+
+import json
+
+from carawayroute.fleet.book import JOB_KEY, JobBook, Stage
+from carawayroute.fleet.packing import Room
+from carawayroute.fleet.types import Capacity, Configuration, Queue, Runner, Team
+from carawayroute_schema import records_pb2 as pb
+from carawayroute_standins.fleet.taskrunner import Work, make_runner
+from carawayroute_standins.fleet.world import FleetWorld
+from carawayrouted.platform.configuration import decode_configuration
+from carawayrouted.platform.formats import StoreFormat
+
+URGENT = Queue("preview", "h", "/preview/", "render", 0, 2, 1.5, 400)
+NORMAL = Queue("render", "h", "/render/", "render", 1, 2, 3.0, 1_200)
+PATIENT = Queue("export", "h", "/export/", "render", 2, 2, 3.0, 3_000)
+QUEUES = (URGENT, NORMAL, PATIENT)
+OWNER = Team("owner", ["key-owner"], 32)
+OTHER = Team("other", ["key-other"], 0)
+
+
+def step(count: int = 1, accelerators: int = 1, **options) -> pb.Step:
+    """Return a step of small tasks."""
+    fields = {"cpu_millis": 1_000, "memory_mb": 1_000, "estimate_ms": 1_000, **options}
+    return pb.Step(count=count, accelerators=accelerators, **fields)
+
+
+def job(
+    job_id: str = "0000000000000001",
+    steps: list[pb.Step] | None = None,
+    queue: Queue = NORMAL,
+    team: Team = OWNER,
+    run_ms: int = 1_000,
+    failures: int = 0,
+    accepted_ms: int = 0,
+) -> pb.Job:
+    """Return a job whose tasks run for a time in the emulator."""
+    steps = steps or [step()]
+    gang = steps[0].count if steps[0].gang else 0
+    return pb.Job(
+        id=job_id,
+        spec=Work.spec(run_ms, gang, failures, steps[0].accelerators),
+        steps=steps,
+        queue=queue.name,
+        service=queue.service,
+        team=team.name,
+        priority=queue.priority,
+        max_attempts=queue.max_attempts,
+        stretch=queue.deadline_factor,
+        target_ms=queue.target_ms,
+        accepted_ms=accepted_ms,
+    )
+
+
+def book_of(*jobs: pb.Job) -> JobBook:
+    """Return a book with accepted jobs."""
+    book = JobBook()
+    for number, one in enumerate(jobs):
+        book.apply(number, JOB_KEY + one.id, one.SerializeToString(), 0.0)
+    return book
+
+
+def put(stage: Stage, places: dict[int, str], run: int = 1) -> None:
+    """Place tasks of a stage on runners."""
+    for index, runner in places.items():
+        stage.runners[index] = runner
+        stage.runs[index] = run
+
+
+def room(name: str, rack: str = "r1-0", accelerators: int = 8, free: int | None = None) -> Room:
+    """Return a runner with what is free on it."""
+    runner = make_runner(name, rack, accelerators)
+    left = accelerators if free is None else free
+    return Room(runner, Capacity(64_000, 256_000, left))
+
+
+def configuration_bytes(version: int = 1, guaranteed: int = 32, routes: int = 0) -> bytes:
+    """Return a configuration as the platform stores it."""
+    routes_fields = [
+        {
+            "name": queue.name,
+            "host": queue.host,
+            "path_prefix": queue.prefix,
+            "route_type": "unsafe",
+            "timeout_ms": 3_000,
+            "target_latency_ms": queue.target_ms,
+            "priority": queue.priority,
+            "service": queue.service,
+            "max_attempts": queue.max_attempts,
+            "stretch": queue.deadline_factor,
+            "public": False,
+        }
+        for queue in QUEUES
+    ]
+    for number in range(routes):
+        routes_fields.append(
+            {**routes_fields[0], "name": f"x{number}", "path_prefix": f"/x{number}/"}
+        )
+    fields = {
+        "version": version,
+        "routes": routes_fields,
+        "services": [{"name": "render", "rejects_overload": True}],
+        "limits": {"max_body_bytes": 4_096},
+        "tenants": [
+            {"name": "owner", "api_keys": ["key-owner"], "guaranteed": {"gpu": guaranteed}},
+            {"name": "other", "api_keys": ["key-other"]},
+        ],
+    }
+    return json.dumps(fields).encode()
+
+
+def configuration(version: int = 1, guaranteed: int = 32) -> Configuration:
+    """Return the same, decoded."""
+    return decode_configuration(configuration_bytes(version, guaranteed))
+
+
+def runner_fields(runner: Runner) -> dict:
+    """Return a runner's entry as the platform stores it."""
+    return {
+        "service": runner.service,
+        "address": "127.0.0.1:9000",
+        "zone": runner.data_centre,
+        "version": "v1",
+        "slots": 8,
+        "state": "draining" if runner.draining else "ready",
+        "cold_left_ms": 0,
+        "capacity": {
+            "cpu": runner.capacity.cpu_millis,
+            "mem_mb": runner.capacity.memory_mb,
+            "gpu": runner.capacity.accelerators,
+        },
+        "labels": sorted(runner.labels),
+        "clock_ms": 1,
+        "sequence": 1,
+    }
+
+
+def runner_bytes(runner: Runner) -> bytes:
+    """Return the same as bytes."""
+    return json.dumps(runner_fields(runner)).encode()
+
+
+def world(**options) -> FleetWorld:
+    """Return a running fleet."""
+    return FleetWorld(StoreFormat(), runner_bytes, configuration_bytes(), **options)
