Bound the cost of a placing pass; a peer's silence leaves an append's outcome open

Change: sizes are learnt once, equal shapes are tried once a pass, preemption is looked for 12 times a pass, a pass rests twice its own time.

--- a/packages/library/carawayroute/fleet/order.py
+++ b/packages/library/carawayroute/fleet/order.py
@@ -47,28 +47,45 @@
 
 
 class Worth:
-    """What jobs are worth to their callers, by the mean size of their queue's jobs."""
+    """What jobs are worth to their callers, by the mean size of their queue's jobs.
 
-    __slots__ = ("_mean_by_queue", "room")
+    Sizes are learnt once for each job; the planner keeps one of these for its term.
+    """
+
+    __slots__ = ("_count_by_queue", "_room_by_job", "_sum_by_queue", "room")
 
-    def __init__(self, book: JobBook, room: Room) -> None:
+    def __init__(self, room: Room) -> None:
         self.room = room
-        sums: dict[str, list[float]] = {}
-        for job in book.jobs_by_id.values():
-            sums.setdefault(job.record.queue, []).append(room.of_job(job.record))
-        self._mean_by_queue = {queue: sum(found) / len(found) for queue, found in sums.items()}
+        self._room_by_job: dict[str, float] = {}
+        self._sum_by_queue: dict[str, float] = {}
+        self._count_by_queue: dict[str, int] = {}
+
+    def learn(self, book: JobBook) -> None:
+        """Take the open jobs into the means of their queues."""
+        for job in book.open_by_id.values():
+            self.size(job.record)
+
+    def size(self, job: pb.Job) -> float:
+        """Return the runner-milliseconds of a job as declared."""
+        size = self._room_by_job.get(job.id)
+        if size is None:
+            size = self.room.of_job(job)
+            self._room_by_job[job.id] = size
+            self._sum_by_queue[job.queue] = self._sum_by_queue.get(job.queue, 0.0) + size
+            self._count_by_queue[job.queue] = self._count_by_queue.get(job.queue, 0) + 1
+        return size
 
     def of(self, job: pb.Job) -> float:
         """Return the worth of a job that ends in time."""
-        own = self.room.of_job(job)
-        mean = self._mean_by_queue.get(job.queue, own)
+        own = self.size(job)
+        mean = self._sum_by_queue[job.queue] / self._count_by_queue[job.queue]
         relative = own / mean if mean > 0 else 1.0
         usual = WORTH_BY_PRIORITY[min(job.priority, len(WORTH_BY_PRIORITY) - 1)]
         return usual * min(MOST_SHARE, BASE_SHARE + (1 - BASE_SHARE) * relative)
 
     def per_room(self, job: pb.Job) -> float:
         """Return worth for each runner-millisecond of a job."""
-        return self.of(job) / max(1.0, self.room.of_job(job))
+        return self.of(job) / max(1.0, self.size(job))
 
 
 def share_in_time(job: Job, chain_ms: float, remaining_ms: float, wall_ms: float) -> float:
--- a/packages/library/carawayroute/fleet/packing.py
+++ b/packages/library/carawayroute/fleet/packing.py
@@ -46,7 +46,7 @@
 def _most(stage: Stage, runner: str) -> int:
     """Return how many more tasks of a stage may go to a runner."""
     bound = stage.step.most_per_runner
-    if not bound:
+    if bound == 0:
         return UNBOUNDED
     return max(0, bound - sum(1 for placed in stage.runners if placed == runner))
 
@@ -66,7 +66,8 @@
         return (left % each, left, -room.speed, room.runner.id)
 
     places: list[str] = []
-    for room in sorted(rooms, key=rank):
+    fitting_rooms = [room for room in rooms if room.free.accelerators >= need.accelerators]
+    for room in sorted(fitting_rooms, key=rank):
         fitting = min(copies(stage, room), count - len(places))
         places.extend([room.runner.id] * fitting)
         if len(places) == count:
@@ -92,8 +93,10 @@
     best: list[str] | None = None
     best_rank: tuple[int, int] | None = None
     for domain in _domains(stage, rooms):
+        if whole and sum(copies(stage, room) for room in domain) < count:
+            continue
         places = fill(stage, domain, count)
-        if not places or (whole and len(places) < count):
+        if not places:
             continue
         left = sum(room.free.accelerators for room in domain)
         rank = (-len(places), left)
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -7,6 +7,7 @@
 
 from carawayroute.clock import Clock
 from carawayroute.estimates import RunTimes
+from carawayroute.fleet import order
 from carawayroute.fleet.book import PROGRESS_KEY, Job, JobBook, Stage
 from carawayroute.fleet.exceptions import (
     RunnerError,
@@ -19,7 +20,7 @@
 from carawayroute.fleet.links import RunnerLink
 from carawayroute.fleet.packing import Room
 from carawayroute.fleet.ports import RunnerOrders, Store
-from carawayroute.fleet.scheduler import Pass, Placement, RunClock
+from carawayroute.fleet.scheduler import Pass, Placement, RunClock, usual_capacity
 from carawayroute.fleet.trust import RunnerTrust
 from carawayroute.fleet.types import (
     Configuration,
@@ -39,6 +40,8 @@
 PASS_INTERVAL_MS = 250
 # Changes within this time are answered by one pass.
 PASS_DELAY_MS = 4
+# Rest after a pass, as a multiple of the time that it took.
+REST_FACTOR = 2.0
 # An order without an answer is repeated until this time has passed.
 START_GIVE_UP_MS = 1_800
 RETRY_MS = 40
@@ -144,6 +147,7 @@
         self._taken_ms = clock.now_ms()
         self._ready = False
         self._status_ms = 0.0
+        self._worth: order.Worth | None = None
         self.placing = True
 
     # ------------------------------------------------------------------ term
@@ -529,16 +533,24 @@
             return
         self._end_cancelled()
         self._end_lapsed()
+        rooms = self._rooms()
+        if self._worth is None and rooms:
+            self._worth = order.Worth(order.Room(usual_capacity(rooms)))
+        started_ms = self._clock.now_ms()
         placements = Pass(
             self.book,
             configuration,
-            self._rooms(),
+            rooms,
             self._clock.wall_ms(),
             self._estimate_ms,
             self._run_clock,
+            self._worth,
         ).run()
+        took_ms = self._clock.now_ms() - started_ms
         if placements:
             self._launch(placements)
+        # Orders and reports get most of the processor, however long a pass takes.
+        await self._clock.sleep_ms(REST_FACTOR * took_ms)
         self._report_status()
 
     def _report_status(self) -> None:
--- a/packages/library/carawayroute/fleet/relay.py
+++ b/packages/library/carawayroute/fleet/relay.py
@@ -116,13 +116,13 @@
                 self._note_direct(None)
                 return _checked(answer)
             self._note_direct(failure)
-        uncertain = isinstance(failure, StoreUnansweredError)
-        answer = await self._relay(call)
+        answer, asked = await self._relay(call)
         if answer is not None:
             return _checked(answer)
-        if uncertain or failure is None:
+        # A peer that was asked and did not answer may have made the call.
+        if asked or isinstance(failure, StoreUnansweredError):
             raise StoreUnansweredError("neither the store nor a peer answered")
-        raise failure
+        raise failure or StoreRefusedError("no peer reaches the store")
 
     def _direct_is_due(self) -> bool:
         if self._failed_ms is None or not self.addresses:
@@ -140,8 +140,9 @@
             log.warning("store_lost", error=str(failure))
         self._failed_ms = self._clock.now_ms()
 
-    async def _relay(self, call: pb.StoreCall) -> pb.StoreAnswer | None:
-        """Return what the store answered a peer, or ``None`` if no peer could reach it."""
+    async def _relay(self, call: pb.StoreCall) -> tuple[pb.StoreAnswer | None, bool]:
+        """Return what the store answered a peer, and whether a peer may have made the call."""
+        uncertain = False
         others = sorted(self.addresses - {self._own_address, self._good_peer})
         random.shuffle(others)
         candidates = ([self._good_peer] if self._good_peer else []) + others
@@ -154,17 +155,19 @@
             except (PeerError, DecodeError) as error:
                 log.info("relay_failed", peer=address, error=str(error))
                 self._good_peer = ""
+                uncertain = True
                 continue
             if answer.outcome in (pb.StoreAnswer.REFUSED, pb.StoreAnswer.UNANSWERED):
                 self._good_peer = ""
+                uncertain = uncertain or answer.outcome == pb.StoreAnswer.UNANSWERED
                 continue
             if not self._relaying:
                 log.info("store_relayed", peer=address)
             self._relaying = True
             self._good_peer = self._good_peer or address
             self.relayed += 1
-            return answer
-        return None
+            return answer, uncertain
+        return None, uncertain
 
     async def serve(self, message: bytes) -> bytes:
         """Make a call for a peer, if the store answers this instance directly."""
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -15,6 +15,8 @@
 # A gang that has waited this long gets room kept for it.
 RESERVE_AFTER_MS = 4_000
 MOST_RESERVATIONS = 1
+# Gangs for which a pass looks for work to stop; the search is the dearest part of a pass.
+MOST_PREEMPTIONS = 12
 
 
 class RunClock:
@@ -66,6 +68,7 @@
         wall_ms: float,
         estimate_ms: Callable[[Stage], float],
         run_clock: Callable[[Stage, int], RunClock],
+        worth: order.Worth | None = None,
     ) -> None:
         self.book = book
         self.configuration = configuration
@@ -77,9 +80,14 @@
         self.guaranteed_jobs = order.urgent_within_guarantees(
             list(book.open_by_id.values()), configuration
         )
-        self.worth = order.Worth(book, order.Room(usual_capacity(rooms)))
+        self.worth = worth or order.Worth(order.Room(usual_capacity(rooms)))
+        self.worth.learn(book)
         self._stopped: set[tuple[tuple[str, int, int], int]] = set()
         self._reserved = 0
+        self._preemptions_tried = 0
+        self._unplaceable: set[tuple] = set()
+        self._rooms_by_need: dict[tuple[str, str], list[Room]] = {}
+        self._victims_by_claim: dict[tuple[int, bool], list[Victim]] = {}
 
     def run(self) -> list[Placement]:
         """Return what is to be placed, in order."""
@@ -133,28 +141,48 @@
     # ------------------------------------------------------------------ places
 
     def _place(self, stage: Stage) -> Placement | None:
-        rooms = [room for room in self.rooms if packing.suits(stage, room.runner)]
+        rooms = self._suitable(stage)
         indices = stage.waiting()
-        count = len(indices)
-        whole = stage.step.gang
         guaranteed = stage.job.id in self.guaranteed_jobs
+        # Room only shrinks during a pass, so what did not fit once does not fit later.
+        shape = _shape(stage, len(indices))
+        if shape not in self._unplaceable:
+            places = self._free_places(stage, rooms, len(indices))
+            if places:
+                return Placement(stage, indices[: len(places)], places, [], guaranteed)
+            self._unplaceable.add(shape)
+        return self._preempt(stage, rooms, indices, guaranteed)
+
+    def _suitable(self, stage: Stage) -> list[Room]:
+        """Return the rooms on runners that may run a stage."""
+        key = (stage.job.record.service, stage.step.label)
+        found = self._rooms_by_need.get(key)
+        if found is None:
+            found = [room for room in self.rooms if packing.suits(stage, room.runner)]
+            self._rooms_by_need[key] = found
+        return found
+
+    @staticmethod
+    def _free_places(stage: Stage, rooms: list[Room], count: int) -> list[str] | None:
+        whole = stage.step.gang
         places = packing.choose(stage, rooms, count, whole)
         if places is None and not packing.full_speed_possible(stage, rooms, count):
             places = packing.fill(stage, rooms, count)
             if whole and len(places) < count:
-                places = None
-        if places:
-            return Placement(stage, indices[: len(places)], places, [], guaranteed)
-        return self._preempt(stage, rooms, indices, guaranteed)
+                return None
+        return places
 
     def _preempt(
         self, stage: Stage, rooms: list[Room], indices: list[int], guaranteed: bool
     ) -> Placement | None:
         if not guaranteed and not whole_gain(stage):
             return None
+        if self._preemptions_tried >= MOST_PREEMPTIONS:
+            return None
         victims = self._victims(stage, guaranteed)
         if not victims:
             return None
+        self._preemptions_tried += 1
         count = len(indices)
         spread = not packing.full_speed_possible(stage, rooms, count)
         found = preemption.choose(stage, rooms, count, victims, spread)
@@ -170,7 +198,11 @@
     def _victims(self, stage: Stage, guaranteed: bool) -> list[Victim]:
         """Return what may be stopped for a stage: less urgent work, or what exceeds guarantees."""
         priority = stage.job.record.priority
-        victims = []
+        known = self._victims_by_claim.get((priority, guaranteed))
+        if known is not None:
+            return [victim for victim in known if not self._is_stopped(victim)]
+        victims: list[Victim] = []
+        self._victims_by_claim[priority, guaranteed] = victims
         for job in self.book.open_by_id.values():
             less_urgent = job.record.priority > priority
             exceeds = guaranteed and job.id not in self.guaranteed_jobs
@@ -181,6 +213,9 @@
                 victims.extend(self._victims_of(other, rate))
         return victims
 
+    def _is_stopped(self, victim: Victim) -> bool:
+        return any((victim.stage.key, index) in self._stopped for index in victim.indices)
+
     def _victims_of(self, stage: Stage, worth_per_room: float) -> list[Victim]:
         placed = [index for index in stage.placed() if (stage.key, index) not in self._stopped]
         if not placed:
@@ -225,7 +260,7 @@
 
     def _reserve(self, stage: Stage) -> None:
         """Keep later work off the runners on which a waiting gang will fit soonest."""
-        rooms = [room for room in self.rooms if packing.suits(stage, room.runner)]
+        rooms = self._suitable(stage)
         count = len(stage.waiting())
         domain = packing.closest_domain(stage, rooms, count)
         if not domain:
@@ -239,6 +274,22 @@
             room.free = Capacity(0, 0, 0)
 
 
+def _shape(stage: Stage, count: int) -> tuple:
+    """Return what decides whether tasks of a stage fit anywhere; gangs need room for all."""
+    step = stage.step
+    return (
+        stage.job.record.service,
+        step.label,
+        step.data_rack,
+        step.same_rack,
+        step.cpu_millis,
+        step.memory_mb,
+        step.accelerators,
+        count if step.gang else 0,
+        stage.key if step.most_per_runner else None,
+    )
+
+
 def whole_gain(stage: Stage) -> bool:
     """Return whether a stage gains only from room for all of its tasks at once."""
     return stage.step.gang
