--- a/packages/library/carawayroute/fleet/writer.py
+++ b/packages/library/carawayroute/fleet/writer.py
@@ -60,6 +60,7 @@
         self._waiting: list[_Write] = []
         self._wake = asyncio.Event()
         self._failing_since_ms: float | None = None
+        self._under_way = False
         self.fenced = False
 
     @property
@@ -77,7 +78,7 @@
         """
         if self.fenced:
             raise StoreFencedError("a producer with a higher epoch has written")
-        if not self._persistent and self.silent_ms > SILENCE_MS:
+        if not self._persistent and self._under_way and self.silent_ms > SILENCE_MS:
             raise StoreRefusedError("the store does not answer")
         item = _Write(records, asyncio.get_running_loop().create_future())
         self._waiting.append(item)
@@ -91,7 +92,9 @@
             await self._wake.wait()
             self._wake.clear()
             while self._waiting:
+                self._under_way = True
                 await self._append(self._next_batch())
+                self._under_way = False
 
     def _next_batch(self) -> list[_Write]:
         batch: list[_Write] = []
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -353,3 +353,21 @@
         await fleet.wait_until(lambda: fleet.planner_name() not in ("", old), 1_000, "a successor")
 
     play(scenario)
+
+
+def test_jobs_are_accepted_again_once_the_store_is_back():
+    """Found on cornice trouble-3: after an outage every later job was refused for good."""
+
+    async def scenario(fleet):
+        for node in fleet.nodes_by_name.values():
+            node.store.addresses.clear()
+        fleet.store.mode = "refusing"
+        for number in range(3):
+            with pytest.raises(NotAcceptedError):
+                await fleet.submit(job(ID.format(number)), NORMAL, OWNER, at="n2")
+            await fleet.clock.sleep_ms(1_000)
+        fleet.store.mode = "up"
+        await fleet.clock.sleep_ms(1_000)
+        await fleet.submit(job(ID.format(9)), NORMAL, OWNER, at="n2")
+
+    play(scenario)
