--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -18,7 +18,6 @@
 from carawayrouted.platform.store import HttpStore
 from carawayrouted.relay_links import RelayLinks
 
-METRICS_PORT = 9464
 # The balancer needs two failed looks, a second apart, to send no new connections.
 DRAIN_MS = 3_300
 DRAIN_CHECK_MS = 50
@@ -31,8 +30,11 @@
 class Instance:
     """Everything that runs in one process."""
 
-    def __init__(self, settings: PlatformSettings, output: BoundedOutput) -> None:
+    def __init__(
+        self, settings: PlatformSettings, output: BoundedOutput, metrics_port: int
+    ) -> None:
         self.settings = settings
+        self._metrics_port = metrics_port
         self._output = output
         self.clock = Clock()
         self.metrics = FleetMetrics()
@@ -109,7 +111,7 @@
         links = asyncio.create_task(self.links.run(), name="peers")
         await self._serve(self.callers.handle, settings.callers.host, settings.callers.port)
         await self._serve(self._ready, settings.readiness.host, settings.readiness.port)
-        await self._serve(self.metrics.show, settings.callers.host, METRICS_PORT)
+        await self._serve(self.metrics.show, settings.callers.host, self._metrics_port)
         await stop.wait()
         await self._drain()
         links.cancel()
--- a/packages/daemon/carawayrouted/platform/__main__.py
+++ b/packages/daemon/carawayrouted/platform/__main__.py
@@ -1,30 +1,48 @@
 """Run an instance by the platform's settings file: ``python -m carawayrouted.platform``."""
 
 import asyncio
+import os
 import sys
+from collections.abc import Mapping
 
 from carawayrouted.instance import Instance
 from carawayrouted.logs import configure
 from carawayrouted.output import BoundedOutput
-from carawayrouted.platform.settings import PlatformSettingsError, read_settings
+from carawayrouted.platform.settings import PlatformSettings, PlatformSettingsError, read_settings
 
 EXIT_WRONG_SETTING = 2
+# The platform reads metrics at the port that deploy/system.toml names.
+METRICS_PORT_VARIABLE = "CARAWAYROUTED_METRICS_PORT"
+METRICS_PORT = 9464
+MOST_PORT = 65_535
 
 
-async def _run(settings, output: BoundedOutput) -> None:
-    await Instance(settings, output).run()
+async def _run(settings: PlatformSettings, output: BoundedOutput, metrics_port: int) -> None:
+    await Instance(settings, output, metrics_port).run()
+
+
+def metrics_port(environment: Mapping[str, str]) -> int:
+    """Return the port of the metrics.
+
+    :raises PlatformSettingsError: the variable names none.
+    """
+    text = environment.get(METRICS_PORT_VARIABLE, str(METRICS_PORT))
+    if not text.isdigit() or not 0 < int(text) <= MOST_PORT:
+        raise PlatformSettingsError(f"{METRICS_PORT_VARIABLE} is {text!r}; allowed: 1 to 65535")
+    return int(text)
 
 
 def main() -> None:
     """Read the settings and serve."""
     try:
         settings = read_settings()
+        port = metrics_port(os.environ)
     except PlatformSettingsError as error:
         print(f"carawayrouted: {error}", file=sys.stderr)
         sys.exit(EXIT_WRONG_SETTING)
     output = BoundedOutput(sys.stdout.fileno())
     configure("json", "info", settings.instance, output)
-    asyncio.run(_run(settings, output))
+    asyncio.run(_run(settings, output, port))
 
 
 if __name__ == "__main__":
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -14,6 +14,7 @@
 from carawayroute.fleet.order import LATE_FACTOR
 from carawayroute.fleet.types import Queue, Team
 from carawayroute.fleet.writer import LogWriter
+from carawayroute.misc import wait_event
 from carawayroute_schema import records_pb2 as pb
 
 # An outage of the store is expected to last as long again as it has, within these bounds; callers
@@ -21,6 +22,8 @@
 LEAST_RETRY_MS = 1_000
 RETRY_SHARE = 0.2
 MOST_RETRY_MS = 5_000
+# Reading the state anew after a term takes some milliseconds; a start takes longer.
+LOADING_WAIT_MS = 400
 # Time that is left for the answer to travel.
 ANSWER_MARGIN_MS = 250
 
@@ -82,8 +85,8 @@
         if job.id in self._book.jobs_by_id:
             log.info("job_repeated", job=job.id)
             return
-        if not self._follower.loaded.is_set():
-            raise NotAcceptedError("this instance is starting", False, LEAST_RETRY_MS)
+        if not await wait_event(self._follower.loaded, min(wait_ms, LOADING_WAIT_MS)):
+            raise NotAcceptedError("the state of jobs is not read yet", False, LEAST_RETRY_MS)
         job.queue = queue.name
         job.service = queue.service
         job.team = team.name if team is not None else ""
