Read the state anew at once when a term is lost

Cause: after losing its term an instance waited up to 0.8 s for an idle read before it knew any job, and refused what came meanwhile (found by test_terminated_process_answers_what_was_asked_and_hands_over).

--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -100,10 +100,15 @@
         """Read now, without waiting for the pace."""
         self._hurry.set()
 
-    def reload(self) -> None:
-        """Read the newest records anew."""
+    async def reload(self) -> None:
+        """Read the newest records anew, beside the read that waits for a record."""
         self.loaded.clear()
-        self.hurry()
+        try:
+            await self._load()
+        except StoreError as error:
+            # The loop reads them once the store answers.
+            log.warning("reload_failed", topic=self.topic, error=str(error))
+            self.hurry()
 
     async def read_to(self, end: int) -> None:
         """Return once the topic has been read up to an offset."""
@@ -133,7 +138,7 @@
         try:
             await self._read(self._clock.now_ms(), 0)
         except StoreTrimmedError:
-            self.reload()
+            await self.reload()
             await self.loaded.wait()
 
     async def _read(self, sent_ms: float, wait_ms: int = READ_WAIT_MS) -> None:
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -316,5 +316,5 @@
         self.jobs_follower.set_pace(FOLLOW_PACE_MS)
         # What was decided and not put on record is forgotten.
         self.book.reset()
-        self.jobs_follower.reload()
+        await self.jobs_follower.reload()
         log.info("planner_stopped", term=planner.term)
