--- a/packages/library/carawayroute/fleet/book.py
+++ b/packages/library/carawayroute/fleet/book.py
@@ -327,8 +327,7 @@
 
     def _drop(self, kind: str, job_id: str) -> None:
         if kind == JOB_KEY:
-            self.jobs_by_id.pop(job_id, None)
-            self.open_by_id.pop(job_id, None)
+            self.forget(job_id)
 
     def forget(self, job_id: str) -> list[str]:
         """Drop a job and return the keys of its records."""
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -28,6 +28,8 @@
 FOLLOW_PACE_MS = 120
 # A lease that outlasts a planner's replacement several times, within what runners grant.
 LEASE_MS = 8_000
+# Ended jobs are kept this much longer than callers may ask, as instances' clocks differ.
+MEMORY_MARGIN_MS = 60_000
 # The store must have answered this recently for an instance to ask for new connections.
 READY_LAG_MS = 1_800
 
@@ -287,6 +289,7 @@
             min(LEASE_MS, self.settings.most_lease_ms),
             self.settings.most_lease_ms,
             self.settings.stop_ms,
+            self.settings.memory_ms + MEMORY_MARGIN_MS,
         )
         self.jobs_follower.set_pace(0.0)
         self.planner = Planner(
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -50,6 +50,8 @@
 ROOM_CHECK_MS = 100
 
 STATUS_INTERVAL_MS = 2_000
+# Records dropped in one append.
+MOST_FORGOTTEN = 300
 # Jobs named in a status line.
 MOST_NAMED = 5
 
@@ -98,11 +100,15 @@
     :param lease_ms: lease that runners are given.
     :param most_lease_ms: longest lease that a runner grants to anybody.
     :param stop_ms: time that a stop takes at most.
+    :param memory_ms: how long the state of an ended job is kept.
     """
 
-    __slots__ = ("lease_ms", "most_lease_ms", "stop_ms")
+    __slots__ = ("lease_ms", "memory_ms", "most_lease_ms", "stop_ms")
 
-    def __init__(self, lease_ms: int, most_lease_ms: int, stop_ms: int) -> None:
+    def __init__(
+        self, lease_ms: int, most_lease_ms: int, stop_ms: int, memory_ms: int = 120_000
+    ) -> None:
+        self.memory_ms = memory_ms
         self.lease_ms = lease_ms
         self.most_lease_ms = most_lease_ms
         self.stop_ms = stop_ms
@@ -551,14 +557,27 @@
             self._launch(placements)
         # Orders and reports get most of the processor, however long a pass takes.
         await self._clock.sleep_ms(REST_FACTOR * took_ms)
-        self._report_status()
+        now_ms = self._clock.now_ms()
+        if now_ms - self._status_ms >= STATUS_INTERVAL_MS:
+            self._status_ms = now_ms
+            self._report_status()
+            self._forget_old(now_ms)
+
+    def _forget_old(self, now_ms: float) -> None:
+        """Drop the records of jobs that ended longer ago than anybody may ask for."""
+        records: list[tuple[str, bytes]] = []
+        for job in list(self.book.jobs_by_id.values()):
+            if job.ended_ms is None or now_ms - job.ended_ms < self._settings.memory_ms:
+                continue
+            records.extend((key, b"") for key in self.book.forget(job.id))
+            if len(records) >= MOST_FORGOTTEN:
+                break
+        if records:
+            log.info("jobs_forgotten", records=len(records))
+            self._tasks.start(self._writer.write(records), "forget jobs")
 
     def _report_status(self) -> None:
-        """Log now and then what waits and what holds room, for those who ask why a job waits."""
-        now_ms = self._clock.now_ms()
-        if now_ms - self._status_ms < STATUS_INTERVAL_MS:
-            return
-        self._status_ms = now_ms
+        """Log what waits and what holds room, for those who ask why a job waits."""
         waiting = [
             stage.task(0)
             for job in self.book.open_by_id.values()
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -371,3 +371,15 @@
         await fleet.submit(job(ID.format(9)), NORMAL, OWNER, at="n2")
 
     play(scenario)
+
+
+def test_records_of_old_jobs_are_dropped_everywhere():
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1)), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(1), "completed", 3_000)
+        await fleet.clock.sleep_ms(190_000)
+        assert not [key for key in fleet.store.topic("keyed.jobs").newest_by_key if ID[:8] in key]
+        for node in fleet.nodes_by_name.values():
+            assert node.book.jobs_by_id == {}
+
+    play(scenario)
