--- /dev/null
+++ b/tests/test_fleet_platform.py
@@ -0,0 +1,180 @@
+"""The adapter's formats, and output that never blocks."""
+
+import json
+import os
+import struct
+
+import pytest
+from fleet_builders import configuration_bytes, runner_fields
+
+from carawayroute.fleet.exceptions import FormatError
+from carawayroute_standins.fleet.taskrunner import make_runner
+from carawayrouted.output import BoundedOutput
+from carawayrouted.platform.__main__ import metrics_port
+from carawayrouted.platform.callers import BadJobError, decode_job
+from carawayrouted.platform.configuration import decode_configuration
+from carawayrouted.platform.runners import decode_runner
+from carawayrouted.platform.settings import PlatformSettings, PlatformSettingsError, read_settings
+from carawayrouted.platform.store import _frame, _split
+
+ID = "0000000000000001"
+
+
+def settings_fields(**changes) -> dict:
+    """Return a settings file's fields."""
+    fields = {
+        "node_name": "front-1",
+        "ip": "10.1.0.19",
+        "zone": "a",
+        "region": "south",
+        "listen": {"front": "10.1.0.19:8521", "ready": "10.1.0.19:8523"},
+        "internal_ports": [7000, 7015],
+        "seeds": ["10.1.0.19:8526", "10.2.0.35:8526"],
+        "limits": {"cpu_share": 0.5, "cores": 2, "link_mbps": 5.0},
+        "platform": {"address": "10.200.1.7:8524"},
+        "bounds": {"hold_max_ms": 10_000, "stop_timeout_ms": 400, "grace_s": 6, "status_s": 120},
+        "later_field": None,
+    }
+    return {**fields, **changes}
+
+
+def test_settings_are_decoded_once():
+    settings = PlatformSettings(settings_fields())
+    assert (settings.instance, settings.cores, settings.grace_ms) == ("front-1", 1.0, 6_000)
+    assert settings.seeds == ("10.1.0.19:7000", "10.2.0.35:7000")
+
+
+@pytest.mark.parametrize("name", ["node_name", "listen", "bounds", "platform", "internal_ports"])
+def test_missing_setting_is_named(name):
+    fields = settings_fields()
+    del fields[name]
+    with pytest.raises(PlatformSettingsError, match=name):
+        PlatformSettings(fields)
+
+
+def test_settings_file_that_is_no_json_is_refused(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text("{")
+    with pytest.raises(PlatformSettingsError):
+        read_settings(str(path))
+
+
+@pytest.mark.parametrize("text", ["0", "65536", "x", "-1", ""])
+def test_wrong_metrics_port_is_refused(text):
+    with pytest.raises(PlatformSettingsError):
+        metrics_port({"CARAWAYROUTED_METRICS_PORT": text})
+
+
+def test_runner_entry_is_decoded():
+    fields = runner_fields(make_runner("w1", "r1-3"))
+    runner = decode_runner("w1", json.dumps({**fields, "new": 1}).encode())
+    assert (runner.rack, runner.capacity.accelerators, runner.draining) == ("r1-3", 8, False)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "sleeping"},
+        {"service": 3},
+        {"address": "nowhere"},
+        {"address": 7},
+        {"labels": None},
+        {"capacity": None},
+        {"capacity": {"cpu": "8", "mem_mb": 1, "gpu": 1}},
+        {"capacity": {"cpu": 8, "mem_mb": 1}},
+    ],
+)
+def test_malformed_runner_entry_names_no_runner(change):
+    fields = {**runner_fields(make_runner("w1", "r1-3")), **change}
+    with pytest.raises(FormatError):
+        decode_runner("w1", json.dumps(fields).encode())
+
+
+def test_longest_prefix_wins():
+    fields = json.loads(configuration_bytes())
+    route = fields["routes"][0]
+    fields["routes"].append({**route, "name": "inner", "path_prefix": "/preview/b/"})
+    configuration = decode_configuration(json.dumps(fields).encode())
+    assert configuration.find_queue("h", "/preview/b/" + ID).name == "inner"
+    assert configuration.find_queue("h", "/preview/" + ID).name == "preview"
+    assert configuration.find_queue("other", "/preview/" + ID) is None
+
+
+def test_guarantee_is_decoded():
+    configuration = decode_configuration(configuration_bytes(guaranteed=56))
+    assert configuration.teams_by_key["key-owner"].guaranteed_accelerators == 56
+    assert configuration.teams_by_key["key-other"].guaranteed_accelerators == 0
+
+
+def test_job_fields_are_decoded():
+    body = {
+        "spec": "s",
+        "steps": [
+            {"count": 4, "cpu": 500, "mem_mb": 256, "gpu": 2, "gang": True, "same_rack": True},
+            {"count": 1, "depends_on": [0], "saves_progress": True, "anti_affinity": 2},
+        ],
+        "repeat_count": 3,
+        "start_at_ms": 5,
+        "interval_ms": 7,
+        "unknown": {},
+    }
+    job = decode_job(ID, json.dumps(body).encode())
+    first, second = job.steps
+    assert (first.gang, first.same_rack, first.accelerators) == (True, True, 2)
+    assert (list(second.depends_on), second.checkpoints, second.most_per_runner) == ([0], True, 2)
+    assert (job.occurrences, job.first_due_ms, job.interval_ms) == (3, 5, 7)
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        {},
+        {"count": 0},
+        {"count": -1},
+        {"count": 1.5},
+        {"count": True},
+        {"count": "1"},
+        {"count": 1, "gpu": -1},
+        {"count": 1, "depends_on": [0]},
+        {"count": 1, "depends_on": "0"},
+        {"count": 10_001},
+        [],
+        None,
+    ],
+)
+def test_steps_that_make_no_sense_are_refused(step):
+    with pytest.raises(BadJobError):
+        decode_job(ID, json.dumps({"spec": "", "steps": [step]}).encode())
+
+
+def test_records_survive_framing():
+    body = struct.pack(">QQ", 12, 3) + _frame("a/1", b"x" * 300) + _frame("b", b"")
+    found = _split(body, 10)
+    assert [(one.offset, one.key, len(one.value)) for one in found.records] == [
+        (10, "a/1", 300),
+        (11, "b", 0),
+    ]
+    assert (found.next_offset, found.end) == (12, 12)
+
+
+def test_part_of_a_record_is_read_again_later():
+    whole = struct.pack(">QQ", 12, 0) + _frame("a", b"1") + _frame("b", b"2")
+    found = _split(whole[:-1], 10)
+    assert (len(found.records), found.next_offset) == (1, 11)
+
+
+def test_reader_that_stands_still_delays_nobody():
+    reading, writing = os.pipe()
+    try:
+        output = BoundedOutput(writing, most_kept_bytes=10_000)
+        for _ in range(20_000):
+            output.write("a line of a log that nobody reads\n")
+        assert output.dropped > 0
+        assert os.read(reading, 65_536).startswith(b"a line")
+        output.flush()
+        lines_before = output.lines
+        output.write("later\n")
+        assert output.lines == lines_before + 1
+    finally:
+        os.close(reading)
+        os.close(writing)
