--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -528,10 +528,12 @@
         if link is None or not link.usable:
             return RunClock(0.0, False)
         now_ms = self._clock.now_ms()
-        since_ms = run.started_ms if run.started_ms is not None else now_ms
         if stage.step.checkpoints and run.checkpoint_ms is not None:
-            since_ms = run.checkpoint_ms
-        return RunClock(now_ms - since_ms, True)
+            return RunClock(now_ms - run.checkpoint_ms, True)
+        ran_ms = now_ms - run.started_ms if run.started_ms is not None else 0.0
+        # A run that was adopted has run for longer than this planner has watched it.
+        worked_ms = max(0, run.percent) / 100 * self._estimate_ms(stage)
+        return RunClock(max(ran_ms, worked_ms), True)
 
     async def _pass(self) -> None:
         configuration = self._configuration()
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -178,3 +178,18 @@
     finally:
         os.close(reading)
         os.close(writing)
+
+
+def test_lines_are_bounded_and_warnings_go_on():
+    reading, writing = os.pipe()
+    try:
+        output = BoundedOutput(writing)
+        for _ in range(3_000):
+            output.write('{"level": "info"}\n')
+        assert 1_000 < output.dropped < 2_000
+        lines_before = output.lines
+        output.write('{"level": "warning"}\n')
+        assert output.lines == lines_before + 1
+    finally:
+        os.close(reading)
+        os.close(writing)
