--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -10,6 +10,7 @@
 from carawayroute.fleet.exceptions import FormatError
 from carawayroute_standins.fleet.taskrunner import make_runner
 from carawayrouted.output import BoundedOutput
+from carawayrouted.platform import store
 from carawayrouted.platform.__main__ import metrics_port
 from carawayrouted.platform.callers import BadJobError, decode_job
 from carawayrouted.platform.configuration import decode_configuration
@@ -193,3 +194,9 @@
     finally:
         os.close(reading)
         os.close(writing)
+
+
+def test_one_read_passes_the_smallest_link_in_time():
+    """Found on cornice-sched-grown trouble-1: reads of 1 MB timed out again and again."""
+    smallest_link_bits_per_ms = 5_000
+    assert store.READ_KB * 1_024 * 8 / smallest_link_bits_per_ms < store.READ_TIMEOUT_MS / 2
