Judge new jobs by the size of the fleet that the planner tells with its beats

Cause: admission was built and tested, but no instance knew the fleet's size, so nothing was ever refused for want of time; what cannot be served has to be refused at once.

--- a/packages/library/carawayroute/fleet/admission.py
+++ b/packages/library/carawayroute/fleet/admission.py
@@ -4,6 +4,8 @@
 when it comes, with the time after which the backlog will have shrunk, and holds no room meanwhile.
 """
 
+from collections.abc import Callable
+
 from carawayroute.fleet import order
 from carawayroute.fleet.book import JobBook
 from carawayroute_schema import records_pb2 as pb
@@ -28,24 +30,17 @@
         self.retry_after_ms = retry_after_ms
 
 
-def work_of(job: pb.Job) -> float:
-    """Return the accelerator-milliseconds that a job declares."""
-    return float(
-        sum(step.count * max(1, step.accelerators) * step.estimate_ms for step in job.steps)
-    )
-
-
 class Admission:
     """Judge new jobs by the backlog of work that goes before them.
 
-    :param accelerators: of the whole fleet; 0 while it is unknown.
+    :param accelerators: returns those of the whole fleet, 0 while they are unknown.
     """
 
-    __slots__ = ("accelerators", "book")
+    __slots__ = ("_accelerators", "book")
 
-    def __init__(self, book: JobBook) -> None:
+    def __init__(self, book: JobBook, accelerators: Callable[[], int]) -> None:
         self.book = book
-        self.accelerators = 0
+        self._accelerators = accelerators
 
     def backlog_ms(self, priority: int) -> float:
         """Return how long the fleet needs for the open work of a priority and more urgent work."""
@@ -57,11 +52,11 @@
                 stage = job.stages_by_key.get((0, number))
                 left = step.count if stage is None else step.count - sum(stage.done)
                 work += left * max(1, step.accelerators) * step.estimate_ms
-        return work / (self.accelerators * PACKING_SHARE)
+        return work / (max(1, self._accelerators()) * PACKING_SHARE)
 
     def judge(self, job: pb.Job, chain_ms: float) -> Verdict:
         """Return whether a new job is accepted."""
-        if not self.accelerators:
+        if not self._accelerators():
             return Verdict(True)
         wait_ms = self.backlog_ms(job.priority)
         allowed_ms = order.LATE_FACTOR * (job.stretch * chain_ms + job.target_ms)
--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -34,6 +34,7 @@
 
     :param holder: names this process; a new one after a restart.
     :param handicap_ms: extra wait before this instance is a candidate.
+    :ivar accelerators: of the runners that this instance reaches as planner, told with each beat.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         self._changed_ms = 0.0
         self._stagger_ms = random.uniform(0, STAGGER_MS)
         self.term = 0
+        self.accelerators = 0
         self.candidate = True
         self.changed = asyncio.Event()
 
@@ -62,6 +64,10 @@
         """Return the newest record."""
         return self._newest
 
+    def fleet_accelerators(self) -> int:
+        """Return the accelerators that the planner reaches, 0 while that is not known."""
+        return self._newest.accelerators if self._newest is not None else 0
+
     def current_term(self) -> int:
         """Return the newest term."""
         if self._newest is None:
@@ -132,6 +138,7 @@
 
     async def _append(self, leader: pb.Leader) -> None:
         leader.address = self._address
+        leader.accelerators = self.accelerators
         at = self._newest_offset + 1
         try:
             result = await self._store.append(TOPIC, [(KEY, leader.SerializeToString())], at=at)
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -119,7 +119,7 @@
             self.store, clock, formats.configuration_topic, self._apply_operator
         )
         self.writer = LogWriter(self.store, clock, JOBS_TOPIC, boot)
-        self.admission = Admission(self.book)
+        self.admission = Admission(self.book, self.leadership.fleet_accelerators)
         self.service = EntryService(
             settings.instance,
             clock,
@@ -303,10 +303,14 @@
             lambda: self.configuration,
             self._runners_follower,
             self.leadership.lost,
+            self._note_accelerators,
         )
         self._planner_task = self._tasks.start(self.planner.run(), f"planner {term}")
         log.info("planner_started", term=term)
 
+    def _note_accelerators(self, accelerators: int) -> None:
+        self.leadership.accelerators = accelerators
+
     async def _stop_planner(self) -> None:
         planner, task = self.planner, self._planner_task
         if planner is None or task is None:
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -129,6 +129,7 @@
         configuration: Callable[[], Configuration | None],
         make_runners_follower: Callable[["Planner"], TopicFollower],
         on_lost: Callable[[], None],
+        on_size: Callable[[int], None],
     ) -> None:
         self.term = term
         self._settings = settings
@@ -139,6 +140,7 @@
         self._jobs_follower = jobs_follower
         self._configuration = configuration
         self._on_lost = on_lost
+        self._on_size = on_size
         self._tasks = TaskGroup()
         self._writer = LogWriter(store, clock, jobs_follower.topic, PRODUCER, term, persistent=True)
         self._runners_follower = make_runners_follower(self)
@@ -542,6 +544,7 @@
         self._end_cancelled()
         self._end_lapsed()
         rooms = self._rooms()
+        self._on_size(sum(room.runner.capacity.accelerators for room in rooms))
         if self._worth is None and rooms:
             self._worth = order.Worth(order.Room(usual_capacity(rooms)))
         started_ms = self._clock.now_ms()
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -23,6 +23,7 @@
     """What the planner knows of a stage's current runs.
 
     :param lost_ms: run time of each task that no checkpoint keeps.
+    :param stoppable: its runner is in reach, and it is not being stopped already.
     """
 
     __slots__ = ("lost_ms", "stoppable")
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -254,15 +254,13 @@
 
 
 def test_nothing_is_refused_while_the_fleet_has_room():
-    admission = Admission(book_of())
-    admission.accelerators = 64
+    admission = Admission(book_of(), lambda: 64)
     assert admission.judge(job(ID.format(1)), 1_000.0).accepted
 
 
 def test_job_that_cannot_end_in_time_is_refused_with_the_time_to_return():
     flood = [job(ID.format(n), [step(64, 1, estimate_ms=9_000)], URGENT) for n in range(2, 12)]
-    admission = Admission(book_of(*flood))
-    admission.accelerators = 64
+    admission = Admission(book_of(*flood), lambda: 64)
     verdict = admission.judge(job(ID.format(1), queue=URGENT), 1_000.0)
     assert not verdict.accepted
     assert verdict.retry_after_ms >= 500
@@ -270,8 +268,7 @@
 
 def test_less_urgent_work_does_not_keep_urgent_jobs_out():
     flood = [job(ID.format(n), [step(64, 1, estimate_ms=9_000)], PATIENT) for n in range(2, 40)]
-    admission = Admission(book_of(*flood))
-    admission.accelerators = 64
+    admission = Admission(book_of(*flood), lambda: 64)
     assert admission.judge(job(ID.format(1), queue=URGENT), 1_000.0).accepted
 
 
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -383,3 +383,22 @@
             assert node.book.jobs_by_id == {}
 
     play(scenario)
+
+
+def test_job_that_cannot_end_in_time_is_refused_at_once():
+    """A flood of urgent work for minutes: the job that comes last would end long after it counts."""
+
+    async def scenario(fleet):
+        for number in range(4):
+            flood = job(ID.format(number), [step(64, 1, estimate_ms=60_000)], URGENT, run_ms=60_000)
+            await fleet.submit(flood, URGENT, OWNER)
+        await fleet.clock.sleep_ms(600)
+        sent_ms = fleet.clock.now_ms()
+        with pytest.raises(NotAcceptedError) as refused:
+            await fleet.submit(job(ID.format(9), queue=URGENT), URGENT, OTHER, at="n3")
+        assert refused.value.overload
+        assert fleet.clock.now_ms() - sent_ms < 50
+        await fleet.clock.sleep_ms(5_000)
+        assert starts(fleet.journal, ID.format(9)) == []
+
+    play(scenario)
