--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -386,7 +386,7 @@
 
 
 def test_job_that_cannot_end_in_time_is_refused_at_once():
-    """A flood of urgent work for minutes: the job that comes last would end long after it counts."""
+    """A flood of urgent work: the job that comes last would end long after it counts."""
 
     async def scenario(fleet):
         for number in range(4):
