--- a/packages/library/carawayroute/fleet/preemption.py
+++ b/packages/library/carawayroute/fleet/preemption.py
@@ -16,6 +16,9 @@
 
     :param lost_ms: run time of each task that no checkpoint keeps.
     :param rate: worth that a millisecond of its running brings.
+
+    What was started several times costs as many times more, so that the same work is not stopped
+    again and again while a flood goes on.
     """
 
     __slots__ = ("cost", "indices", "stage")
@@ -23,7 +26,8 @@
     def __init__(self, stage: Stage, indices: list[int], lost_ms: float, rate: float) -> None:
         self.stage = stage
         self.indices = indices
-        self.cost = (lost_ms + RESTART_MS) * rate
+        starts = max(stage.runs[index] for index in indices)
+        self.cost = (lost_ms + RESTART_MS) * rate * max(1, starts)
 
     def runners(self) -> list[str]:
         """Return the runner of each task."""
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -348,3 +348,16 @@
     found = book_of(one).jobs_by_id[one.id]
     assert [stage.occurrence for stage in found.open_stages(999.0)] == []
     assert [stage.occurrence for stage in found.open_stages(1_500.0)] == [0, 1]
+
+
+def test_work_that_was_stopped_before_is_not_stopped_again():
+    """Found on cornice silent_runners: one task was preempted nine times in a flood."""
+    rooms = two_racks()
+    book = full_of_patient_work(rooms, [1_000] * 8)
+    for number in range(100, 108):
+        stage = stage_of(book, number)
+        stage.runs = [9 if number != 106 else 1] * 8
+    urgent = job(ID.format(1), [step(1, 8, gang=True)], URGENT, OWNER)
+    book.apply(99, "a/" + urgent.id, urgent.SerializeToString(), 0.0)
+    (placement,) = [one for one in plan(book, rooms, lost_ms=1_000.0) if one.victims]
+    assert placement.places == ["w6"]
