--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -96,7 +96,8 @@
         job.target_ms = queue.target_ms
         job.accepted_ms = self._clock.wall_ms()
         job.entry = self._name
-        verdict = self.admission.judge(job, Job(job).chain_ms())
+        chain_ms = Job(job).chain_ms()
+        verdict = self.admission.judge(job, chain_ms)
         if not verdict.accepted:
             log.info(
                 "job_rejected",
@@ -108,7 +109,7 @@
                 state_age_ms=round(self._follower.lag_ms()),
             )
             raise NotAcceptedError(verdict.reason, True, verdict.retry_after_ms)
-        counts_ms = LATE_FACTOR * (job.stretch * Job(job).chain_ms() + job.target_ms)
+        counts_ms = LATE_FACTOR * (job.stretch * chain_ms + job.target_ms)
         await self._write(JOB_KEY + job.id, job.SerializeToString(), job.id, wait_ms, counts_ms)
         log.info(
             "job_accepted",
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -71,7 +71,6 @@
         "checkpoint_ms",
         "index",
         "percent",
-        "progress_ms",
         "run",
         "runner",
         "settled_ms",
@@ -91,7 +90,6 @@
         self.checkpoint = ""
         self.checkpoint_ms: float | None = None
         self.percent = -1
-        self.progress_ms = 0.0
 
 
 class PlannerSettings:
@@ -345,9 +343,7 @@
         if item.checkpoint and item.checkpoint != run.checkpoint:
             run.checkpoint = item.checkpoint
             run.checkpoint_ms = now_ms
-        if item.percent != run.percent:
-            run.percent = item.percent
-            run.progress_ms = now_ms
+        run.percent = item.percent
 
     async def _stop_stray(self, link: RunnerLink, item: RunningTask) -> None:
         try:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,10 +1,10 @@
 """Real processes of the platform's program over the emulator on loopback."""
 
 import asyncio
+import itertools
 import json
 import os
 import signal
-import socket
 import sys
 
 import aiohttp
@@ -13,6 +13,7 @@
 from fleet_builders import configuration_bytes, runner_fields
 
 from carawayroute.clock import Clock
+from carawayroute_standins.cluster import free_port_range
 from carawayroute_standins.fleet.http import RunnerServer, StoreServer
 from carawayroute_standins.fleet.judge import problems, starts
 from carawayroute_standins.fleet.taskrunner import GangBoard, TaskRunner, Work, make_runner
@@ -25,18 +26,12 @@
 KEY = {"Authorization": "Bearer key-owner", "Host": "h"}
 
 
-def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as one:
-        one.bind((HOST, 0))
-        return one.getsockname()[1]
-
-
 class Site:
     """The emulator's servers and some processes of the program."""
 
     def __init__(self, folder) -> None:
         self.folder = folder
+        self._ports = itertools.count(free_port_range())
         self.clock = Clock()
         self.journal = Journal(self.clock)
         self.store = TopicStore(self.clock)
@@ -51,7 +46,7 @@
         """Serve an application and return its port."""
         runner = web.AppRunner(app, access_log=None)
         await runner.setup()
-        port = free_port()
+        port = next(self._ports)
         await web.TCPSite(runner, HOST, port).start()
         self.runners.append(runner)
         return port
@@ -73,7 +68,7 @@
 
     async def start_process(self, name: str) -> None:
         """Start one process of the program."""
-        ports = {key: free_port() for key in ("front", "ready", "peer", "metrics")}
+        ports = {key: next(self._ports) for key in ("front", "ready", "peer", "metrics")}
         self.ports_by_name[name] = ports
         settings = {
             "node_name": name,
