Give up runs on runners whose process is gone; read states for their callers

Change: a refused connection, twice within 250 ms or more, is a certain end; connections that are reset are not. Losses make a runner avoided, longer each time. Instances read every 400 ms, and anew for callers who ask for an open job. Progress records tell whether a task has run.

Tests that failed first: gone process, state read for its caller, pending after orders were taken back.

--- a/packages/daemon/carawayrouted/platform/http.py
+++ b/packages/daemon/carawayrouted/platform/http.py
@@ -1,6 +1,7 @@
 """Calls to the platform over connections that are replaced when they go silent."""
 
 import asyncio
+import errno
 
 import aiohttp
 
@@ -25,6 +26,10 @@
     """The connection was not made, so that nothing was sent."""
 
 
+class NobodyListensError(NeverSentError):
+    """The machine is there and no process listens at the address."""
+
+
 class HttpPool:
     """Connections to the platform's servers, kept for the next call."""
 
@@ -48,6 +53,7 @@
 
         A connection on which an answer does not come in time is closed by the client library.
 
+        :raises NobodyListensError: the connection was refused; nothing was sent.
         :raises NeverSentError: nothing was sent.
         :raises TimeoutError: no answer came in time.
         """
@@ -59,7 +65,11 @@
                 method, url, data=body, headers=headers, timeout=timeout
             ) as response:
                 return Reply(response.status, await response.read())
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except aiohttp.ClientConnectorError as error:
+            if error.errno == errno.ECONNREFUSED:
+                raise NobodyListensError(str(error)) from error
+            raise NeverSentError(str(error)) from error
+        except aiohttp.ConnectionTimeoutError as error:
             raise NeverSentError(str(error)) from error
         except TRANSPORT_ERRORS as error:
             raise TimeoutError(f"{type(error).__name__}: {error}") from error
--- a/packages/daemon/carawayrouted/platform/runners.py
+++ b/packages/daemon/carawayrouted/platform/runners.py
@@ -4,12 +4,13 @@
 
 from carawayroute.fleet.exceptions import (
     FormatError,
+    RunnerAbsentError,
     RunnerRefusedError,
     RunnerUnansweredError,
 )
 from carawayroute.fleet.types import Capacity, EndedTask, Runner, RunnerReport, RunningTask
 from carawayrouted.platform import words
-from carawayrouted.platform.http import HttpPool, NeverSentError
+from carawayrouted.platform.http import HttpPool, NeverSentError, NobodyListensError
 
 ORDER_TIMEOUT_MS = 500
 LOOK_TIMEOUT_MS = 700
@@ -78,6 +79,8 @@
         url = f"http://{runner.address}/v1/{path}"
         try:
             reply = await self._pool.call("POST", url, timeout_ms, body, headers)
+        except NobodyListensError as error:
+            raise RunnerAbsentError(str(error)) from error
         except NeverSentError as error:
             raise RunnerUnansweredError(f"no connection: {error}") from error
         except TimeoutError as error:
--- a/packages/library/carawayroute/fleet/book.py
+++ b/packages/library/carawayroute/fleet/book.py
@@ -160,11 +160,21 @@
 class Job:
     """An accepted job."""
 
-    __slots__ = ("cancelled", "ended_ms", "failed", "id", "reason", "record", "stages_by_key")
+    __slots__ = (
+        "begun",
+        "cancelled",
+        "ended_ms",
+        "failed",
+        "id",
+        "reason",
+        "record",
+        "stages_by_key",
+    )
 
     def __init__(self, record: pb.Job) -> None:
         self.id = record.id
         self.record = record
+        self.begun = False
         self.cancelled = False
         self.failed = False
         self.reason = ""
@@ -200,8 +210,11 @@
 
     @property
     def started(self) -> bool:
-        """Return whether a task was ever ordered to a runner."""
-        return any(any(stage.runs) for stage in self.stages_by_key.values())
+        """Return whether a task has run or is ordered to a runner.
+
+        A job whose orders were all taken back before anything ran still waits.
+        """
+        return self.begun or any(any(stage.runners) for stage in self.stages_by_key.values())
 
     @property
     def state(self) -> str:
@@ -247,6 +260,7 @@
             failed=self.failed,
             reason=self.reason,
             term=term,
+            begun=self.begun,
         )
 
 
@@ -298,6 +312,7 @@
                 job.cancelled = True
         elif kind == PROGRESS_KEY:
             record = pb.Progress.FromString(value)
+            job.begun = job.begun or record.begun
             job.failed = record.failed
             job.reason = record.reason
             for item in record.steps:
@@ -319,6 +334,7 @@
         self._offset_by_key.clear()
         for job in self.jobs_by_id.values():
             job.stages_by_key.clear()
+            job.begun = False
             job.cancelled = False
             job.failed = False
             job.reason = ""
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -24,6 +24,12 @@
 MOST_RETRY_MS = 5_000
 # Reading the state anew after a term takes some milliseconds; a start takes longer.
 LOADING_WAIT_MS = 400
+# An open job's state is read anew for its caller if it is older than this.
+STATE_AGE_MS = 60
+# A read takes some 5 ms, or 20 ms from another region; a slow store is not waited for.
+STATE_READ_MS = 150
+# A store that has not answered for longer is not asked for the sake of one caller.
+STATE_SILENCE_MS = 1_500
 # Time that is left for the answer to travel.
 ANSWER_MARGIN_MS = 250
 
@@ -118,6 +124,10 @@
             team=job.team,
             tasks=[step.count for step in job.steps],
             accelerators=[step.accelerators for step in job.steps],
+            estimates_ms=[step.estimate_ms for step in job.steps],
+            gangs=[step.gang for step in job.steps],
+            same_rack=[step.same_rack for step in job.steps],
+            priority=job.priority,
             took_ms=self._clock.wall_ms() - job.accepted_ms,
         )
         self._on_change()
@@ -162,7 +172,25 @@
         :raises NoSuchJobError: there is none.
         :raises StateUnknownError: this instance cannot tell now.
         """
-        return (await self._find(job_id, wait_ms)).state
+        job = await self._find(job_id, wait_ms)
+        if not job.closed:
+            await self._refresh(job_id)
+            # A state that was read anew may stand in another object.
+            job = self._book.jobs_by_id.get(job_id, job)
+        return job.state
+
+    async def _refresh(self, job_id: str) -> None:
+        """Read on if what is known is not of just now; else the known state must do."""
+        age_ms = self._follower.lag_ms()
+        if age_ms < STATE_AGE_MS or age_ms > STATE_SILENCE_MS:
+            return
+        try:
+            async with asyncio.timeout(STATE_READ_MS / 1000):
+                await self._follower.read_now()
+        except (TimeoutError, StoreError) as error:
+            log.info(
+                "state_not_refreshed", job=job_id, state_age_ms=round(age_ms), error=str(error)
+            )
 
     async def cancel(self, job_id: str, wait_ms: float) -> None:
         """Record that a job is to be cancelled.
--- a/packages/library/carawayroute/fleet/exceptions.py
+++ b/packages/library/carawayroute/fleet/exceptions.py
@@ -60,6 +60,10 @@
     """No answer came; the order may have been carried out, or may be later."""
 
 
+class RunnerAbsentError(RunnerUnansweredError):
+    """Nothing listens at the runner's address: its process has ended, and all that it ran."""
+
+
 class RunnerRefusedError(RunnerError):
     """The runner did nothing.
 
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -6,7 +6,7 @@
 import structlog
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.exceptions import RunnerError, RunnerRefusedError
+from carawayroute.fleet.exceptions import RunnerAbsentError, RunnerError, RunnerRefusedError
 from carawayroute.fleet.ports import RunnerOrders
 from carawayroute.fleet.types import Runner, RunnerReport
 from carawayroute.misc import wait_event
@@ -19,6 +19,10 @@
 # Runners' clocks may be this much slow.
 CLOCK_SLOWNESS = 0.02
 LEASE_MARGIN_MS = 150
+# A runner whose connections are refused for this long, twice or more, has ended; looks come
+# every FAILED_LOOK_WAIT_MS meanwhile, and a process that starts anew listens sooner or later.
+ABSENT_MS = 250
+ABSENT_LOOKS = 2
 # A runner without a good look for longer gets nothing new.
 SILENT_MS = 2_600
 
@@ -32,6 +36,7 @@
     :param first_lapse_ms: when every lease of an earlier planner has lapsed for certain.
     :param on_report: takes a report and the time when the look was sent.
     :param on_fenced: called when the runner knows a newer term.
+    :param on_lost: called when the runner stops answering.
     """
 
     def __init__(
@@ -44,6 +49,7 @@
         first_lapse_ms: float,
         on_report: Callable[["RunnerLink", RunnerReport, float], None],
         on_fenced: Callable[["RunnerLink"], None],
+        on_lost: Callable[["RunnerLink"], None],
     ) -> None:
         self.runner = runner
         self._term = term
@@ -52,6 +58,9 @@
         self._lease_ms = lease_ms
         self._on_report = on_report
         self._on_fenced = on_fenced
+        self._on_lost = on_lost
+        self._absent_looks = 0
+        self._absent_since_ms = 0.0
         self.lapse_ms = first_lapse_ms
         self.born_ms = 0
         self.seen_ms: float | None = None
@@ -69,6 +78,13 @@
             return False
         return self._clock.now_ms() - self.seen_ms < SILENT_MS
 
+    @property
+    def gone(self) -> bool:
+        """Return whether the runner's process has certainly ended, and all that it ran."""
+        if self._absent_looks < ABSENT_LOOKS:
+            return False
+        return self._clock.now_ms() - self._absent_since_ms >= ABSENT_MS
+
     @property
     def unstored(self) -> bool:
         """Return whether ends of the runner are not in the store yet."""
@@ -130,6 +146,7 @@
             self._note_lost(error)
             return
         self.take_clock(report.clock_ms)
+        self._absent_looks = 0
         if not self.reachable:
             log.info("runner_reached", runner=self.runner.id, clock_ms=report.clock_ms)
         self.reachable = True
@@ -144,4 +161,13 @@
     def _note_lost(self, error: RunnerError) -> None:
         if self.reachable:
             log.warning("runner_lost", runner=self.runner.id, error=str(error))
+            self._on_lost(self)
         self.reachable = False
+        if not isinstance(error, RunnerAbsentError):
+            self._absent_looks = 0
+            return
+        if not self._absent_looks:
+            self._absent_since_ms = self._clock.now_ms()
+        self._absent_looks += 1
+        if self._absent_looks == ABSENT_LOOKS:
+            log.warning("runner_absent", runner=self.runner.id, error=str(error))
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -24,8 +24,11 @@
 JOBS_TOPIC = "keyed.jobs"
 MEMBER_KEY = "m/"
 ANNOUNCE_RETRY_MS = 1_000
-# Least time between two reads of the jobs by an instance that does not plan.
-FOLLOW_PACE_MS = 120
+# Least time between two reads of the jobs by an instance that does not plan; every read is paid
+# for, and callers who ask for a state get one that is read for them.
+FOLLOW_PACE_MS = 400
+# Least time between two reads of the list of runners by the planner.
+RUNNERS_PACE_MS = 120
 # A lease that outlasts a planner's replacement several times, within what runners grant.
 LEASE_MS = 8_000
 # Ended jobs are kept this much longer than callers may ask, as instances' clocks differ.
@@ -270,7 +273,7 @@
             self._formats.runners_topic,
             apply,
             planner.keep_runners,
-            pace_ms=FOLLOW_PACE_MS,
+            pace_ms=RUNNERS_PACE_MS,
         )
 
     async def _plan_while_leading(self) -> None:
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -68,7 +68,6 @@
 
     __slots__ = (
         "checkpoint",
-        "checkpoint_ms",
         "index",
         "percent",
         "run",
@@ -88,7 +87,6 @@
         self.started_ms: float | None = None
         self.withdrawn = ""
         self.checkpoint = ""
-        self.checkpoint_ms: float | None = None
         self.percent = -1
 
 
@@ -233,6 +231,9 @@
         log.warning("planner_fenced", term=self.term, by=link.runner.id)
         self._on_lost()
 
+    def _note_lost(self, link: RunnerLink) -> None:
+        self.trust.note_lost(link.runner.id)
+
     def _first_lapse_ms(self) -> float:
         return self._taken_ms + self._settings.most_lease_ms * 1.04 + 500
 
@@ -262,6 +263,7 @@
             max(first_lapse_ms, departed_ms),
             self._take_report,
             self._fenced,
+            self._note_lost,
         )
         self.links_by_id[runner.id] = link
         self._link_tasks[runner.id] = self._tasks.start(link.run(), f"runner {runner.id}")
@@ -286,15 +288,16 @@
             task.cancel()
         link = self.links_by_id.pop(runner_id, None)
         if link is not None:
-            self._lapse_by_departed[runner_id] = link.lapse_ms
+            ended = link.gone
+            self._lapse_by_departed[runner_id] = self._clock.now_ms() if ended else link.lapse_ms
 
     def _certainly_ended(self, run: Run) -> bool:
-        """Return whether a run's runner can run nothing of it any more by its lease."""
+        """Return whether a run's runner can run nothing of it any more."""
         link = self.links_by_id.get(run.runner)
         if link is None:
             lapse_ms = self._lapse_by_departed.get(run.runner, self._first_lapse_ms())
             return self._clock.now_ms() > lapse_ms
-        return not link.reachable and link.lapsed()
+        return not link.reachable and (link.gone or link.lapsed())
 
     # ------------------------------------------------------------------ reports
 
@@ -339,10 +342,10 @@
         now_ms = self._clock.now_ms()
         if run.started_ms is None:
             run.started_ms = now_ms
+            run.stage.job.begun = True
             self._changed.set()
         if item.checkpoint and item.checkpoint != run.checkpoint:
             run.checkpoint = item.checkpoint
-            run.checkpoint_ms = now_ms
         run.percent = item.percent
 
     async def _stop_stray(self, link: RunnerLink, item: RunningTask) -> None:
@@ -398,6 +401,8 @@
         now_ms = self._clock.now_ms()
         del self.runs_by_key[key]
         stage.runners[index] = ""
+        if outcome in ("done", "failed"):
+            job.begun = True
         stage.keep_checkpoint(index, checkpoint or run.checkpoint)
         failures = 0
         if outcome == "done" and not stage.step.long_running:
@@ -461,6 +466,7 @@
 
     async def _stop_until_ended(self, run: Run) -> None:
         key = (run.stage.task(run.index), run.run)
+        backoff = Backoff(RETRY_MS, PASS_INTERVAL_MS)
         while self.runs_by_key.get(key) is run:
             link = self.links_by_id.get(run.runner)
             if self._certainly_ended(run):
@@ -477,7 +483,7 @@
                     return
             except RunnerError as error:
                 log.info("stop_unanswered", task=key[0], runner=run.runner, error=str(error))
-                await self._clock.sleep_ms(RETRY_MS)
+                await self._clock.sleep_ms(backoff.next_ms())
                 continue
             if run.settled_ms is None:
                 run.settled_ms = self._clock.now_ms()
@@ -525,9 +531,10 @@
         link = self.links_by_id.get(run.runner)
         if link is None or not link.usable:
             return RunClock(0.0, False)
+        if stage.step.checkpoints:
+            # A stop saves what was done.
+            return RunClock(0.0, True)
         now_ms = self._clock.now_ms()
-        if stage.step.checkpoints and run.checkpoint_ms is not None:
-            return RunClock(now_ms - run.checkpoint_ms, True)
         ran_ms = now_ms - run.started_ms if run.started_ms is not None else 0.0
         # A run that was adopted has run for longer than this planner has watched it.
         worked_ms = max(0, run.percent) / 100 * self._estimate_ms(stage)
@@ -610,7 +617,7 @@
             if self._certainly_ended(run):
                 self._end_run(key, run, "lapsed", run.checkpoint)
         for runner_id, link in list(self.links_by_id.items()):
-            if not link.listed and not link.reachable and link.lapsed():
+            if not link.listed and not link.reachable and (link.gone or link.lapsed()):
                 self._drop_link(runner_id)
 
     def _launch(self, placements: list[Placement]) -> None:
@@ -722,6 +729,7 @@
             link.take_clock(clock_ms)
             run.settled_ms = self._clock.now_ms()
             run.started_ms = run.settled_ms
+            stage.job.begun = True
             return
 
     def _fail_start(self, run: Run, reason: str, certain: bool = False) -> None:
--- a/packages/library/carawayroute/fleet/trust.py
+++ b/packages/library/carawayroute/fleet/trust.py
@@ -1,7 +1,7 @@
 """Which runners get work: those that fail or refuse what they are given are avoided for a while.
 
-Answers runners that fail all that they start while their health answers are good, told apart from
-work that fails wherever it runs.
+Answers runners that go down and up by turns, and runners that fail all that they start while their
+health answers are good, told apart from work that fails wherever it runs.
 """
 
 from carawayroute.clock import Clock
@@ -11,6 +11,10 @@
 FIRST_AVOID_MS = 3_000
 MOST_AVOID_MS = 20_000
 REFUSAL_AVOID_MS = 1_000
+# A runner that goes silent again within this time is avoided for twice as long as before.
+LOSS_MEMORY_MS = 15_000
+FIRST_LOSS_AVOID_MS = 500
+MOST_LOSS_AVOID_MS = 3_000
 
 
 class _Record:
@@ -22,12 +26,21 @@
         self.until_ms = 0.0
 
 
+class _Losses:
+    __slots__ = ("avoid_ms", "last_ms")
+
+    def __init__(self, now_ms: float) -> None:
+        self.avoid_ms = FIRST_LOSS_AVOID_MS
+        self.last_ms = now_ms
+
+
 class RunnerTrust:
     """Judge runners by what became of the tasks on them."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._by_runner: dict[str, _Record] = {}
+        self._losses_by_runner: dict[str, _Losses] = {}
 
     def note_end(self, runner: str, job_id: str, outcome: str, withdrawn: bool) -> None:
         """Count how a run ended."""
@@ -46,10 +59,24 @@
             record = self._by_runner.setdefault(runner, _Record())
             record.until_ms = max(record.until_ms, self._clock.now_ms() + REFUSAL_AVOID_MS)
 
+    def note_lost(self, runner: str) -> None:
+        """Count that a runner stopped answering; one that does so by turns is avoided longer."""
+        now_ms = self._clock.now_ms()
+        losses = self._losses_by_runner.get(runner)
+        if losses is None or now_ms - losses.last_ms > LOSS_MEMORY_MS:
+            self._losses_by_runner[runner] = _Losses(now_ms)
+            return
+        losses.avoid_ms = min(MOST_LOSS_AVOID_MS, losses.avoid_ms * 2)
+        losses.last_ms = now_ms
+
     def is_trusted(self, runner: str) -> bool:
         """Return whether a runner may get work now."""
+        now_ms = self._clock.now_ms()
+        losses = self._losses_by_runner.get(runner)
+        if losses is not None and now_ms - losses.last_ms < losses.avoid_ms:
+            return False
         record = self._by_runner.get(runner)
-        return record is None or record.until_ms <= self._clock.now_ms()
+        return record is None or record.until_ms <= now_ms
 
     def speed(self, runner: str) -> float:
         """Return the work that a runner does in a unit of time, 1.0 for a usual one."""
--- a/packages/standins/carawayroute_standins/fleet/taskrunner.py
+++ b/packages/standins/carawayroute_standins/fleet/taskrunner.py
@@ -4,7 +4,11 @@
 import json
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.exceptions import RunnerRefusedError, RunnerUnansweredError
+from carawayroute.fleet.exceptions import (
+    RunnerAbsentError,
+    RunnerRefusedError,
+    RunnerUnansweredError,
+)
 from carawayroute.fleet.types import (
     Capacity,
     EndedTask,
@@ -112,8 +116,9 @@
     """Run tasks for whoever holds the highest term.
 
     :param clock_rate: how fast the runner's own clock goes.
-    :ivar mode: ``up``, ``cut`` (no answer, runs on), ``dead`` (no answer, runs nothing), ``hung``
-        (tasks stand still), ``failing`` (every task fails at once).
+    :ivar mode: ``up``, ``cut`` (no answer, runs on), ``dead`` (no answer, runs nothing), ``gone``
+        (its process has ended: connections are refused), ``resetting`` (connections are reset,
+        runs on), ``hung`` (tasks stand still), ``failing`` (every task fails at once).
     """
 
     def __init__(
@@ -168,7 +173,7 @@
         """Let time pass for what runs, until cancelled."""
         while True:
             await self.clock.sleep_ms(TICK_MS)
-            if self.mode == "dead":
+            if self.mode in ("dead", "gone"):
                 continue
             if self._runs and self.clock_ms() > self._lease_ms:
                 for run in list(self._runs.values()):
@@ -216,6 +221,11 @@
     # ------------------------------------------------------------------ orders
 
     async def _admit(self, term: int) -> None:
+        if self.mode == "gone":
+            raise RunnerAbsentError("connection refused")
+        if self.mode == "resetting":
+            await self.clock.sleep_ms(ORDER_MS)
+            raise RunnerUnansweredError("connection reset")
         if self.mode in ("cut", "dead"):
             await self.clock.sleep_ms(UNANSWERED_MS)
             raise RunnerUnansweredError(self.mode)
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -361,3 +361,36 @@
     book.apply(99, "a/" + urgent.id, urgent.SerializeToString(), 0.0)
     (placement,) = [one for one in plan(book, rooms, lost_ms=1_000.0) if one.victims]
     assert placement.places == ["w6"]
+
+
+def test_runner_that_goes_down_by_turns_is_avoided_longer_each_time():
+    clock = ManualClock()
+    trust = RunnerTrust(clock)
+    waits = []
+    for _ in range(5):
+        trust.note_lost("w1")
+        lost_ms = clock.ms
+        while not trust.is_trusted("w1"):
+            clock.ms += 100
+        waits.append(clock.ms - lost_ms)
+        clock.ms += 700
+    assert waits == [500, 1_000, 2_000, 3_000, 3_000]
+    clock.ms += 20_000
+    trust.note_lost("w1")
+    clock.ms += 500
+    assert trust.is_trusted("w1")
+
+
+def test_job_whose_orders_were_taken_back_still_waits():
+    book = book_of(job(ID.format(1)))
+    stage = stage_of(book)
+    put(stage, {0: "w1"})
+    assert book.pending(NORMAL.name) == 0
+    stage.runners[0] = ""
+    assert book.pending(NORMAL.name) == 1
+    assert book.jobs_by_id[ID.format(1)].state == "queued"
+    stage.job.begun = True
+    record = stage.job.to_progress(1).SerializeToString()
+    follower = book_of(job(ID.format(1)))
+    follower.apply(5, PROGRESS_KEY + ID.format(1), record, 0.0)
+    assert follower.pending(NORMAL.name) == 0
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -1,20 +1,23 @@
 """The adapter's formats, and output that never blocks."""
 
+import asyncio
 import json
 import os
+import socket
 import struct
 
 import pytest
 from fleet_builders import configuration_bytes, runner_fields
 
-from carawayroute.fleet.exceptions import FormatError
+from carawayroute.fleet.exceptions import FormatError, RunnerAbsentError
 from carawayroute_standins.fleet.taskrunner import make_runner
 from carawayrouted.output import BoundedOutput
 from carawayrouted.platform import store
 from carawayrouted.platform.__main__ import metrics_port
 from carawayrouted.platform.callers import BadJobError, decode_job
 from carawayrouted.platform.configuration import decode_configuration
-from carawayrouted.platform.runners import decode_runner
+from carawayrouted.platform.http import HttpPool
+from carawayrouted.platform.runners import HttpRunners, decode_runner
 from carawayrouted.platform.settings import PlatformSettings, PlatformSettingsError, read_settings
 from carawayrouted.platform.store import _frame, _split
 
@@ -200,3 +203,21 @@
     """Found on cornice-sched-grown trouble-1: reads of 1 MB timed out again and again."""
     smallest_link_bits_per_ms = 5_000
     assert store.READ_KB * 1_024 * 8 / smallest_link_bits_per_ms < store.READ_TIMEOUT_MS / 2
+
+
+def test_refused_connection_tells_that_the_process_is_gone():
+    with socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{closed.getsockname()[1]}"
+
+    async def look():
+        pool = HttpPool()
+        runner = make_runner("w1", "r1-0")
+        runner.address = address
+        try:
+            with pytest.raises(RunnerAbsentError):
+                await HttpRunners(pool).hold(runner, 1, 0, 0, 0)
+        finally:
+            await pool.close()
+
+    asyncio.run(look())
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -402,3 +402,50 @@
         assert starts(fleet.journal, ID.format(9)) == []
 
     play(scenario)
+
+
+def test_work_of_a_runner_whose_process_is_gone_starts_again_at_once():
+    """A refused connection tells that nothing runs there, so no lease is waited for."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=1_500), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(500)
+        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
+        holder.be_born()
+        holder.mode = "gone"
+        await fleet.wait_state(ID.format(1), "completed", 3_500)
+
+    play(scenario)
+
+
+def test_work_of_a_runner_that_resets_connections_is_not_given_up():
+    """A process that resets connections lives, and may run on what it runs."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=4_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(500)
+        holder = fleet.journal.all("task_started")[0].fields["runner"]
+        fleet.runners_by_id[holder].mode = "resetting"
+        await fleet.clock.sleep_ms(2_500)
+        fleet.runners_by_id[holder].mode = "up"
+        await fleet.wait_state(ID.format(1), "completed", 3_000)
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+
+    play(scenario)
+
+
+def test_state_shown_is_read_for_its_caller():
+    """An end is shown by every instance as soon as it is on record, however seldom they read."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=1_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(900)
+        # Every instance has just read and rests.
+        await fleet.submit(job(ID.format(2), run_ms=5_000), NORMAL, OWNER)
+        await fleet.wait_until(
+            lambda: fleet.journal.all("end_acknowledged"), 3_000, "the end is stored"
+        )
+        for name in fleet.nodes_by_name:
+            assert await fleet.state(ID.format(1), at=name) == "completed"
+
+    play(scenario)
