--- /dev/null
+++ b/bench/loads.py
@@ -0,0 +1,295 @@
+"""Seeded loads of the deployments, in the sizes and rates that their sheets name."""
+
+import math
+import random
+
+from carawayroute.fleet.types import Capacity, Queue, Runner, Team
+from carawayroute_schema import records_pb2 as pb
+
+ACCELERATORS_BY_TASK = (1, 2, 4, 8, 8)
+# Share of all accelerators that teams hold as guarantees, and how unequal teams are.
+GUARANTEED_SHARE = 0.62
+TEAM_SKEW = 1.2
+FULL_SPEED_RUNNERS_PER_RACK = 8
+
+
+class JobKind:
+    """What jobs of one kind of request look like.
+
+    :param per_s: arrivals a second at the load 1.0.
+    :param width: mean number of tasks of a step, with the spread of its logarithm and a bound.
+    :param work_ms: mean run time of a task, likewise.
+    :param declared_off: declared run times lie within this share of the real ones.
+    :param worth: of a usual job that ends in time, and of one that ends late.
+    :param filled: jobs that are there when the day begins.
+    """
+
+    def __init__(
+        self,
+        queue: Queue,
+        per_s: float,
+        width: tuple[float, float, int],
+        work_ms: tuple[float, float, float],
+        need: Capacity,
+        worth: tuple[float, float],
+        accelerators: tuple[int, ...] = ACCELERATORS_BY_TASK,
+        gang: float = 1.0,
+        same_rack: float = 0.6,
+        checkpoints: float = 0.0,
+        declared_off: float = 0.5,
+        second_step: float = 0.0,
+        per_runner: float = 0.0,
+        filled: int = 0,
+    ) -> None:
+        self.queue = queue
+        self.per_s = per_s
+        self.width = width
+        self.work_ms = work_ms
+        self.need = need
+        self.worth = worth
+        self.accelerators = accelerators
+        self.gang = gang
+        self.same_rack = same_rack
+        self.checkpoints = checkpoints
+        self.declared_off = declared_off
+        self.second_step = second_step
+        self.per_runner = per_runner
+        self.filled = filled
+
+
+class Deployment:
+    """Runners, teams and kinds of jobs.
+
+    :param checkpoint_ms: work between two checkpoints.
+    :param far_factor: how much longer tasks take away from their rack.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        runners: int,
+        per_rack: int,
+        capacity: Capacity,
+        teams: int,
+        kinds: list[JobKind],
+        checkpoint_ms: float,
+        stop_ms: float = 200.0,
+        far_factor: float = 3.0,
+    ) -> None:
+        self.name = name
+        self.runners = runners
+        self.per_rack = per_rack
+        self.capacity = capacity
+        self.teams = teams
+        self.kinds = kinds
+        self.checkpoint_ms = checkpoint_ms
+        self.stop_ms = stop_ms
+        self.far_factor = far_factor
+
+    def make_runners(self) -> list[Runner]:
+        """Return the runners, rack by rack."""
+        return [
+            Runner(
+                f"w{number}",
+                "s",
+                "h:1",
+                "a",
+                self.capacity.copy(),
+                rack=f"r-{number // self.per_rack}",
+            )
+            for number in range(self.runners)
+        ]
+
+    def make_teams(self) -> list[Team]:
+        """Return teams of unequal size with their guarantees."""
+        weights = [(number + 1) ** -TEAM_SKEW for number in range(self.teams)]
+        total = self.runners * self.capacity.accelerators * GUARANTEED_SHARE
+        return [
+            Team(f"team-{number}", [f"key-{number}"], 8 * int(total * weight / sum(weights) / 8))
+            for number, weight in enumerate(weights)
+        ]
+
+
+def _kinds(
+    names: tuple[str, str, str],
+    rates: tuple[float, float, float],
+    widths: tuple[float, float, float],
+    work: tuple[float, float, float],
+    needs: tuple[Capacity, Capacity, Capacity],
+    urgent_target_ms: int,
+    filled: tuple[int, int],
+) -> list[JobKind]:
+    queues = [
+        Queue(names[0], "h", "/0/", "s", 1, 3, 3.0, 1_200),
+        Queue(names[1], "h", "/1/", "s", 0, 4, 1.5, urgent_target_ms),
+        Queue(names[2], "h", "/2/", "s", 2, 3, 3.0, 3_000),
+    ]
+    return [
+        JobKind(
+            queues[0], rates[0], (widths[0], 0.8, 60), (work[0], 0.3, 11_000.0), needs[0],
+            (3.0, 0.9), same_rack=0.3, checkpoints=0.5, filled=filled[0],
+        ),
+        JobKind(
+            queues[1], rates[1], (widths[1], 0.8, 28), (work[1], 0.5, 8_000.0), needs[1],
+            (4.0, 0.8), gang=0.92, same_rack=0.6, declared_off=0.2,
+        ),
+        JobKind(
+            queues[2], rates[2], (widths[2], 0.8, 180), (work[2], 0.3, 11_000.0), needs[2],
+            (1.0, 0.3), accelerators=(1,), gang=0.0, same_rack=0.0, checkpoints=0.45,
+            second_step=0.2, per_runner=0.12, filled=filled[1],
+        ),
+    ]  # fmt: skip
+
+
+DEPLOYMENTS = {
+    "cornice": Deployment(
+        "cornice", 24, 8, Capacity(64_000, 262_144, 8), 4,
+        _kinds(
+            ("mockup", "quote", "plan"), (0.429, 1.2, 0.34), (4, 3, 12), (8_500, 2_500, 9_500),
+            (Capacity(26_000, 140_000, 0), Capacity(7_500, 22_000, 0), Capacity(5_600, 16_000, 0)),
+            400, (2, 4),
+        ),
+        1_000.0, stop_ms=400.0,
+    ),
+    "deckmali": Deployment(
+        "deckmali", 24, 8, Capacity(32_000, 65_536, 8), 4,
+        _kinds(
+            ("pack", "preview", "export"), (0.314, 0.764, 0.295), (5, 3, 16), (8_500, 2_500, 7_600),
+            (Capacity(13_000, 35_000, 0), Capacity(3_700, 5_500, 0), Capacity(2_800, 4_000, 0)),
+            300, (2, 4),
+        ),
+        2_000.0, stop_ms=400.0,
+    ),
+    "cornice-grown": Deployment(
+        "cornice-grown", 176, 8, Capacity(64_000, 262_144, 8), 10,
+        _kinds(
+            ("mockup", "quote", "plan"), (1.86, 5.55, 1.82), (10, 4.7, 30), (6_800, 2_500, 6_100),
+            (Capacity(26_000, 140_000, 0), Capacity(7_500, 22_000, 0), Capacity(5_600, 16_000, 0)),
+            400, (23, 27),
+        ),
+        500.0,
+    ),
+    "deckmali-grown": Deployment(
+        "deckmali-grown", 176, 20, Capacity(32_000, 131_072, 8), 10,
+        _kinds(
+            ("pack", "preview", "export"), (0.826, 5.5, 1.27), (13, 5, 39), (11_000, 2_500, 6_100),
+            (Capacity(13_000, 70_000, 0), Capacity(3_700, 11_000, 0), Capacity(2_800, 8_000, 0)),
+            304, (14, 27),
+        ),
+        1_000.0,
+    ),
+}  # fmt: skip
+
+
+class Arrival:
+    """A job, when it is first sent, and what it really takes.
+
+    :param work_ms: run time of the tasks of each step on a usual runner near their data.
+    """
+
+    __slots__ = ("at_ms", "job", "kind", "work_ms")
+
+    def __init__(self, at_ms: float, job: pb.Job, kind: JobKind, work_ms: list[float]) -> None:
+        self.at_ms = at_ms
+        self.job = job
+        self.kind = kind
+        self.work_ms = work_ms
+
+    @property
+    def objective_ms(self) -> float:
+        """Return the time from the first send within which the job counts in full."""
+        return self.kind.queue.deadline_factor * sum(self.work_ms) + self.kind.queue.target_ms
+
+
+def _drawn(dice: random.Random, shape: tuple[float, float, float]) -> float:
+    """Draw from a logarithmic normal distribution with this mean, up to a bound."""
+    mean, spread, most = shape
+    return min(most, dice.lognormvariate(math.log(mean) - spread * spread / 2, spread))
+
+
+class LoadPattern:
+    """How much is asked for over time.
+
+    :param load: arrivals beside those of the sheet.
+    :param bursts: (first second, seconds, factor, number of the kind or -1 for all).
+    """
+
+    def __init__(self, load: float, bursts: tuple[tuple[float, float, float, int], ...]) -> None:
+        self.load = load
+        self.bursts = bursts
+
+    def factor(self, at_s: float, kind: int) -> float:
+        """Return arrivals of a kind beside the usual ones at a moment."""
+        factor = self.load
+        for from_s, for_s, times, which in self.bursts:
+            if from_s <= at_s < from_s + for_s and which in (-1, kind):
+                factor *= times
+        return factor
+
+
+PATTERNS = {
+    "quiet": LoadPattern(0.6, ()),
+    "bursts": LoadPattern(0.95, ((2, 6, 2.1, 1), (4, 5, 2.2, 2), (20, 4, 1.7, -1))),
+    "high": LoadPattern(1.1, ((6, 4, 1.6, 1), (18, 5, 1.7, -1))),
+}
+
+
+def arrivals(
+    deployment: Deployment, pattern: LoadPattern, seconds: float, seed: int
+) -> list[Arrival]:
+    """Return the jobs of a day in the order of their arrival."""
+    dice = random.Random(seed)
+    teams = deployment.make_teams()
+    weights = [team.guaranteed_accelerators for team in teams]
+    made = []
+    for number, kind in enumerate(deployment.kinds):
+        times = [0.0] * kind.filled
+        most = max(pattern.factor(step / 10, number) for step in range(int(seconds * 10)))
+        at_s = 0.0
+        while True:
+            at_s += dice.expovariate(kind.per_s * most)
+            if at_s >= seconds:
+                break
+            if dice.random() < pattern.factor(at_s, number) / most:
+                times.append(at_s * 1000)
+        for at_ms in times:
+            team = dice.choices(teams, weights)[0]
+            made.append(_arrival(dice, kind, team, at_ms, len(made)))
+    return sorted(made, key=lambda one: one.at_ms)
+
+
+def _arrival(dice: random.Random, kind: JobKind, team: Team, at_ms: float, number: int) -> Arrival:
+    steps, work = [], []
+    gang = dice.random() < kind.gang
+    for index in range(2 if dice.random() < kind.second_step else 1):
+        work_ms = _drawn(dice, kind.work_ms)
+        declared = work_ms * dice.uniform(1 - kind.declared_off, 1 + kind.declared_off)
+        count = max(1, round(_drawn(dice, kind.width)))
+        steps.append(
+            pb.Step(
+                count=count,
+                cpu_millis=kind.need.cpu_millis,
+                memory_mb=kind.need.memory_mb,
+                accelerators=dice.choice(kind.accelerators),
+                estimate_ms=int(declared),
+                gang=gang and count > 1,
+                same_rack=gang and dice.random() < kind.same_rack,
+                checkpoints=dice.random() < kind.checkpoints,
+                most_per_runner=dice.choice((1, 2)) if dice.random() < kind.per_runner else 0,
+                depends_on=[0] if index else [],
+            )
+        )
+        work.append(work_ms)
+    queue = kind.queue
+    job = pb.Job(
+        id=f"{number:016x}",
+        steps=steps,
+        queue=queue.name,
+        service=queue.service,
+        team=team.name,
+        priority=queue.priority,
+        max_attempts=queue.max_attempts,
+        stretch=queue.deadline_factor,
+        target_ms=queue.target_ms,
+    )
+    return Arrival(at_ms, job, kind, work)
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -36,6 +36,13 @@
 # The store must have answered this recently for an instance to ask for new connections.
 READY_LAG_MS = 1_800
 
+# Processor and link with which a planner of some two hundred runners decides in time: a pass over
+# 176 runners takes 10 to 40 ms of a whole core, their reports some 3 Mbit/s (docs/MEASUREMENTS.md).
+PLANNER_CORES = 1.0
+PLANNER_LINK_MBPS = 100.0
+# The least able instance waits this long for the others, as long as two attempts of theirs.
+MOST_HANDICAP_MS = 600.0
+
 log = structlog.get_logger()
 
 
@@ -88,6 +95,12 @@
         self.seeds = seeds
 
 
+def handicap_ms(cores: float, link_mbps: float) -> float:
+    """Return how long an instance leaves a vacant term to those with more processor and link."""
+    lacking = max(1 - cores / PLANNER_CORES, 1 - link_mbps / PLANNER_LINK_MBPS)
+    return MOST_HANDICAP_MS * min(1.0, max(0.0, lacking))
+
+
 class FleetNode:
     """Follow the store, serve callers, and plan while this instance holds the term."""
 
@@ -114,7 +127,13 @@
         self._address_by_member: dict[str, str] = {}
         self.draining = False
         boot = new_id(settings.instance)
-        self.leadership = Leadership(self.store, clock, boot, settings.address)
+        self.leadership = Leadership(
+            self.store,
+            clock,
+            boot,
+            settings.address,
+            handicap_ms(settings.cores, settings.link_mbps),
+        )
         self.jobs_follower = TopicFollower(
             self.store, clock, JOBS_TOPIC, self._apply_job, pace_ms=FOLLOW_PACE_MS
         )
--- a/packages/library/carawayroute/fleet/packing.py
+++ b/packages/library/carawayroute/fleet/packing.py
@@ -53,6 +53,8 @@
 
 def copies(stage: Stage, room: Room) -> int:
     """Return how many tasks of a stage fit on a runner now."""
+    if room.free.accelerators < stage.need.accelerators:
+        return 0
     return room.free.copies_of(stage.need, _most(stage, room.runner.id))
 
 
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -83,12 +83,13 @@
         )
         self.worth = worth or order.Worth(order.Room(usual_capacity(rooms)))
         self.worth.learn(book)
-        self._stopped: set[tuple[tuple[str, int, int], int]] = set()
         self._reserved = 0
         self._preemptions_tried = 0
         self._unplaceable: set[tuple] = set()
+        self._full_speed_by_shape: dict[tuple, bool] = {}
         self._rooms_by_need: dict[tuple[str, str], list[Room]] = {}
-        self._victims_by_claim: dict[tuple[int, bool], list[Victim]] = {}
+        self._victims_by_stage: dict[tuple[str, int, int], list[Victim]] = {}
+        self._victims_by_claim: dict[tuple[int, bool], dict[str, list[Victim]]] = {}
 
     def run(self) -> list[Placement]:
         """Return what is to be placed, in order."""
@@ -163,11 +164,19 @@
             self._rooms_by_need[key] = found
         return found
 
-    @staticmethod
-    def _free_places(stage: Stage, rooms: list[Room], count: int) -> list[str] | None:
+    def _full_speed_possible(self, stage: Stage, rooms: list[Room], count: int) -> bool:
+        """Return whether tasks would fit at full speed on empty runners, computed once a shape."""
+        shape = (_shape(stage, count), count)
+        found = self._full_speed_by_shape.get(shape)
+        if found is None:
+            found = packing.full_speed_possible(stage, rooms, count)
+            self._full_speed_by_shape[shape] = found
+        return found
+
+    def _free_places(self, stage: Stage, rooms: list[Room], count: int) -> list[str] | None:
         whole = stage.step.gang
         places = packing.choose(stage, rooms, count, whole)
-        if places is None and not packing.full_speed_possible(stage, rooms, count):
+        if places is None and not self._full_speed_possible(stage, rooms, count):
             places = packing.fill(stage, rooms, count)
             if whole and len(places) < count:
                 return None
@@ -185,7 +194,7 @@
             return None
         self._preemptions_tried += 1
         count = len(indices)
-        spread = not packing.full_speed_possible(stage, rooms, count)
+        spread = not self._full_speed_possible(stage, rooms, count)
         found = preemption.choose(stage, rooms, count, victims, spread)
         if found is None and guaranteed:
             found = preemption.choose(stage, rooms, count, victims, spread=True)
@@ -196,14 +205,13 @@
             return None
         return Placement(stage, indices, found.places, found.victims, guaranteed)
 
-    def _victims(self, stage: Stage, guaranteed: bool) -> list[Victim]:
+    def _victims(self, stage: Stage, guaranteed: bool) -> dict[str, list[Victim]]:
         """Return what may be stopped for a stage: less urgent work, or what exceeds guarantees."""
         priority = stage.job.record.priority
         known = self._victims_by_claim.get((priority, guaranteed))
         if known is not None:
-            return [victim for victim in known if not self._is_stopped(victim)]
+            return known
         victims: list[Victim] = []
-        self._victims_by_claim[priority, guaranteed] = victims
         for job in self.book.open_by_id.values():
             less_urgent = job.record.priority > priority
             exceeds = guaranteed and job.id not in self.guaranteed_jobs
@@ -211,20 +219,20 @@
                 continue
             rate = self.worth.per_room(job.record)
             for other in job.stages_by_key.values():
-                victims.extend(self._victims_of(other, rate))
-        return victims
-
-    def _is_stopped(self, victim: Victim) -> bool:
-        return any((victim.stage.key, index) in self._stopped for index in victim.indices)
+                found = self._victims_by_stage.get(other.key)
+                if found is None:
+                    found = self._victims_of(other, rate)
+                    self._victims_by_stage[other.key] = found
+                victims.extend(found)
+        self._victims_by_claim[priority, guaranteed] = preemption.by_runner(victims)
+        return self._victims_by_claim[priority, guaranteed]
 
     def _victims_of(self, stage: Stage, worth_per_room: float) -> list[Victim]:
-        placed = [index for index in stage.placed() if (stage.key, index) not in self._stopped]
+        placed = stage.placed()
         if not placed:
             return []
         task_rate = worth_per_room * self.worth.room.of_step(stage.step, 1)
         if stage.step.gang:
-            if len(placed) < len(stage.placed()):
-                return []
             clocks = [self.run_clock(stage, index) for index in placed]
             if not all(clock.stoppable for clock in clocks):
                 return []
@@ -240,8 +248,8 @@
         """Count a placement; room of victims that it does not use is free only once they ended."""
         before_by_id: dict[str, Capacity] = {}
         for victim in placement.victims:
+            victim.stopped = True
             for index in victim.indices:
-                self._stopped.add((victim.stage.key, index))
                 runner = victim.stage.runners[index]
                 room = self.rooms_by_id.get(runner)
                 if room is not None:
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -245,7 +245,7 @@
     book.apply(70, "a/" + urgent.id, urgent.SerializeToString(), 0.0)
     rooms = [room("w0", free=0), room("w1", free=8)]
     victims = [preemption.Victim(stage_of(book, 100), [index], 100.0, 1e-6) for index in range(8)]
-    found = preemption.choose(stage_of(book), rooms, 2, victims, spread=True)
+    found = preemption.choose(stage_of(book), rooms, 2, preemption.by_runner(victims), spread=True)
     assert sorted(found.places) == ["w0", "w1"]
     assert len(found.victims) == 8
 
