Keep state readable over a full link; learn runners' speeds; tell what waits truthfully

Change: pages of the newest records are given up only after 1.5 s without a byte, and tried again without the pages before; peers of the same region are asked first; an ended job's record drops its steps. Runners' speeds are learnt from tasks of one step; urgent gangs keep off slow ones where stopping others pays, other work goes there first. Records that were not sent in time are taken back, so the caller is told 503. A job waits until a runner has started a task, and a count older than 2 s is not told.

--- a/packages/daemon/carawayrouted/platform/http.py
+++ b/packages/daemon/carawayrouted/platform/http.py
@@ -48,17 +48,22 @@
         timeout_ms: float,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        silence_ms: float | None = None,
     ) -> Reply:
         """Make a call and return its whole answer.
 
         A connection on which an answer does not come in time is closed by the client library.
 
+        :param silence_ms: time without a byte after which a long answer is given up.
+
         :raises NobodyListensError: the connection was refused; nothing was sent.
         :raises NeverSentError: nothing was sent.
         :raises TimeoutError: no answer came in time.
         """
         timeout = aiohttp.ClientTimeout(
-            total=timeout_ms / 1000, sock_connect=min(timeout_ms, CONNECT_TIMEOUT_MS) / 1000
+            total=timeout_ms / 1000,
+            sock_connect=min(timeout_ms, CONNECT_TIMEOUT_MS) / 1000,
+            sock_read=silence_ms / 1000 if silence_ms else None,
         )
         try:
             async with self._session.request(
--- a/packages/daemon/carawayrouted/platform/store.py
+++ b/packages/daemon/carawayrouted/platform/store.py
@@ -5,6 +5,8 @@
 import struct
 from urllib.parse import quote
 
+import structlog
+
 from carawayroute.fleet.exceptions import (
     StoreConflictError,
     StoreError,
@@ -21,10 +23,18 @@
 PARTITION = 0
 APPEND_TIMEOUT_MS = 900
 READ_TIMEOUT_MS = 900
+# A page of the newest records has up to 1 MB, 2 s on the smallest machine's link (5 Mbit/s) if
+# nobody else reads; after a restart all instances of a region share its link.
+PAGE_TIMEOUT_MS = 20_000
+PAGE_SILENCE_MS = 1_500
+# Tries of a page, so that the pages before it need not be read again.
+PAGE_TRIES = 3
 # A read of this size passes the smallest machine's link (5 Mbit/s) well within the time-out.
 READ_KB = 96
 REFUSED_STATUSES = (429, 503, 507)
 
+log = structlog.get_logger()
+
 
 class HttpStore:
     """Call the store over HTTP."""
@@ -34,11 +44,20 @@
         self._base = f"http://{address}/v1/"
         self.calls = 0
 
-    async def _call(self, method: str, path: str, timeout_ms: float, body: bytes | None = None):
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_ms: float,
+        body: bytes | None = None,
+        silence_ms: float | None = None,
+    ) -> Reply:
         self.calls += 1
         headers = {"Content-Type": "application/octet-stream"} if body is not None else None
         try:
-            reply = await self._pool.call(method, self._base + path, timeout_ms, body, headers)
+            reply = await self._pool.call(
+                method, self._base + path, timeout_ms, body, headers, silence_ms
+            )
         except NeverSentError as error:
             raise StoreRefusedError(f"no connection to the store: {error}") from error
         except TimeoutError as error:
@@ -96,13 +115,7 @@
         end = None
         after = ""
         while True:
-            query = f"log-newest?topic={quote(topic)}&part={PARTITION}"
-            if after:
-                query += f"&depends_on={quote(after)}"
-            reply = await self._call("GET", query, READ_TIMEOUT_MS)
-            if reply.status != 200:
-                raise StoreUnansweredError(f"the store answered {reply.status}")
-            page = _decode(reply)
+            page = await self._page(topic, after)
             try:
                 for item in page["items"]:
                     value = base64.b64decode(item["value"])
@@ -115,6 +128,25 @@
             except (KeyError, TypeError, ValueError) as error:
                 raise StoreError(f"a page of {topic} cannot be read: {error}") from error
 
+    async def _page(self, topic: str, after: str) -> dict:
+        """Return the newest records of the keys after a key."""
+        query = f"log-newest?topic={quote(topic)}&part={PARTITION}"
+        if after:
+            query += f"&depends_on={quote(after)}"
+        tries = 0
+        while True:
+            tries += 1
+            try:
+                reply = await self._call("GET", query, PAGE_TIMEOUT_MS, None, PAGE_SILENCE_MS)
+            except StoreUnansweredError as error:
+                if not after or tries == PAGE_TRIES:
+                    raise
+                log.info("store_page_again", topic=topic, after=after, error=str(error))
+                continue
+            if reply.status != 200:
+                raise StoreUnansweredError(f"the store answered {reply.status}")
+            return _decode(reply)
+
 
 def _frame(key: str, value: bytes) -> bytes:
     name = key.encode()
--- a/packages/library/carawayroute/fleet/book.py
+++ b/packages/library/carawayroute/fleet/book.py
@@ -210,11 +210,8 @@
 
     @property
     def started(self) -> bool:
-        """Return whether a task has run or is ordered to a runner.
-
-        A job whose orders were all taken back before anything ran still waits.
-        """
-        return self.begun or any(any(stage.runners) for stage in self.stages_by_key.values())
+        """Return whether a task has run; orders that no runner has carried out do not count."""
+        return self.begun or any(any(stage.done) for stage in self.stages_by_key.values())
 
     @property
     def state(self) -> str:
@@ -255,8 +252,11 @@
 
     def to_progress(self, term: int) -> pb.Progress:
         """Return the record that replaces the job's earlier progress."""
+        ended = self.ended_ms is not None
+        steps = [] if ended else [stage.to_record() for stage in self.stages_by_key.values()]
         return pb.Progress(
-            steps=[stage.to_record() for stage in self.stages_by_key.values()],
+            steps=steps,
+            ended=ended,
             failed=self.failed,
             reason=self.reason,
             term=term,
@@ -317,6 +317,8 @@
             job.reason = record.reason
             for item in record.steps:
                 job.stage(item.occurrence, item.step).apply(item)
+            if record.ended:
+                self._close(job, now_ms)
         self.settle(job, now_ms)
         return job
 
@@ -326,8 +328,12 @@
             return
         placed = any(stage.placed() for stage in job.stages_by_key.values())
         if not placed:
+            self._close(job, now_ms)
+
+    def _close(self, job: Job, now_ms: float) -> None:
+        if job.ended_ms is None:
             job.ended_ms = now_ms
-            del self.open_by_id[job.id]
+        self.open_by_id.pop(job.id, None)
 
     def reset(self) -> None:
         """Forget the progress of all jobs, so that the newest records are applied anew."""
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -30,6 +30,8 @@
 STATE_READ_MS = 150
 # A store that has not answered for longer is not asked for the sake of one caller.
 STATE_SILENCE_MS = 1_500
+# A count of waiting jobs may be 2 s old by the platform's pages.
+PENDING_AGE_MS = 2_000
 # Time that is left for the answer to travel.
 ANSWER_MARGIN_MS = 250
 
@@ -211,6 +213,8 @@
 
         :raises StateUnknownError: this instance cannot tell now.
         """
-        if not self._follower.loaded.is_set():
+        age_ms = self._follower.lag_ms()
+        if not self._follower.loaded.is_set() or age_ms > PENDING_AGE_MS:
+            log.info("pending_unknown", queue=queue.name, state_age_ms=round(min(age_ms, 1e9)))
             raise StateUnknownError("the state of jobs cannot be read")
         return self._book.pending(queue.name)
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -230,9 +230,12 @@
         before = self._address_by_member.pop(name, None)
         if before is not None:
             self.store.addresses.discard(before)
+            self.store.near.discard(before)
         if record.value:
             self._address_by_member[name] = member.address
             self.store.addresses.add(member.address)
+            if member.region == self.settings.region:
+                self.store.near.add(member.address)
 
     async def _announce(self) -> None:
         """Tell the other instances how to reach this one."""
--- a/packages/library/carawayroute/fleet/packing.py
+++ b/packages/library/carawayroute/fleet/packing.py
@@ -7,12 +7,20 @@
 from collections.abc import Iterable
 
 from carawayroute.fleet.book import Stage
+from carawayroute.fleet.speeds import SLOW_RATIO
 from carawayroute.fleet.types import Capacity, Runner
 
+# An objective below this many times the work leaves no time for a slow runner: 1.3 for the slow
+# third of the users' runners, and 1.17 for the longest task of a usual gang.
+HURRIED_STRETCH = 1.6
 # More tasks on one runner than any runner holds.
 UNBOUNDED = 1_000_000
 
 
+# A runner that does less than this share of a usual one's work is slow (see speeds).
+SLOW_SPEED = 1 / SLOW_RATIO
+
+
 class Room:
     """What is free on a runner that may get work.
 
@@ -26,6 +34,11 @@
         self.free = free
         self.speed = speed
 
+    @property
+    def slow(self) -> bool:
+        """Return whether the runner takes notably longer than a usual one."""
+        return self.speed < SLOW_SPEED
+
 
 def suits(stage: Stage, runner: Runner) -> bool:
     """Return whether a runner may run the tasks of a stage at all."""
@@ -51,6 +64,11 @@
     return max(0, bound - sum(1 for placed in stage.runners if placed == runner))
 
 
+def in_hurry(stage: Stage) -> bool:
+    """Return whether a slow runner alone makes a stage late."""
+    return stage.job.record.stretch < HURRIED_STRETCH
+
+
 def copies(stage: Stage, room: Room) -> int:
     """Return how many tasks of a stage fit on a runner now."""
     if room.free.accelerators < stage.need.accelerators:
@@ -59,13 +77,17 @@
 
 
 def fill(stage: Stage, rooms: list[Room], count: int) -> list[str]:
-    """Return runners for up to ``count`` tasks of a stage, the tightest places first."""
+    """Return runners for up to ``count`` tasks of a stage, the tightest places first.
+
+    Work in a hurry goes to runners that are not slow, all other work leaves those free.
+    """
     need = stage.need
+    hurried = in_hurry(stage)
 
-    def rank(room: Room) -> tuple[int, int, float, str]:
+    def rank(room: Room) -> tuple[bool, int, int, float, str]:
         left = room.free.accelerators
         each = max(1, need.accelerators)
-        return (left % each, left, -room.speed, room.runner.id)
+        return (room.slow is hurried, left % each, left, -room.speed, room.runner.id)
 
     places: list[str] = []
     fitting_rooms = [room for room in rooms if room.free.accelerators >= need.accelerators]
@@ -93,7 +115,9 @@
     :param whole: all of them or none; otherwise as many as fit, at least one.
     """
     best: list[str] | None = None
-    best_rank: tuple[int, int] | None = None
+    best_rank: tuple[int, int, int] | None = None
+    hurried = in_hurry(stage)
+    slow = {room.runner.id for room in rooms if room.slow}
     for domain in _domains(stage, rooms):
         if whole and sum(copies(stage, room) for room in domain) < count:
             continue
@@ -101,7 +125,8 @@
         if not places:
             continue
         left = sum(room.free.accelerators for room in domain)
-        rank = (-len(places), left)
+        unsuited = sum(1 for place in places if (place in slow) is hurried)
+        rank = (-len(places), unsuited if hurried else 0, left)
         if best_rank is None or rank < best_rank:
             best, best_rank = places, rank
     return best
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -21,6 +21,7 @@
 from carawayroute.fleet.packing import Room
 from carawayroute.fleet.ports import RunnerOrders, Store
 from carawayroute.fleet.scheduler import Pass, Placement, RunClock, usual_capacity
+from carawayroute.fleet.speeds import RunnerSpeeds
 from carawayroute.fleet.trust import RunnerTrust
 from carawayroute.fleet.types import (
     Configuration,
@@ -50,6 +51,8 @@
 ROOM_CHECK_MS = 100
 
 STATUS_INTERVAL_MS = 2_000
+# Progress from which a task's run time is told; less is too rough, as it comes in whole percents.
+SAMPLE_PERCENT = 25
 # Records dropped in one append.
 MOST_FORGOTTEN = 300
 # Jobs named in a status line.
@@ -72,6 +75,7 @@
         "percent",
         "run",
         "runner",
+        "sampled",
         "settled_ms",
         "stage",
         "started_ms",
@@ -88,6 +92,8 @@
         self.withdrawn = ""
         self.checkpoint = ""
         self.percent = -1
+        # Runs taken over were not watched from their beginning.
+        self.sampled = False
 
 
 class PlannerSettings:
@@ -148,6 +154,7 @@
         self._reported = asyncio.Event()
         self.run_times = RunTimes()
         self.trust = RunnerTrust(clock)
+        self.speeds = RunnerSpeeds()
         self._taken_ms = clock.now_ms()
         self._ready = False
         self._status_ms = 0.0
@@ -225,6 +232,7 @@
         run = Run(stage, index, stage.runs[index], stage.runners[index])
         run.settled_ms = self._taken_ms
         run.checkpoint = stage.checkpoint(index)
+        run.sampled = True
         self.runs_by_key[stage.task(index), run.run] = run
 
     def _fenced(self, link: RunnerLink) -> None:
@@ -347,6 +355,16 @@
         if item.checkpoint and item.checkpoint != run.checkpoint:
             run.checkpoint = item.checkpoint
         run.percent = item.percent
+        if not run.sampled and item.percent >= SAMPLE_PERCENT:
+            self._sample_speed(run, now_ms)
+
+    def _sample_speed(self, run: Run, now_ms: float) -> None:
+        """Learn from the progress of a task that began at its beginning and works by itself."""
+        run.sampled = True
+        stage = run.stage
+        if stage.step.gang or run.started_ms is None or stage.checkpoint(run.index):
+            return
+        self.speeds.observe(stage.key, run.runner, (now_ms - run.started_ms) * 100 / run.percent)
 
     async def _stop_stray(self, link: RunnerLink, item: RunningTask) -> None:
         try:
@@ -378,6 +396,8 @@
         job = self.book.jobs_by_id.get(task.job_id)
         if ended.outcome != "done" or job is None or task.step >= len(job.record.steps):
             return
+        if job.ended_ms is not None:
+            return
         stage = job.stage(task.occurrence, task.step)
         if not stage.finished and task.index < stage.step.count:
             self._finish_task(stage, task.index)
@@ -440,6 +460,10 @@
             ran_ms = self._clock.now_ms() - run.started_ms
             declared_ms = max(1, stage.step.estimate_ms)
             self.run_times.observe(stage.job.record.queue, ran_ms / declared_ms)
+            if not stage.step.gang and not run.sampled:
+                self.speeds.observe(stage.key, run.runner, ran_ms)
+        if stage.finished:
+            self.speeds.forget_step(stage.key)
 
     # ------------------------------------------------------------------ withdrawing
 
@@ -515,7 +539,7 @@
             if free is not None:
                 free.take(run.stage.need)
         return [
-            Room(self.links_by_id[name].runner, free, self.trust.speed(name))
+            Room(self.links_by_id[name].runner, free, self.speeds.speed(name))
             for name, free in free_by_id.items()
             if self.trust.is_trusted(name)
         ]
@@ -673,7 +697,12 @@
                 if not run.withdrawn:
                     self._withdraw(run, "room not cleared")
             return
+        job = placement.stage.job
+        waited = not job.begun
         await asyncio.gather(*(self._start_task(run) for run in runs))
+        if waited and job.begun:
+            # All instances tell how many jobs wait for their first task.
+            await self._persist([job])
 
     async def _wait_room(self, placement: Placement) -> bool:
         """Return whether the victims made room in time."""
@@ -695,6 +724,7 @@
         stage = run.stage
         task = stage.task(run.index)
         give_up_ms = self._clock.now_ms() + START_GIVE_UP_MS
+        backoff = Backoff(RETRY_MS, PASS_INTERVAL_MS)
         unanswered = False
         while not run.withdrawn and self.runs_by_key.get((task, run.run)) is run:
             link = self.links_by_id.get(run.runner)
@@ -714,7 +744,7 @@
             except RunnerUnansweredError as error:
                 unanswered = True
                 log.info("start_unanswered", task=task, runner=run.runner, error=str(error))
-                await self._clock.sleep_ms(RETRY_MS)
+                await self._clock.sleep_ms(backoff.next_ms())
                 continue
             except RunnerRefusedError as error:
                 if error.reason == "late":
--- a/packages/library/carawayroute/fleet/preemption.py
+++ b/packages/library/carawayroute/fleet/preemption.py
@@ -121,11 +121,11 @@
             _, number, runner, picked = heapq.heappop(self._offers)
             if number != self._newest_by_id[runner]:
                 continue
-            touched: set[str] = set()
+            touched: dict[str, None] = {}
             for victim in picked:
                 self._chosen.append(victim)
                 self._chosen_ids.add(id(victim))
-                touched |= self._release(victim)
+                touched.update(self._release(victim))
             for name in touched:
                 before = self._fitting_by_id[name]
                 self._fitting_by_id[name] = copies(self._stage, self._rooms_by_id[name])
@@ -159,9 +159,9 @@
                 heapq.heappush(self._offers, (cost / gained, self._numbers, runner, picked))
                 return
 
-    def _release(self, victim: Victim) -> set[str]:
+    def _release(self, victim: Victim) -> dict[str, None]:
         """Count the room of a victim as free and return the runners of the group that it is on."""
-        touched = set()
+        touched: dict[str, None] = {}
         for runner, tasks in victim.tasks_by_runner.items():
             room = self._rooms_by_id.get(runner)
             if room is None:
@@ -171,5 +171,5 @@
                 room = Room(room.runner, room.free.copy(), room.speed)
                 self._rooms_by_id[runner] = room
             room.free.take(victim.stage.need, -tasks)
-            touched.add(runner)
+            touched[runner] = None
         return touched
--- a/packages/library/carawayroute/fleet/relay.py
+++ b/packages/library/carawayroute/fleet/relay.py
@@ -27,6 +27,8 @@
 RELAY_TIMEOUT_MS = 600
 # Peers asked for one call before it counts as failed.
 MOST_PEERS_ASKED = 2
+# All newest records, up to 1 MB each way over links of 10 Mbit/s that others use too.
+RELAYED_PAGES_TIMEOUT_MS = 4_000
 # A store that failed this instance is tried directly again after this time.
 DIRECT_RETRY_MS = 500
 # A relayed read waits no longer for a record, so that a cut to the peer shows soon.
@@ -61,6 +63,7 @@
         self._clock = clock
         self._own_address = own_address
         self.addresses: set[str] = set()
+        self.near: set[str] = set()
         self._failed_ms: float | None = None
         self._good_peer = ""
         self._relaying = False
@@ -145,12 +148,17 @@
         uncertain = False
         others = sorted(self.addresses - {self._own_address, self._good_peer})
         random.shuffle(others)
+        # What peers of the same region read does not cross to it twice.
+        others.sort(key=lambda address: address not in self.near)
         candidates = ([self._good_peer] if self._good_peer else []) + others
         call.wait_ms = min(call.wait_ms, RELAYED_WAIT_MS)
+        timeout_ms = RELAY_TIMEOUT_MS + call.wait_ms
+        if call.kind == pb.StoreCall.NEWEST:
+            timeout_ms = RELAYED_PAGES_TIMEOUT_MS
         message = call.SerializeToString()
         for address in candidates[:MOST_PEERS_ASKED]:
             try:
-                reply = await self._peers.ask(address, message, RELAY_TIMEOUT_MS + call.wait_ms)
+                reply = await self._peers.ask(address, message, timeout_ms)
                 answer = pb.StoreAnswer.FromString(reply)
             except (PeerError, DecodeError) as error:
                 log.info("relay_failed", peer=address, error=str(error))
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -148,6 +148,10 @@
         guaranteed = stage.job.id in self.guaranteed_jobs
         # Room only shrinks during a pass, so what did not fit once does not fit later.
         shape = _shape(stage, len(indices))
+        if packing.in_hurry(stage) and stage.step.gang:
+            found = self._place_fast(stage, rooms, indices, guaranteed)
+            if found is not None:
+                return found
         if shape not in self._unplaceable:
             places = self._free_places(stage, rooms, len(indices))
             if places:
@@ -155,6 +159,23 @@
             self._unplaceable.add(shape)
         return self._preempt(stage, rooms, indices, guaranteed)
 
+    def _place_fast(
+        self, stage: Stage, rooms: list[Room], indices: list[int], guaranteed: bool
+    ) -> Placement | None:
+        """Place a gang in a hurry on runners that are not slow, by stopping others if it pays."""
+        fast = [room for room in rooms if not room.slow]
+        if len(fast) == len(rooms) or self._share(stage) < 1.0:
+            return None
+        shape = ("fast", _shape(stage, len(indices)))
+        if shape not in self._unplaceable:
+            places = packing.choose(stage, fast, len(indices), whole=True)
+            if places:
+                return Placement(stage, indices, places, [], guaranteed)
+            self._unplaceable.add(shape)
+        if not packing.full_speed_possible(stage, fast, len(indices)):
+            return None
+        return self._preempt(stage, fast, indices, guaranteed, 1 - order.LATE_SHARE)
+
     def _suitable(self, stage: Stage) -> list[Room]:
         """Return the rooms on runners that may run a stage."""
         key = (stage.job.record.service, stage.step.label)
@@ -183,8 +204,18 @@
         return places
 
     def _preempt(
-        self, stage: Stage, rooms: list[Room], indices: list[int], guaranteed: bool
+        self,
+        stage: Stage,
+        rooms: list[Room],
+        indices: list[int],
+        guaranteed: bool,
+        gained: float = 0.0,
     ) -> Placement | None:
+        """Place a stage by stopping other work.
+
+        :param gained: part of its worth that this brings beside a place elsewhere, 0.0 where
+            there is none; then guaranteed work is placed whatever it costs.
+        """
         if not guaranteed and not whole_gain(stage):
             return None
         if self._preemptions_tried >= MOST_PREEMPTIONS:
@@ -196,12 +227,12 @@
         count = len(indices)
         spread = not self._full_speed_possible(stage, rooms, count)
         found = preemption.choose(stage, rooms, count, victims, spread)
-        if found is None and guaranteed:
+        if found is None and guaranteed and not gained:
             found = preemption.choose(stage, rooms, count, victims, spread=True)
         if found is None:
             return None
-        gain = self._share(stage) * self.worth.of(stage.job.record)
-        if not guaranteed and found.cost > PREEMPTION_GAIN * gain:
+        gain = self._share(stage) * self.worth.of(stage.job.record) * (gained or 1.0)
+        if (gained or not guaranteed) and found.cost > PREEMPTION_GAIN * gain:
             return None
         return Placement(stage, indices, found.places, found.victims, guaranteed)
 
--- /dev/null
+++ b/packages/library/carawayroute/fleet/speeds.py
@@ -0,0 +1,75 @@
+"""How fast runners work, learnt from tasks of one step that ran on several of them.
+
+Answers fleets in which some runners are slower than others or turn slow: a gang works as fast as
+its slowest member, so urgent gangs keep to runners that are not slow.
+"""
+
+import math
+import statistics
+
+# Tasks of a step whose run times are compared.
+LEAST_SIBLINGS = 4
+# Weight of a new run beside those before; tasks of one step differ by some 15 %, so several count.
+SMOOTHING = 0.2
+# Runs that must have been seen before a runner counts as slow.
+LEAST_RUNS = 2
+# A runner that takes this much longer than the usual one is slow; between a usual one and the
+# slowest third of the users' deployments, which take 1.3 times as long.
+SLOW_RATIO = 1.13
+# Ratios beyond this say that the runner stood still or a task was unlike its siblings.
+MOST_RATIO = 4.0
+
+
+class _Runs:
+    __slots__ = ("count", "log_ratio")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.log_ratio = 0.0
+
+
+class RunnerSpeeds:
+    """Learn how long runners take beside others for tasks of the same step."""
+
+    __slots__ = ("_by_runner", "_times_by_step")
+
+    def __init__(self) -> None:
+        self._by_runner: dict[str, _Runs] = {}
+        self._times_by_step: dict[tuple, list[tuple[str, float]]] = {}
+
+    def observe(self, step_key: tuple, runner: str, ran_ms: float) -> None:
+        """Count a task of a step that ran from its begin to its end on one runner.
+
+        :param step_key: names the step; its tasks are alike.
+        """
+        times = self._times_by_step.setdefault(step_key, [])
+        times.append((runner, ran_ms))
+        if len(times) < LEAST_SIBLINGS:
+            return
+        usual_ms = statistics.median(time for _, time in times)
+        # The first siblings had nothing to be compared with until now.
+        fresh = times if len(times) == LEAST_SIBLINGS else times[-1:]
+        for name, time_ms in fresh:
+            self._note(name, time_ms / max(1.0, usual_ms))
+
+    def _note(self, runner: str, ratio: float) -> None:
+        runs = self._by_runner.setdefault(runner, _Runs())
+        runs.count += 1
+        log_ratio = math.log(min(MOST_RATIO, max(1 / MOST_RATIO, ratio)))
+        share = max(SMOOTHING, 1 / runs.count)
+        runs.log_ratio += share * (log_ratio - runs.log_ratio)
+
+    def forget_step(self, step_key: tuple) -> None:
+        """Drop the run times of a step that has ended."""
+        self._times_by_step.pop(step_key, None)
+
+    def forget_runner(self, runner: str) -> None:
+        """Drop what was learnt of a runner that was started anew."""
+        self._by_runner.pop(runner, None)
+
+    def speed(self, runner: str) -> float:
+        """Return the work that a runner does in a unit of time, 1.0 for a usual one."""
+        runs = self._by_runner.get(runner)
+        if runs is None or runs.count < LEAST_RUNS:
+            return 1.0
+        return math.exp(-runs.log_ratio)
--- a/packages/library/carawayroute/fleet/trust.py
+++ b/packages/library/carawayroute/fleet/trust.py
@@ -77,7 +77,3 @@
             return False
         record = self._by_runner.get(runner)
         return record is None or record.until_ms <= now_ms
-
-    def speed(self, runner: str) -> float:
-        """Return the work that a runner does in a unit of time, 1.0 for a usual one."""
-        return 1.0
--- a/packages/library/carawayroute/fleet/writer.py
+++ b/packages/library/carawayroute/fleet/writer.py
@@ -75,6 +75,8 @@
     async def write(self, records: list[tuple[str, bytes]]) -> None:
         """Append records and return once the store has them.
 
+        A caller that leaves before its records were sent takes them back.
+
         :raises StoreRefusedError: they are certainly not in the store and never will be.
         :raises StoreFencedError: another producer has taken over.
         """
@@ -85,8 +87,14 @@
         item = _Write(records, asyncio.get_running_loop().create_future())
         self._waiting.append(item)
         self._wake.set()
-        # The batch goes on when one of its callers leaves.
-        await asyncio.shield(item.done)
+        try:
+            # The batch goes on when one of its callers leaves.
+            await asyncio.shield(item.done)
+        except asyncio.CancelledError:
+            if self._persistent or item not in self._waiting:
+                raise
+            self._waiting.remove(item)
+            raise StoreRefusedError("the records were not sent in time") from None
 
     async def run(self) -> None:
         """Append what is waiting until cancelled."""
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -7,6 +7,7 @@
 import struct
 
 import pytest
+from aiohttp import web
 from fleet_builders import configuration_bytes, runner_fields
 
 from carawayroute.fleet.exceptions import FormatError, RunnerAbsentError
@@ -221,3 +222,38 @@
             await pool.close()
 
     asyncio.run(look())
+
+
+def test_pages_that_were_read_are_not_read_again(monkeypatch):
+    """Found on cornice-sched-grown trouble-2: after a restart of all instances, those behind small
+    links began anew at each time-out and never caught up."""
+    asked = []
+
+    async def newest(request):
+        after = request.query.get("depends_on", "")
+        asked.append(after)
+        if after == "k2" and asked.count(after) == 1:
+            await asyncio.sleep(1)
+        keys = {"": ["k1", "k2"], "k2": ["k3"]}[after]
+        items = [{"key": key, "value": "dg==", "offset": 1} for key in keys]
+        return web.json_response({"items": items, "has_more": not after, "end": 9})
+
+    async def run():
+        app = web.Application()
+        app.router.add_get("/v1/log-newest", newest)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        pool = HttpPool()
+        monkeypatch.setattr(store, "PAGE_SILENCE_MS", 200)
+        try:
+            found = await store.HttpStore(pool, f"127.0.0.1:{port}").newest("keyed.t")
+            assert [record.key for record in found.records] == ["k1", "k2", "k3"]
+        finally:
+            await pool.close()
+            await runner.cleanup()
+
+    asyncio.run(run())
+    assert asked == ["", "k2", "k2"]
--- a/tests/test_fleet_writer.py
+++ b/tests/test_fleet_writer.py
@@ -5,7 +5,7 @@
 import pytest
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.exceptions import StoreFencedError
+from carawayroute.fleet.exceptions import StoreFencedError, StoreRefusedError
 from carawayroute.fleet.writer import LogWriter
 from carawayroute_standins.fleet.topics import TopicStore
 from carawayroute_standins.virtual import run_virtual
@@ -69,3 +69,20 @@
         await writer.write([("a", b"1")])
 
     play(scenario)
+
+
+def test_records_that_were_not_sent_in_time_are_taken_back():
+    """A caller whose job never went to the store can be told so, instead of an open outcome."""
+
+    async def scenario(store, writer):
+        store.answer_ms = 300
+        first = asyncio.create_task(writer.write([("a", b"1")]))
+        await asyncio.sleep(0.05)
+        with pytest.raises(StoreRefusedError):
+            async with asyncio.timeout(0.1):
+                await writer.write([("b", b"2")])
+        await first
+        await writer.write([("c", b"3")])
+        assert [record.key for record in store.topic("keyed.t").records] == ["a", "c"]
+
+    play(scenario, persistent=False)
