--- a/packages/standins/carawayroute_standins/relay.py
+++ b/packages/standins/carawayroute_standins/relay.py
@@ -1,8 +1,10 @@
-"""A TCP relay that can make open connections go silent while new ones work."""
+"""A TCP relay that harms what passes: delays, silence, resets, and cuts in one direction."""
 
 import asyncio
 
 CHUNK_BYTES = 65_536
+# How often a held connection looks whether it may go on.
+HELD_CHECK_S = 0.02
 
 
 class Relay:
@@ -12,6 +14,10 @@
     and are not closed; connections made later work.
 
     :ivar carried_bytes: payload carried in both directions.
+    :ivar delay_ms: added to every piece in each direction.
+    :ivar cut_towards: pieces towards the target are held back until this is false again.
+    :ivar cut_back: the same for pieces from the target.
+    :ivar refusing: new connections are closed at once.
     """
 
     def __init__(self, target: str) -> None:
@@ -21,6 +27,22 @@
         self._streams: list[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = []
         self.address = ""
         self.carried_bytes = 0
+        self.delay_ms = 0.0
+        self.cut_towards = False
+        self.cut_back = False
+        self.refusing = False
+
+    def heal(self) -> None:
+        """Carry everything again."""
+        self.delay_ms = 0.0
+        self.cut_towards = self.cut_back = self.refusing = False
+
+    def reset(self) -> None:
+        """Reset every open connection."""
+        for pair in self._streams:
+            for writer in pair:
+                writer.transport.abort()
+        self._streams.clear()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -45,16 +67,34 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, _, port = self._target.partition(":")
-        far_reader, far_writer = await asyncio.open_connection(host, int(port))
-        for source, sink in ((reader, far_writer), (far_reader, writer)):
-            task = asyncio.ensure_future(self._pipe(source, sink))
+        if self.refusing:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            # Nothing listens at the target, and the relay must not look as if something did.
+            writer.transport.abort()
+            return
+        for source, sink, towards in ((reader, far_writer, True), (far_reader, writer, False)):
+            task = asyncio.ensure_future(self._pipe(source, sink, towards))
             self._tasks.add(task)
         # The streams stay referenced, so that a silent connection stays open.
         self._streams.append((writer, far_writer))
 
-    async def _pipe(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
-        while data := await source.read(CHUNK_BYTES):
-            self.carried_bytes += len(data)
-            sink.write(data)
-            await sink.drain()
+    async def _pipe(
+        self, source: asyncio.StreamReader, sink: asyncio.StreamWriter, towards: bool
+    ) -> None:
+        try:
+            while data := await source.read(CHUNK_BYTES):
+                while self.cut_towards if towards else self.cut_back:
+                    await asyncio.sleep(HELD_CHECK_S)
+                if self.delay_ms:
+                    await asyncio.sleep(self.delay_ms / 1000)
+                self.carried_bytes += len(data)
+                sink.write(data)
+                await sink.drain()
+        except ConnectionError:
+            # One side is gone; the other learns it by the close.
+            pass
         sink.close()
--- /dev/null
+++ b/tests/fleet_site.py
@@ -0,0 +1,184 @@
+"""The emulator's servers and real processes of the platform's program on loopback."""
+
+import asyncio
+import itertools
+import json
+import os
+import sys
+
+import aiohttp
+from aiohttp import web
+from fleet_builders import configuration_bytes, runner_fields
+
+from carawayroute.clock import Clock
+from carawayroute_standins.cluster import free_port_range
+from carawayroute_standins.fleet.http import RunnerServer, StoreServer
+from carawayroute_standins.fleet.taskrunner import GangBoard, TaskRunner, Work, make_runner
+from carawayroute_standins.fleet.topics import TopicStore
+from carawayroute_standins.journal import Journal
+from carawayroute_standins.relay import Relay
+
+HOST = "127.0.0.1"
+KEY = {"Authorization": "Bearer key-owner", "Host": "h"}
+
+
+class Site:
+    """The emulator's servers and some processes of the program."""
+
+    def __init__(self, folder) -> None:
+        self.folder = folder
+        self._ports = itertools.count(free_port_range())
+        self.clock = Clock()
+        self.journal = Journal(self.clock)
+        self.store = TopicStore(self.clock)
+        self.gangs = GangBoard()
+        self.runners: list[web.AppRunner] = []
+        self.tasks: list[asyncio.Task] = []
+        self.processes_by_name: dict[str, asyncio.subprocess.Process] = {}
+        self.ports_by_name: dict[str, dict[str, int]] = {}
+        self.session = aiohttp.ClientSession()
+        self.program = ("-m", "carawayrouted.platform")
+        self.relayed = False
+        self.models_by_id: dict[str, TaskRunner] = {}
+        self.runner_relays_by_id: dict[str, Relay] = {}
+        self.store_relays_by_name: dict[str, Relay] = {}
+
+    async def serve(self, app: web.Application) -> int:
+        """Serve an application and return its port."""
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        port = next(self._ports)
+        await web.TCPSite(runner, HOST, port).start()
+        self.runners.append(runner)
+        return port
+
+    async def start(self, instances: int = 3, runners: int = 4) -> None:
+        """Start everything and wait until all instances are ready."""
+        self.store.put("keyed.op", "config", configuration_bytes())
+        for number in range(runners):
+            listed = make_runner(f"w{number}", f"r1-{number // 2}")
+            model = TaskRunner(listed, self.clock, self.journal, self.gangs)
+            self.tasks.append(asyncio.create_task(model.run()))
+            self.models_by_id[listed.id] = model
+            address = f"{HOST}:{await self.serve(RunnerServer(model).app())}"
+            if self.relayed:
+                address = await self._relay(address, self.runner_relays_by_id, listed.id)
+            fields = {**runner_fields(listed), "address": address}
+            self.store.put("keyed.servers", listed.id, json.dumps(fields).encode())
+        self.store_port = await self.serve(StoreServer(self.store.view("any")).app())
+        for number in range(1, instances + 1):
+            await self.start_process(f"n{number}")
+        await asyncio.gather(*(self.wait_ready(name) for name in self.processes_by_name))
+
+    async def _relay(self, address: str, relays: dict[str, Relay], name: str) -> str:
+        """Put a relay before an address and return the relay's own."""
+        relays[name] = Relay(address)
+        await relays[name].start()
+        return relays[name].address
+
+    async def start_process(self, name: str) -> None:
+        """Start one process of the program, again under its ports if it was started before."""
+        ports = self.ports_by_name.get(name)
+        if ports is None:
+            ports = {key: next(self._ports) for key in ("front", "ready", "peer", "metrics")}
+            self.ports_by_name[name] = ports
+        store = f"{HOST}:{self.store_port}"
+        if name in self.store_relays_by_name:
+            store = self.store_relays_by_name[name].address
+        elif self.relayed:
+            store = await self._relay(store, self.store_relays_by_name, name)
+        settings = {
+            "node_name": name,
+            "ip": HOST,
+            "zone": "south-a",
+            "region": "south",
+            "listen": {
+                "front": f"{HOST}:{ports['front']}",
+                "ready": f"{HOST}:{ports['ready']}",
+            },
+            "internal_ports": [ports["peer"], ports["peer"]],
+            "platform": {"address": store},
+            "bounds": {
+                "hold_max_ms": 10_000,
+                "stop_timeout_ms": 200,
+                "grace_s": 6,
+                "status_s": 120,
+            },
+            "unknown_field": {"is": "ignored"},
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        environment = {
+            **os.environ,
+            "CARAWAYROUTE_CONFIG": str(path),
+            "CARAWAYROUTED_METRICS_PORT": str(ports["metrics"]),
+        }
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes_by_name[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *self.program,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until an instance asks for connections."""
+        async with asyncio.timeout(20):
+            while await self.status(name, "ready", "/v1/readiness") != 200:
+                await asyncio.sleep(0.05)
+
+    async def status(self, name: str, port: str, path: str) -> int:
+        """Return the status of a plain GET, 0 without an answer."""
+        url = f"http://{HOST}:{self.ports_by_name[name][port]}{path}"
+        try:
+            async with self.session.get(url) as response:
+                return response.status
+        except aiohttp.ClientError:
+            return 0
+
+    async def call(self, name: str, method: str, path: str, body=None, headers=KEY):
+        """Make a caller's call and return its status and body."""
+        url = f"http://{HOST}:{self.ports_by_name[name]['front']}{path}"
+        data = body if isinstance(body, bytes) else json.dumps(body).encode() if body else None
+        async with self.session.request(method, url, data=data, headers=headers) as response:
+            return response.status, await response.json()
+
+    async def wait_state(self, name: str, path: str, state: str) -> None:
+        """Wait until an instance shows a job in a state."""
+        async with asyncio.timeout(20):
+            while await self.call(name, "GET", path) != (200, {"state": state}):
+                await asyncio.sleep(0.05)
+
+    async def planner(self) -> str:
+        """Return the instance that plans by its own metrics."""
+        for name, ports in self.ports_by_name.items():
+            if self.processes_by_name[name].returncode is not None:
+                continue
+            async with self.session.get(f"http://{HOST}:{ports['metrics']}/metrics") as response:
+                text = await response.text()
+            if "carawayroute_planner_term 0.0" not in text:
+                return name
+        return ""
+
+    async def close(self) -> None:
+        """End what was started."""
+        for process in self.processes_by_name.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for task in self.tasks:
+            task.cancel()
+        await self.session.close()
+        for relay in (*self.runner_relays_by_id.values(), *self.store_relays_by_name.values()):
+            await relay.stop()
+        for runner in self.runners:
+            await runner.cleanup()
+
+
+def body(run_ms: int = 300, count: int = 1, gang: bool = False) -> dict:
+    """Return a job as a caller sends it."""
+    one = {"count": count, "cpu": 1_000, "mem_mb": 1_000, "gpu": 1, "estimate_ms": run_ms}
+    if gang:
+        one["gang"] = True
+    return {"spec": Work.spec(run_ms, count if gang else 0), "steps": [one]}
--- /dev/null
+++ b/tests/soak_mutants.py
@@ -0,0 +1,77 @@
+"""The platform's program with one mechanism broken, to show that the soak notices."""
+
+import asyncio
+import sys
+
+from carawayroute.fleet import entry, links, planner, writer
+from carawayroute.fleet.exceptions import StoreUnansweredError
+from carawayrouted.platform import __main__ as program
+
+
+def acknowledge_before_stored() -> None:
+    """Acknowledge ends before they are on record, and lose the records."""
+
+    async def store_ends(self, link, last, report):
+        link.store_through(last)
+        await asyncio.sleep(1.0)
+
+    planner.Planner._store_ends = store_ends
+
+
+def no_wait_for_leases() -> None:
+    """Take a runner that does not answer for one that runs nothing."""
+    links.RunnerLink.lapsed = lambda self: True
+
+
+def lost_answer_is_a_failure() -> None:
+    """Tell callers that a job was refused when the store's answer was lost."""
+    attempt = writer.LogWriter._try
+
+    async def once(self, records, uncertain):
+        error = await attempt(self, records, False)
+        if isinstance(error, StoreUnansweredError) and not self._persistent:
+            self._sequence += 1
+            return writer.StoreRefusedError("no answer")
+        return error
+
+    writer.LogWriter._try = once
+
+
+def jobs_are_forgotten() -> None:
+    """Accept a job before the store has it."""
+
+    async def write(self, key, value, job_id, wait_ms, counts_ms=0.0):
+        asyncio.get_running_loop().call_later(
+            0.5, lambda: asyncio.ensure_future(self._writer.write([(key, value)]))
+        )
+
+    entry.EntryService._write = write
+
+
+def runs_count_as_gone() -> None:
+    """Give up every run that a look does not list, also while its start is under way."""
+    take = planner.Planner._take_report
+
+    def take_report(self, link, report, sent_ms):
+        for run in self.runs_by_key.values():
+            if run.runner == link.runner.id:
+                run.settled_ms = -1.0
+        take(self, link, report, sent_ms)
+
+    planner.Planner._take_report = take_report
+
+
+MUTANTS = {
+    one.__name__: one
+    for one in (
+        acknowledge_before_stored,
+        no_wait_for_leases,
+        lost_answer_is_a_failure,
+        jobs_are_forgotten,
+        runs_count_as_gone,
+    )
+}
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv.pop(1)]()
+    program.main()
