Avoid runners on which everything stands still, and move urgent gangs off them

Change: a runner none of whose tasks shows another percent for 1.6 s gets nothing new until a look shows progress; an urgent gang there is stopped and placed elsewhere, twice at most. Patient work is left alone. Tests in virtual time, the first of which failed before.

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -18,11 +18,11 @@
 )
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.links import RunnerLink
-from carawayroute.fleet.packing import Room
+from carawayroute.fleet.packing import Room, in_hurry
 from carawayroute.fleet.ports import RunnerOrders, Store
 from carawayroute.fleet.scheduler import Pass, Placement, RunClock, usual_capacity
 from carawayroute.fleet.speeds import RunnerSpeeds
-from carawayroute.fleet.trust import RunnerTrust
+from carawayroute.fleet.trust import STALL_MS, RunnerTrust
 from carawayroute.fleet.types import (
     Configuration,
     EndedTask,
@@ -53,6 +53,9 @@
 STATUS_INTERVAL_MS = 2_000
 # Progress from which a task's run time is told; less is too rough, as it comes in whole percents.
 SAMPLE_PERCENT = 25
+WHOLE_PERCENT = 100
+# Runs of an urgent gang from the first on that are given up when they stand still.
+MOST_STALL_MOVES = 3
 # Records dropped in one append.
 MOST_FORGOTTEN = 300
 # Jobs named in a status line.
@@ -73,6 +76,7 @@
         "checkpoint",
         "index",
         "percent",
+        "progress_ms",
         "run",
         "runner",
         "sampled",
@@ -92,6 +96,8 @@
         self.withdrawn = ""
         self.checkpoint = ""
         self.percent = -1
+        # When a look showed another percent than the one before.
+        self.progress_ms: float | None = None
         # Runs taken over were not watched from their beginning.
         self.sampled = False
 
@@ -354,6 +360,8 @@
             self._changed.set()
         if item.checkpoint and item.checkpoint != run.checkpoint:
             run.checkpoint = item.checkpoint
+        if item.percent != run.percent or run.progress_ms is None:
+            run.progress_ms = now_ms
         run.percent = item.percent
         if not run.sampled and item.percent >= SAMPLE_PERCENT:
             self._sample_speed(run, now_ms)
@@ -570,6 +578,7 @@
             return
         self._end_cancelled()
         self._end_lapsed()
+        self._leave_stalled()
         rooms = self._rooms()
         self._on_size(sum(room.runner.capacity.accelerators for room in rooms))
         if self._worth is None and rooms:
@@ -644,6 +653,37 @@
             if not link.listed and not link.reachable and (link.gone or link.lapsed()):
                 self._drop_link(runner_id)
 
+    def _leave_stalled(self) -> None:
+        """Avoid runners on which everything stands still, and move urgent gangs off them once.
+
+        A gang works as fast as its slowest member, so one bad runner halts the others; they are
+        told apart once those have other work, and until then all are avoided.
+        """
+        now_ms = self._clock.now_ms()
+        going: set[str] = set()
+        stalled_by_runner: dict[str, list[Run]] = {}
+        for run in self.runs_by_key.values():
+            if run.started_ms is None or run.progress_ms is None or run.withdrawn:
+                continue
+            if run.stage.step.long_running or run.percent >= WHOLE_PERCENT:
+                # Tasks that last show no progress.
+                continue
+            if now_ms - run.progress_ms <= STALL_MS:
+                going.add(run.runner)
+            else:
+                stalled_by_runner.setdefault(run.runner, []).append(run)
+        for runner, runs in stalled_by_runner.items():
+            link = self.links_by_id.get(runner)
+            if runner in going or link is None or not link.usable:
+                continue
+            if self.trust.is_trusted(runner):
+                log.warning("runner_stalled", runner=runner, runs=len(runs))
+            self.trust.note_stalled(runner)
+            for run in runs:
+                stage = run.stage
+                if in_hurry(stage) and stage.step.gang and run.run < MOST_STALL_MOVES:
+                    self._withdraw_gang(stage, run.run, "stands still")
+
     def _launch(self, placements: list[Placement]) -> None:
         """Put placements on record, clear their room and start them."""
         for placement in placements:
--- a/packages/library/carawayroute/fleet/trust.py
+++ b/packages/library/carawayroute/fleet/trust.py
@@ -17,6 +17,12 @@
 MOST_LOSS_AVOID_MS = 3_000
 
 
+# A task shows another percent within a tenth of this; its runner's looks come once a second.
+STALL_MS = 1_600
+# A runner on which everything stands still is avoided until a look shows otherwise.
+STALL_AVOID_MS = 1_200
+
+
 class _Record:
     __slots__ = ("avoid_ms", "failed_jobs", "until_ms")
 
@@ -59,6 +65,11 @@
             record = self._by_runner.setdefault(runner, _Record())
             record.until_ms = max(record.until_ms, self._clock.now_ms() + REFUSAL_AVOID_MS)
 
+    def note_stalled(self, runner: str) -> None:
+        """Count that everything on a runner stands still."""
+        record = self._by_runner.setdefault(runner, _Record())
+        record.until_ms = max(record.until_ms, self._clock.now_ms() + STALL_AVOID_MS)
+
     def note_lost(self, runner: str) -> None:
         """Count that a runner stopped answering; one that does so by turns is avoided longer."""
         now_ms = self._clock.now_ms()
--- a/packages/standins/carawayroute_standins/fleet/taskrunner.py
+++ b/packages/standins/carawayroute_standins/fleet/taskrunner.py
@@ -107,6 +107,11 @@
         self.since_ms = 0.0
         self.checkpoint = ""
 
+    @property
+    def percent(self) -> int:
+        """Return how much of the work is done."""
+        return min(100, int(100 * self.done_ms / max(1, self.work.run_ms)))
+
     @property
     def gang_key(self) -> tuple[str, int]:
         return (self.text.rsplit(".", 1)[0], self.number)
@@ -262,7 +267,8 @@
             await wait_event(self._ended_event, wait_ms)
             await self._admit(term)
         running = [
-            RunningTask(run.text, run.number, run.checkpoint, 0) for run in self._runs.values()
+            RunningTask(run.text, run.number, run.checkpoint, run.percent)
+            for run in self._runs.values()
         ]
         return RunnerReport(self.clock_ms(), self.born_ms, running, list(self._ended))
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,4 +1,4 @@
-"""A fault soak: real processes on loopback under seeded faults from outside, judged meanwhile.
+"""A fault soak: real processes under seeded faults, judged by what callers and runners saw.
 
 ``python tests/soak.py --seeds 1,2,3 --seconds 20`` plays each seed; ``--mutant NAME`` plays with one
 mechanism broken (see soak_mutants). Logs of a failed seed stay in ``out/soak/``.
@@ -24,8 +24,10 @@
 from carawayroute_standins.fleet.judge import problems
 
 OUT = pathlib.Path(__file__).resolve().parent.parent / "out" / "soak"
-# Work of a job ends within two seconds, so that several runs fit between faults.
+# Most work ends between two faults; some outlasts the time after which a silent runner is noticed.
 MOST_RUN_MS = 1_800
+LONG_RUN_MS = 6_000
+LONG_SHARE = 0.2
 # All faults are healed by then; leases of 10 s lapse and everything runs once more.
 FINISH_S = 45.0
 CALL_TIMEOUT_S = 4.0
@@ -103,9 +105,12 @@
     async def _submit(self, session) -> None:
         job_id = f"{self.dice.getrandbits(64):016x}"
         count = self.dice.choice((1, 1, 2, 4))
-        job = body(self.dice.randint(100, MOST_RUN_MS), count, gang=count > 1)
+        run_ms = self.dice.randint(100, MOST_RUN_MS)
+        if self.dice.random() < LONG_SHARE:
+            run_ms = LONG_RUN_MS
+        job = body(run_ms, count, gang=count > 1)
         statuses = []
-        for _ in range(3):
+        for _ in range(self.dice.choice((1, 3))):
             status, _ = await self._ask(session, "POST", job_id, self._any(), job)
             statuses.append(status)
             if status in (200, 429):
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -449,3 +449,35 @@
             assert await fleet.state(ID.format(1), at=name) == "completed"
 
     play(scenario)
+
+
+def test_urgent_gang_that_stands_still_starts_again_elsewhere():
+    """On days with hanging runners, urgent gangs waited for the hang's end, 6 s and more."""
+
+    async def scenario(fleet):
+        steps = [step(2, 8, gang=True)]
+        await fleet.submit(job(ID.format(1), steps, URGENT, run_ms=2_500), URGENT, OWNER)
+        await fleet.clock.sleep_ms(300)
+        for entry in fleet.journal.all("task_started"):
+            fleet.runners_by_id[str(entry.fields["runner"])].mode = "hung"
+        await fleet.wait_state(ID.format(1), "completed", 7_000)
+
+    play(scenario)
+
+
+def test_patient_work_that_stands_still_is_left_alone():
+    async def scenario(fleet):
+        await fleet.submit(
+            job(ID.format(1), [step(2, 8, gang=True)], PATIENT, run_ms=2_500), PATIENT, OWNER
+        )
+        await fleet.clock.sleep_ms(300)
+        runners = {str(one.fields["runner"]) for one in fleet.journal.all("task_started")}
+        for name in runners:
+            fleet.runners_by_id[name].mode = "hung"
+        await fleet.clock.sleep_ms(4_000)
+        for name in runners:
+            fleet.runners_by_id[name].mode = "up"
+        await fleet.wait_state(ID.format(1), "completed", 5_000)
+        assert len(starts(fleet.journal, ID.format(1))) == 2
+
+    play(scenario)
