Place idle jobs on avoided runners, and spread idle gangs while most of the fleet is free

Change: a job of which nothing has been ordered for 1.8 s although its turn came may use avoided runners, and more racks than one while less than half of the fleet is in use.

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -56,6 +56,9 @@
 WHOLE_PERCENT = 100
 # Runs of an urgent gang from the first on that are given up when they stand still.
 MOST_STALL_MOVES = 3
+# A job of which nothing runs for longer may use runners that are avoided; within the 3 s in which
+# the platform expects work to start where there is room.
+IDLE_MS = 1_800
 # Records dropped in one append.
 MOST_FORGOTTEN = 300
 # Jobs named in a status line.
@@ -165,6 +168,7 @@
         self._ready = False
         self._status_ms = 0.0
         self._worth: order.Worth | None = None
+        self._idle_since_by_job: dict[str, float] = {}
         self.placing = True
 
     # ------------------------------------------------------------------ term
@@ -535,8 +539,8 @@
             await self._clock.sleep_ms(PASS_DELAY_MS)
         self._changed.clear()
 
-    def _rooms(self) -> list[Room]:
-        """Return the runners that may get work, with what is free on them."""
+    def _rooms(self) -> tuple[list[Room], list[Room]]:
+        """Return the runners that may get work, with what is free on them, and those avoided."""
         free_by_id = {
             link.runner.id: link.runner.capacity.copy()
             for link in self.links_by_id.values()
@@ -546,11 +550,24 @@
             free = free_by_id.get(run.runner)
             if free is not None:
                 free.take(run.stage.need)
-        return [
-            Room(self.links_by_id[name].runner, free, self.speeds.speed(name))
-            for name, free in free_by_id.items()
-            if self.trust.is_trusted(name)
-        ]
+        rooms: list[Room] = []
+        avoided: list[Room] = []
+        for name, free in free_by_id.items():
+            room = Room(self.links_by_id[name].runner, free, self.speeds.speed(name))
+            (rooms if self.trust.is_trusted(name) else avoided).append(room)
+        return rooms, avoided
+
+    def _idle_jobs(self) -> set[str]:
+        """Return the jobs of which nothing has been ordered for long although its turn came."""
+        now_ms = self._clock.now_ms()
+        wall_ms = self._clock.wall_ms()
+        since_by_job = {}
+        for job in self.book.open_by_id.values():
+            stages = list(job.open_stages(wall_ms))
+            if stages and not any(any(stage.runners) for stage in stages):
+                since_by_job[job.id] = self._idle_since_by_job.get(job.id, now_ms)
+        self._idle_since_by_job = since_by_job
+        return {job_id for job_id, since in since_by_job.items() if now_ms - since > IDLE_MS}
 
     def _estimate_ms(self, stage: Stage) -> float:
         ratio = self.run_times.expect_ms(stage.job.record.queue, 1.0)
@@ -579,8 +596,8 @@
         self._end_cancelled()
         self._end_lapsed()
         self._leave_stalled()
-        rooms = self._rooms()
-        self._on_size(sum(room.runner.capacity.accelerators for room in rooms))
+        rooms, avoided = self._rooms()
+        self._on_size(sum(room.runner.capacity.accelerators for room in (*rooms, *avoided)))
         if self._worth is None and rooms:
             self._worth = order.Worth(order.Room(usual_capacity(rooms)))
         started_ms = self._clock.now_ms()
@@ -592,6 +609,8 @@
             self._estimate_ms,
             self._run_clock,
             self._worth,
+            avoided,
+            self._idle_jobs(),
         ).run()
         took_ms = self._clock.now_ms() - started_ms
         if placements:
@@ -625,7 +644,7 @@
             for stage in job.open_stages(self._clock.wall_ms())
             if stage.waiting() and not stage.placed()
         ]
-        rooms = self._rooms()
+        rooms, avoided = self._rooms()
         log.info(
             "planner_status",
             term=self.term,
@@ -636,6 +655,7 @@
             withdrawn=sum(1 for run in self.runs_by_key.values() if run.withdrawn),
             runners_listed=len(self.links_by_id),
             runners_usable=len(rooms),
+            runners_avoided=[room.runner.id for room in avoided][:MOST_NAMED],
             accelerators_free=sum(max(0, room.free.accelerators) for room in rooms),
         )
 
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -1,6 +1,6 @@
 """One pass over the waiting work: what is placed where, and what is stopped for it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Sequence
 
 from carawayroute.fleet import order, packing, preemption
 from carawayroute.fleet.book import JobBook, Stage
@@ -59,6 +59,8 @@
     :param rooms: runners that may get work, with what is free; changed as work is placed.
     :param estimate_ms: returns the run time expected of a task of a stage.
     :param run_clock: returns what is known of a task's current run.
+    :param avoided: runners that get work only if a job has stood idle for long.
+    :param idle_jobs: such jobs: their turn came, and nothing of them has run for a while.
     """
 
     def __init__(
@@ -70,11 +72,15 @@
         estimate_ms: Callable[[Stage], float],
         run_clock: Callable[[Stage, int], RunClock],
         worth: order.Worth | None = None,
+        avoided: Sequence[Room] = (),
+        idle_jobs: Collection[str] = (),
     ) -> None:
         self.book = book
         self.configuration = configuration
         self.rooms = rooms
-        self.rooms_by_id = {room.runner.id: room for room in rooms}
+        self.avoided = avoided
+        self.idle_jobs = idle_jobs
+        self.rooms_by_id = {room.runner.id: room for room in (*rooms, *avoided)}
         self.wall_ms = wall_ms
         self.estimate_ms = estimate_ms
         self.run_clock = run_clock
@@ -93,7 +99,7 @@
 
     def run(self) -> list[Placement]:
         """Return what is to be placed, in order."""
-        if not self.rooms:
+        if not self.rooms_by_id:
             return []
         waiting = [
             stage
@@ -104,7 +110,7 @@
         waiting.sort(key=self._rank)
         placements = []
         for stage in waiting[:MAX_TRIED]:
-            placement = self._place(stage)
+            placement = self._place(stage) or self._place_idle(stage)
             if placement is not None:
                 self._take(placement)
                 placements.append(placement)
@@ -176,6 +182,31 @@
             return None
         return self._preempt(stage, fast, indices, guaranteed, 1 - order.LATE_SHARE)
 
+    def _place_idle(self, stage: Stage) -> Placement | None:
+        """Place work of a job that stands idle wherever there is room, rather than not at all.
+
+        Answers runners that are avoided by mistake, and gangs that want one rack while most of the
+        fleet is free.
+        """
+        if stage.job.id not in self.idle_jobs:
+            return None
+        rooms = [*self._suitable(stage)]
+        rooms += [room for room in self.avoided if packing.suits(stage, room.runner)]
+        indices = stage.waiting()
+        places = self._free_places(stage, rooms, len(indices))
+        if places is None and self._mostly_free():
+            places = packing.fill(stage, rooms, len(indices))
+        if not places or (stage.step.gang and len(places) < len(indices)):
+            return None
+        guaranteed = stage.job.id in self.guaranteed_jobs
+        return Placement(stage, indices[: len(places)], places, [], guaranteed)
+
+    def _mostly_free(self) -> bool:
+        """Return whether less than half of the fleet is in use."""
+        rooms = self.rooms_by_id.values()
+        free = sum(room.free.accelerators for room in rooms)
+        return 2 * free > sum(room.runner.capacity.accelerators for room in rooms)
+
     def _suitable(self, stage: Stage) -> list[Room]:
         """Return the rooms on runners that may run a stage."""
         key = (stage.job.record.service, stage.step.label)
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -477,3 +477,41 @@
     restarted.apply(7, CANCEL_KEY + ID.format(1), cancel, 9.0)
     restarted.apply(5, PROGRESS_KEY + ID.format(1), record, 9.0)
     assert restarted.jobs_by_id[ID.format(1)].state == "completed"
+
+
+def test_idle_job_uses_avoided_runners_rather_than_none():
+    """A runner may be avoided by mistake; work that nothing else can hold must not wait for it."""
+    book = book_of(job(ID.format(1), [step(2, 8, gang=True)]))
+    rooms = two_racks()
+
+    def placed(idle):
+        return Pass(
+            book,
+            configuration(),
+            rooms[:1],
+            100.0,
+            lambda stage: stage.step.estimate_ms,
+            lambda stage, index: RunClock(0.0, stoppable=True),
+            avoided=rooms[1:],
+            idle_jobs={ID.format(1)} if idle else (),
+        ).run()
+
+    assert placed(idle=False) == []
+    assert len(placed(idle=True)[0].places) == 2
+
+
+def test_idle_gang_is_spread_while_most_of_the_fleet_is_free():
+    book = book_of(job(ID.format(1), [step(4, 8, gang=True, same_rack=True)]))
+    rooms = two_racks()
+    rooms[0].free.accelerators = rooms[4].free.accelerators = 7
+    assert plan(book, rooms) == []
+    (placement,) = Pass(
+        book,
+        configuration(),
+        rooms,
+        100.0,
+        lambda stage: stage.step.estimate_ms,
+        lambda stage, index: RunClock(0.0, stoppable=True),
+        idle_jobs={ID.format(1)},
+    ).run()
+    assert len(placement.places) == 4
