--- a/packages/library/carawayroute/fleet/book.py
+++ b/packages/library/carawayroute/fleet/book.py
@@ -11,6 +11,7 @@
 JOB_KEY = "a/"
 CANCEL_KEY = "c/"
 PROGRESS_KEY = "p/"
+SPEEDS_KEY = "s/"
 
 QUEUED = "queued"
 RUNNING = "running"
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -8,7 +8,7 @@
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.admission import Admission
-from carawayroute.fleet.book import PROGRESS_KEY, JobBook, RecordError
+from carawayroute.fleet.book import PROGRESS_KEY, SPEEDS_KEY, JobBook, RecordError
 from carawayroute.fleet.entry import EntryService
 from carawayroute.fleet.exceptions import FormatError, StoreError
 from carawayroute.fleet.follower import TopicFollower
@@ -126,6 +126,7 @@
         self._planner_task: asyncio.Task | None = None
         self._address_by_member: dict[str, str] = {}
         self.draining = False
+        self._speeds = b""
         boot = new_id(settings.instance)
         self.leadership = Leadership(
             self.store,
@@ -261,6 +262,9 @@
         if record.key.startswith(MEMBER_KEY):
             self._apply_member(record)
             return
+        if record.key == SPEEDS_KEY:
+            self._speeds = record.value
+            return
         if self.planner is not None and record.key.startswith(PROGRESS_KEY):
             progress = pb.Progress.FromString(record.value)
             if progress.term == self.planner.term:
@@ -330,6 +334,10 @@
             self.leadership.lost,
             self._note_accelerators,
         )
+        try:
+            self.planner.speeds.load(pb.RunnerSpeeds.FromString(self._speeds))
+        except (DecodeError, ValueError) as error:
+            log.warning("record_unreadable", key=SPEEDS_KEY, error=str(error))
         self._planner_task = self._tasks.start(self.planner.run(), f"planner {term}")
         log.info("planner_started", term=term)
 
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -8,7 +8,7 @@
 from carawayroute.clock import Clock
 from carawayroute.estimates import RunTimes
 from carawayroute.fleet import order
-from carawayroute.fleet.book import PROGRESS_KEY, Job, JobBook, Stage
+from carawayroute.fleet.book import PROGRESS_KEY, SPEEDS_KEY, Job, JobBook, Stage
 from carawayroute.fleet.exceptions import (
     RunnerError,
     RunnerRefusedError,
@@ -51,6 +51,8 @@
 ROOM_CHECK_MS = 100
 
 STATUS_INTERVAL_MS = 2_000
+# Some 3 KB for 176 runners, read by every instance.
+SPEEDS_INTERVAL_MS = 6_000
 # Progress from which a task's run time is told; less is too rough, as it comes in whole percents.
 SAMPLE_PERCENT = 25
 WHOLE_PERCENT = 100
@@ -167,6 +169,7 @@
         self._taken_ms = clock.now_ms()
         self._ready = False
         self._status_ms = 0.0
+        self._speeds_ms = self._taken_ms
         self._worth: order.Worth | None = None
         self._idle_since_by_job: dict[str, float] = {}
         self.placing = True
@@ -305,6 +308,8 @@
         if task is not None:
             task.cancel()
         link = self.links_by_id.pop(runner_id, None)
+        # Another process under this id may run on another kind of machine.
+        self.speeds.forget_runner(runner_id)
         if link is not None:
             ended = link.gone
             self._lapse_by_departed[runner_id] = self._clock.now_ms() if ended else link.lapse_ms
@@ -621,6 +626,7 @@
         if now_ms - self._status_ms >= STATUS_INTERVAL_MS:
             self._status_ms = now_ms
             self._report_status()
+            self._tell_speeds(now_ms)
             self._forget_old(now_ms)
 
     def _forget_old(self, now_ms: float) -> None:
@@ -636,6 +642,14 @@
             log.info("jobs_forgotten", records=len(records))
             self._tasks.start(self._writer.write(records), "forget jobs")
 
+    def _tell_speeds(self, now_ms: float) -> None:
+        """Put what was learnt of runners on record every now and then."""
+        if now_ms - self._speeds_ms < SPEEDS_INTERVAL_MS:
+            return
+        self._speeds_ms = now_ms
+        record = (SPEEDS_KEY, self.speeds.to_record().SerializeToString())
+        self._tasks.start(self._writer.write([record]), "tell speeds")
+
     def _report_status(self) -> None:
         """Log what waits and what holds room, for those who ask why a job waits."""
         waiting = [
--- a/packages/library/carawayroute/fleet/speeds.py
+++ b/packages/library/carawayroute/fleet/speeds.py
@@ -7,6 +7,8 @@
 import math
 import statistics
 
+from carawayroute_schema import records_pb2 as pb
+
 # Tasks of a step whose run times are compared.
 LEAST_SIBLINGS = 4
 # Weight of a new run beside those before; tasks of one step differ by some 15 %, so several count.
@@ -67,6 +69,24 @@
         """Drop what was learnt of a runner that was started anew."""
         self._by_runner.pop(runner, None)
 
+    def to_record(self) -> pb.RunnerSpeeds:
+        """Return what was learnt, for the next planner."""
+        names = sorted(self._by_runner)
+        found = [self._by_runner[name] for name in names]
+        return pb.RunnerSpeeds(
+            runners=names,
+            runs=[runs.count for runs in found],
+            log_percents=[round(100 * runs.log_ratio) for runs in found],
+        )
+
+    def load(self, record: pb.RunnerSpeeds) -> None:
+        """Start from what an earlier planner has learnt."""
+        rows = zip(record.runners, record.runs, record.log_percents, strict=True)
+        for name, count, log_percent in rows:
+            runs = self._by_runner.setdefault(name, _Runs())
+            runs.count = count
+            runs.log_ratio = log_percent / 100
+
     def speed(self, runner: str) -> float:
         """Return the work that a runner does in a unit of time, 1.0 for a usual one."""
         runs = self._by_runner.get(runner)
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -481,3 +481,20 @@
         assert len(starts(fleet.journal, ID.format(1))) == 2
 
     play(scenario)
+
+
+def test_next_planner_knows_the_speeds_that_were_learnt():
+    async def scenario(fleet):
+        first = fleet.nodes_by_name[fleet.planner_name()].planner
+        for number in range(8):
+            first.speeds.observe(("j", 0, 0), f"w{number % 4 + 1}", 1_400 if number % 4 else 1_000)
+        learnt = first.speeds.speed("w1")
+        assert learnt > 1.1
+        await fleet.clock.sleep_ms(9_000)
+        await fleet.kill_instance(fleet.planner_name())
+        await fleet.wait_ready()
+        second = fleet.nodes_by_name[fleet.planner_name()].planner
+        assert second is not first
+        assert abs(second.speeds.speed("w1") - learnt) < 0.02
+
+    play(scenario)
