--- a/packages/library/carawayroute/fleet/book.py
+++ b/packages/library/carawayroute/fleet/book.py
@@ -117,12 +117,8 @@
 
     def to_record(self) -> pb.StepProgress:
         """Return the stage as it is kept in the store."""
-        names: list[str] = []
-        places = []
-        for runner in self.runners:
-            if runner and runner not in names:
-                names.append(runner)
-            places.append(names.index(runner) + 1 if runner else 0)
+        places_by_name: dict[str, int] = {"": 0}
+        places = [places_by_name.setdefault(runner, len(places_by_name)) for runner in self.runners]
         return pb.StepProgress(
             occurrence=self.occurrence,
             step=self.number,
@@ -130,7 +126,7 @@
             done=bytes(self.done),
             failures=self.failures,
             places=places,
-            runners=names,
+            runners=list(places_by_name)[1:],
             checkpoints=self.checkpoints,
             failed_run=self.failed_run,
         )
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -162,6 +162,7 @@
         self.links_by_id: dict[str, RunnerLink] = {}
         self._link_tasks: dict[str, asyncio.Task] = {}
         self.runs_by_key: dict[RunKey, Run] = {}
+        self._runs_by_runner: dict[str, dict[RunKey, Run]] = {}
         self._lapse_by_departed: dict[str, float] = {}
         self._changed = asyncio.Event()
         self._reported = asyncio.Event()
@@ -248,7 +249,12 @@
         run.settled_ms = self._taken_ms
         run.checkpoint = stage.checkpoint(index)
         run.sampled = True
-        self.runs_by_key[stage.task(index), run.run] = run
+        self._add_run(run)
+
+    def _add_run(self, run: Run) -> None:
+        key = (run.stage.task(run.index), run.run)
+        self.runs_by_key[key] = run
+        self._runs_by_runner.setdefault(run.runner, {})[key] = run
 
     def _fenced(self, link: RunnerLink) -> None:
         log.warning("planner_fenced", term=self.term, by=link.runner.id)
@@ -340,8 +346,8 @@
         listed.update((ended.task, ended.run) for ended in report.ended)
         for item in report.running:
             self._take_running(link, item)
-        for key, run in list(self.runs_by_key.items()):
-            if run.runner != link.runner.id or key in listed:
+        for key, run in list(self._runs_by_runner.get(link.runner.id, {}).items()):
+            if key in listed:
                 continue
             if run.settled_ms is not None and run.settled_ms < sent_ms:
                 log.warning("run_vanished", task=key[0], run=key[1], runner=run.runner)
@@ -439,6 +445,7 @@
         job = stage.job
         now_ms = self._clock.now_ms()
         del self.runs_by_key[key]
+        del self._runs_by_runner[run.runner][key]
         stage.runners[index] = ""
         if outcome in ("done", "failed"):
             job.begun = True
@@ -732,7 +739,7 @@
                 stage.runs[index] = number
                 stage.runners[index] = place
                 run = Run(stage, index, number, place)
-                self.runs_by_key[stage.task(index), number] = run
+                self._add_run(run)
                 runs.append(run)
             log.info(
                 "placed",
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -15,8 +15,8 @@
 # A gang that has waited this long gets room kept for it.
 RESERVE_AFTER_MS = 4_000
 MOST_RESERVATIONS = 1
-# Share of the fleet's runners that patient work leaves to urgent gangs while they are whole and free;
-# a gang that finds none stops several runs (make experiment, policy "no headroom").
+# Share of the fleet's runners that patient work leaves to urgent gangs while they are whole and
+# free; a gang that finds none stops several runs (make experiment, policy "no headroom").
 HEADROOM_SHARE = 0.15
 # Gangs for which a pass looks for work to stop; the search is the dearest part of a pass.
 MOST_PREEMPTIONS = 12
