--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -518,7 +518,7 @@
 
 
 def test_patient_work_leaves_whole_runners_to_urgent_gangs():
-    """Grown fleets stopped 3,000 runs a day, most of them patient tasks that had just filled gaps."""
+    """Grown fleets stopped 3,000 runs a day, most of them patient tasks in gaps just filled."""
     rooms = [room(f"w{n}", f"r1-{n // 4}") for n in range(20)]
     patient = book_of(job(ID.format(1), [step(160, 1)], PATIENT))
     (placement,) = plan(patient, rooms)
