Keep at most six connections to a runner

Stops and starts that timed out opened up to 32 at once, so that a runner whose answers were late once took no connection any more; its work went on unseen until its lease lapsed, and was done twice. Ruled out by the log: a cut (no fault on runners at that time), the far region's link (12 MB in 87 s). Change: six connections a runner; orders wait for one.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -13,7 +13,7 @@
 from carawayrouted.platform.callers import CallerApp
 from carawayrouted.platform.formats import StoreFormat
 from carawayrouted.platform.http import HttpPool
-from carawayrouted.platform.runners import HttpRunners
+from carawayrouted.platform.runners import RUNNER_CONNECTIONS, HttpRunners
 from carawayrouted.platform.settings import PlatformSettings
 from carawayrouted.platform.store import HttpStore
 from carawayrouted.relay_links import RelayLinks
@@ -39,7 +39,7 @@
         self.clock = Clock()
         self.metrics = FleetMetrics()
         self._pool = HttpPool()
-        self._runner_pool = HttpPool()
+        self._runner_pool = HttpPool(RUNNER_CONNECTIONS)
         self.direct_store = HttpStore(self._pool, settings.store)
         self.orders = HttpRunners(self._runner_pool)
         self.links = RelayLinks(str(settings.peer), self._serve_peer)
--- a/packages/daemon/carawayrouted/platform/runners.py
+++ b/packages/daemon/carawayrouted/platform/runners.py
@@ -12,6 +12,9 @@
 from carawayrouted.platform import words
 from carawayrouted.platform.http import HttpPool, NeverSentError, NobodyListensError
 
+# Runners hold 64 connections, and one that was given up stays there for 4 s more. With this many at
+# once, given up after ORDER_TIMEOUT_MS each, a runner that answers late keeps room for new ones.
+RUNNER_CONNECTIONS = 6
 # Some ten times a usual answer from the far region; a planner under load reads answers late.
 ORDER_TIMEOUT_MS = 800
 LOOK_TIMEOUT_MS = 800
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from fleet_builders import configuration_bytes, runner_fields
 
-from carawayroute.fleet.exceptions import FormatError, RunnerAbsentError
+from carawayroute.fleet.exceptions import FormatError, RunnerAbsentError, RunnerUnansweredError
 from carawayroute_standins.fleet.taskrunner import make_runner
 from carawayrouted.output import BoundedOutput
 from carawayrouted.platform import store
@@ -18,7 +18,7 @@
 from carawayrouted.platform.callers import BadJobError, decode_job
 from carawayrouted.platform.configuration import decode_configuration
 from carawayrouted.platform.http import HttpPool
-from carawayrouted.platform.runners import HttpRunners, decode_runner
+from carawayrouted.platform.runners import RUNNER_CONNECTIONS, HttpRunners, decode_runner
 from carawayrouted.platform.settings import PlatformSettings, PlatformSettingsError, read_settings
 from carawayrouted.platform.store import _frame, _split
 
@@ -257,3 +257,36 @@
 
     asyncio.run(run())
     assert asked == ["", "k2", "k2"]
+
+
+def test_runner_that_answers_late_keeps_room_for_connections():
+    """Found on cornice-sched-grown trouble-3: stops that timed out opened 20 connections a second,
+    and a runner that held each for 4 s took no new ones for as long as stops came."""
+    opened = []
+
+    async def hold_open(reader, writer):
+        opened.append(writer)
+        # As the platform's runners do: a connection that was given up lingers.
+        await asyncio.sleep(4)
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(hold_open, "127.0.0.1", 0)
+        runner = make_runner("w1", "r1-0")
+        runner.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = HttpPool(RUNNER_CONNECTIONS)
+        orders = HttpRunners(pool)
+
+        async def stop(number):
+            for _ in range(4):
+                with pytest.raises(RunnerUnansweredError):
+                    await orders.stop(runner, 1, f"t{number}", 1)
+
+        await asyncio.gather(*(stop(number) for number in range(20)))
+        await pool.close()
+        server.close()
+        for writer in opened:
+            writer.transport.abort()
+
+    asyncio.run(run())
+    assert len(opened) < 64
