--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -475,6 +475,9 @@
         if job.closed:
             self._withdraw_job(job)
         self.book.settle(job, now_ms)
+        if job.ended_ms is not None:
+            for ended in job.stages_by_key.values():
+                self.speeds.forget_step(ended.key)
         if outcome not in ("done", "failed", "stopped"):
             # Room and checkpoints are on record before the task is placed again.
             self._tasks.start(self._persist([job]), f"persist {job.id}")
@@ -488,8 +491,6 @@
             self.run_times.observe(stage.job.record.queue, ran_ms / declared_ms)
             if not stage.step.gang and not run.sampled:
                 self.speeds.observe(stage.key, run.runner, ran_ms)
-        if stage.finished:
-            self.speeds.forget_step(stage.key)
 
     # ------------------------------------------------------------------ withdrawing
 
