Start a killed process once in the soak

Cause: two overlapping faults that had ended the same process both started it again; the second replaced the first in the list, and six processes outlived their soaks (found by ps; ended by their ids). Change: starting again is behind a lock. The soaks before ran with this fault.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -55,6 +55,7 @@
         self.faults: list[str] = []
         self._started_s = 0.0
         self._healing: set[asyncio.Task] = set()
+        self._starting = asyncio.Lock()
 
     async def run(self) -> list[str]:
         """Play and return what was broken, each with the second at which it was seen."""
@@ -179,8 +180,10 @@
             await process.wait()
 
     async def _again(self, name: str) -> None:
-        if self.site.processes_by_name[name].returncode is not None:
-            await self.site.start_process(name)
+        # Two faults may have ended the same process.
+        async with self._starting:
+            if self.site.processes_by_name[name].returncode is not None:
+                await self.site.start_process(name)
 
     async def _kill(self, length_s: float) -> None:
         name = self._any()
