--- a/bench/loads.py
+++ b/bench/loads.py
@@ -10,7 +10,6 @@
 # Share of all accelerators that teams hold as guarantees, and how unequal teams are.
 GUARANTEED_SHARE = 0.62
 TEAM_SKEW = 1.2
-FULL_SPEED_RUNNERS_PER_RACK = 8
 
 
 class JobKind:
