Compute a job's size in one place in the experiment

Cause: read over once more: weight and mean_size held the same sum. Change: size(), which both call. Behaviour is unchanged; product code is not touched.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -251,25 +251,22 @@
         self.wasted_core_s += cores * len(run.indices) * ran_ms / 1000
 
 
-def weight(one: Arrival, mean: float) -> float:
-    """Return a job's worth beside the usual one of its kind."""
-    size = sum(
+def size(one: Arrival) -> float:
+    """Return the core-milliseconds of a job's work, accelerators counted as cores."""
+    return sum(
         step.count * work * (step.cpu_millis / 1000 + step.accelerators * CORES_PER_ACCELERATOR)
         for step, work in zip(one.job.steps, one.work_ms, strict=True)
     )
-    return min(order.MOST_SHARE, order.BASE_SHARE + (1 - order.BASE_SHARE) * size / mean)
+
+
+def weight(one: Arrival, mean: float) -> float:
+    """Return a job's worth beside the usual one of its kind."""
+    return min(order.MOST_SHARE, order.BASE_SHARE + (1 - order.BASE_SHARE) * size(one) / mean)
 
 
 def mean_size(load: list[Arrival], kind: JobKind) -> float:
     """Return the mean work of the jobs of a kind."""
-    sizes = [
-        sum(
-            step.count * work * (step.cpu_millis / 1000 + step.accelerators * CORES_PER_ACCELERATOR)
-            for step, work in zip(one.job.steps, one.work_ms, strict=True)
-        )
-        for one in load
-        if one.kind is kind
-    ]
+    sizes = [size(one) for one in load if one.kind is kind]
     return sum(sizes) / max(1, len(sizes))
 
 
