Log by which evidence a run is given up and which acknowledgement covers its end

When a task was started again after an acknowledged end, on-call could not see by which evidence the planner had given up the first run (lease, refused connections, missing from a report), how old the runner's last report was, or which acknowledgement covered the late end.

Added, without a change of decisions: - `run_given_up` (warning, one line a run) with the evidence, the report's age, the lease and the unacknowledged ends. `run_vanished` is folded into it as "missing from report", so that a run has one line. - `end_unmatched` also shows the end's number, the task's newest run, whether that run is still held as running, and the age of the report before. - `ends_acknowledged`, one line per acknowledgement that covers such an end. - `carawayroute_runs_given_up_total` by evidence and `carawayroute_ends_unmatched_total` by outcome, counted per term.

`_has_certainly_ended` becomes `_end_evidence`, which checks the same conditions in the same order and returns what was found.

--- a/packages/daemon/carawayrouted/fleet_metrics.py
+++ b/packages/daemon/carawayrouted/fleet_metrics.py
@@ -1,13 +1,36 @@
 """Prometheus metrics of an instance on the platform."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping
 
 from aiohttp import web
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 from carawayrouted.metrics import LATENCY_BUCKETS_S
 
 
+class LabelledCounts(Collector):
+    """A counter with one label whose values are read on each scrape."""
+
+    __slots__ = ("_label", "_name", "_read", "_text")
+
+    def __init__(
+        self, name: str, text: str, label: str, read: Callable[[], Mapping[str, int]]
+    ) -> None:
+        self._name = name
+        self._text = text
+        self._label = label
+        self._read = read
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Yield the counter with its current values."""
+        family = CounterMetricFamily(self._name, self._text, labels=[self._label])
+        for value, count in sorted(self._read().items()):
+            family.add_metric([value], count)
+        yield family
+
+
 class FleetMetrics:
     """Counters, gauges and latency histograms in a separate registry."""
 
@@ -36,6 +59,12 @@
         """Add a gauge whose value is read on each scrape."""
         Gauge(f"carawayroute_{name}", text, registry=self.registry).set_function(read)
 
+    def counts(
+        self, name: str, text: str, label: str, read: Callable[[], Mapping[str, int]]
+    ) -> None:
+        """Add a counter by label whose values are read on each scrape."""
+        self.registry.register(LabelledCounts(f"carawayroute_{name}", text, label, read))
+
     async def show(self, request: web.BaseRequest) -> web.Response:
         """Return the metrics in the text format."""
         return web.Response(body=generate_latest(self.registry), content_type="text/plain")
--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -84,6 +84,18 @@
             "Version of the configuration in force.",
             lambda: node.configuration.version if node.configuration else 0,
         )
+        self.metrics.counts(
+            "runs_given_up",
+            "Runs that this term's planner ended without a reported end.",
+            "evidence",
+            lambda: node.planner.given_up_by_evidence if node.planner else {},
+        )
+        self.metrics.counts(
+            "ends_unmatched",
+            "Ends reported in this term that matched no known run.",
+            "outcome",
+            lambda: node.planner.unmatched_by_outcome if node.planner else {},
+        )
 
     async def _serve_peer(self, message: bytes) -> bytes:
         return await self.node.store.serve(message)
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -45,6 +45,8 @@
     :ivar boot_ms: wall clock of the runner's start as last reported, 0 if unknown.
     :ivar acknowledged: number of the last end that is stored, acknowledged with the next poll.
     :ivar last_handled: number of the last end that the planner has processed.
+    :ivar report_gap_ms: time between the last two reports, -1 before the second one.
+    :ivar unmatched_ends: numbers of unacknowledged ends that matched no run known to the planner.
     :ivar listed: whether the platform's list of runners names this runner.
     """
 
@@ -74,9 +76,11 @@
         self.lease_expiry_ms = initial_lease_expiry_ms
         self.boot_ms = 0
         self.last_report_ms: float | None = None
+        self.report_gap_ms = -1.0
         self.reachable = False
         self.acknowledged = 0
         self.last_handled = 0
+        self.unmatched_ends: list[int] = []
         self._clock_sample: tuple[int, float] | None = None
         self.ends_stored = asyncio.Event()
         self.listed = True
@@ -100,6 +104,10 @@
         """Return whether processed ends of the runner are not stored yet."""
         return self.last_handled > self.acknowledged
 
+    def report_age_ms(self) -> float:
+        """Return the time since the last report, -1 if there was none."""
+        return -1.0 if self.last_report_ms is None else self._clock.now_ms() - self.last_report_ms
+
     def lease_until_ms(self) -> int:
         """Return the end of a lease that starts now, on the runner's clock in ms.
 
@@ -130,6 +138,16 @@
     def acknowledge_through(self, number: int) -> None:
         """Acknowledge the ends up to a number with the next poll."""
         if number > self.acknowledged:
+            covered = sum(1 for end in self.unmatched_ends if end <= number)
+            if covered:
+                self.unmatched_ends = [end for end in self.unmatched_ends if end > number]
+                log.info(
+                    "ends_acknowledged",
+                    runner=self.runner.id,
+                    through=number,
+                    ends=number - self.acknowledged,
+                    unmatched=covered,
+                )
             self.acknowledged = number
             self.ends_stored.set()
 
@@ -178,11 +196,13 @@
         if not self.reachable:
             log.info("runner_reached", runner=self.runner.id, clock_ms=report.clock_ms)
         self.reachable = True
+        self.report_gap_ms = self.report_age_ms()
         self.last_report_ms = self._clock.now_ms()
         if boot_ms and report.boot_ms != boot_ms:
             log.warning("runner_restarted", runner=self.runner.id, boot_ms=report.boot_ms)
             self.acknowledged = 0
             self.last_handled = 0
+            self.unmatched_ends.clear()
         self.boot_ms = report.boot_ms
         self._on_report(self, report, sent_ms)
 
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -1,6 +1,7 @@
 """The planner: runs scheduling passes and starts and stops tasks on runners during one term."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 import structlog
@@ -64,6 +65,8 @@
 # expects work to start if there is capacity.
 IDLE_THRESHOLD_MS = 1_800
 MAX_RECORDS_PER_PURGE = 300
+# Outcomes that runners report; any other is counted as "other".
+OUTCOMES = ("done", "failed", "stopped", "lapsed", "broken", "alone")
 # Jobs or runners listed by id in a status line.
 STATUS_LIST_LIMIT = 5
 
@@ -140,6 +143,8 @@
     :param on_term_lost: called when the planner is fenced or ends.
     :param on_capacity: called with the number of accelerators of the usable runners.
     :ivar placing: if false, no scheduling passes are run.
+    :ivar given_up_by_evidence: number of runs ended without a reported end.
+    :ivar unmatched_by_outcome: number of reported ends that matched no known run.
     """
 
     def __init__(
@@ -188,6 +193,8 @@
         self._job_values: ranking.JobValues | None = None
         self._idle_since_by_job: dict[str, float] = {}
         self.placing = True
+        self.given_up_by_evidence: Counter[str] = Counter()
+        self.unmatched_by_outcome: Counter[str] = Counter()
 
     # ------------------------------------------------------------------ term
 
@@ -336,15 +343,57 @@
                 self._clock.now_ms() if ended else link.lease_expiry_ms
             )
 
-    def _has_certainly_ended(self, run: Run) -> bool:
-        """Return whether a run has certainly ended, as its runner is gone or its lease expired."""
+    def _lease_expiry_ms(self, runner_id: str) -> float:
+        """Return the clock time by which every lease of a runner has certainly expired."""
+        link = self.links_by_id.get(runner_id)
+        if link is not None:
+            return link.lease_expiry_ms
+        return self._lease_expiry_by_removed_runner.get(
+            runner_id, self._inherited_lease_expiry_ms()
+        )
+
+    def _end_evidence(self, run: Run) -> str:
+        """Return what shows that a run has certainly ended, empty if it may still be running."""
         link = self.links_by_id.get(run.runner)
         if link is None:
-            lapse_ms = self._lease_expiry_by_removed_runner.get(
-                run.runner, self._inherited_lease_expiry_ms()
-            )
-            return self._clock.now_ms() > lapse_ms
-        return not link.reachable and (link.process_ended or link.lease_expired())
+            if self._clock.now_ms() <= self._lease_expiry_ms(run.runner):
+                return ""
+            removed = run.runner in self._lease_expiry_by_removed_runner
+            return "runner removed" if removed else "runner unknown"
+        if link.reachable:
+            return ""
+        if link.process_ended:
+            return "process ended"
+        return "lease expired" if link.lease_expired() else ""
+
+    def _give_up(self, key: RunKey, run: Run, evidence: str, sent_ms: float | None = None) -> None:
+        """End a run whose end was not reported.
+
+        :param sent_ms: time at which the poll was sent whose report does not list the run.
+        """
+        now_ms = self._clock.now_ms()
+        link = self.links_by_id.get(run.runner)
+        if link is None:
+            report_age_ms = -1.0
+        elif sent_ms is not None:
+            # The last report is the evidence itself.
+            report_age_ms = link.report_gap_ms
+        else:
+            report_age_ms = link.report_age_ms()
+        self.given_up_by_evidence[evidence] += 1
+        log.warning(
+            "run_given_up",
+            task=key[0],
+            run=key[1],
+            runner=run.runner,
+            evidence=evidence,
+            report_age_ms=round(report_age_ms),
+            poll_ms=round(now_ms - sent_ms) if sent_ms is not None else -1,
+            lease_expired_ms_ago=round(now_ms - self._lease_expiry_ms(run.runner)),
+            listed=link is not None and link.listed,
+            ends_unacknowledged=link.last_handled - link.acknowledged if link is not None else 0,
+        )
+        self._end_run(key, run, "lapsed", run.checkpoint)
 
     # ------------------------------------------------------------------ reports
 
@@ -369,8 +418,7 @@
             if key in listed:
                 continue
             if run.acknowledged_ms is not None and run.acknowledged_ms < sent_ms:
-                log.warning("run_vanished", task=key[0], run=key[1], runner=run.runner)
-                self._end_run(key, run, "lapsed", run.checkpoint)
+                self._give_up(key, run, "missing from report", sent_ms)
 
     async def _store_ends(self, link: RunnerLink, last: int, report: RunnerReport) -> None:
         jobs = {}
@@ -426,12 +474,19 @@
 
     def _apply_unmatched_end(self, link: RunnerLink, ended: EndedTask) -> None:
         """Handle the end of a run that is not known as running; a done task must not be lost."""
+        newest_run = self._newest_run(ended.task)
+        self.unmatched_by_outcome[ended.outcome if ended.outcome in OUTCOMES else "other"] += 1
+        link.unmatched_ends.append(ended.number)
         log.info(
             "end_unmatched",
             task=ended.task,
             run=ended.run,
             runner=link.runner.id,
             outcome=ended.outcome,
+            end=ended.number,
+            newest_run=newest_run,
+            newest_known=(ended.task, newest_run) in self.runs_by_key,
+            report_age_ms=round(link.report_gap_ms),
         )
         try:
             task = TaskId.parse(ended.task)
@@ -447,6 +502,18 @@
             self._finish_task(stage, task.index)
             self.job_table.close_if_finished(job, self._clock.now_ms())
 
+    def _newest_run(self, name: str) -> int:
+        """Return the number of a task's latest run, 0 if there is none."""
+        try:
+            task = TaskId.parse(name)
+        except ValueError:
+            return 0
+        job = self.job_table.jobs_by_id.get(task.job_id)
+        stage = job.stages_by_key.get((task.occurrence, task.step)) if job is not None else None
+        if stage is None or task.index >= stage.step.count:
+            return 0
+        return stage.runs[task.index]
+
     def _finish_task(self, stage: Stage, index: int) -> None:
         """Mark a task as done and withdraw its current run, if any."""
         if stage.step.long_running:
@@ -539,8 +606,9 @@
         backoff = Backoff(RETRY_MS, PASS_INTERVAL_MS)
         while self.runs_by_key.get(key) is run:
             link = self.links_by_id.get(run.runner)
-            if self._has_certainly_ended(run):
-                self._end_run(key, run, "lapsed", run.checkpoint)
+            evidence = self._end_evidence(run)
+            if evidence:
+                self._give_up(key, run, evidence)
                 return
             if link is None:
                 await self._clock.sleep_ms(PASS_INTERVAL_MS)
@@ -714,8 +782,9 @@
     def _end_expired(self) -> None:
         """End the runs on runners whose lease has expired, and drop such runners if unlisted."""
         for key, run in list(self.runs_by_key.items()):
-            if self._has_certainly_ended(run):
-                self._end_run(key, run, "lapsed", run.checkpoint)
+            evidence = self._end_evidence(run)
+            if evidence:
+                self._give_up(key, run, evidence)
         for runner_id, link in list(self.links_by_id.items()):
             if (
                 not link.listed
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -9,6 +9,7 @@
 import pytest
 from aiohttp import web
 from fleet_builders import configuration_bytes, runner_fields
+from prometheus_client import generate_latest
 
 from carawayroute.fleet.exceptions import (
     FormatError,
@@ -16,6 +17,7 @@
     RunnerUnansweredError,
 )
 from carawayroute_standins.fleet.taskrunner import make_runner
+from carawayrouted.fleet_metrics import FleetMetrics
 from carawayrouted.output import BoundedOutput
 from carawayrouted.platform import store
 from carawayrouted.platform.__main__ import metrics_port
@@ -204,6 +206,15 @@
         os.close(writing)
 
 
+def test_counts_are_shown_by_label():
+    metrics = FleetMetrics()
+    counts = {"lease expired": 2}
+    metrics.counts("runs_given_up", "Runs given up.", "evidence", lambda: counts)
+    counts["lease expired"] = 3
+    text = generate_latest(metrics.registry).decode()
+    assert 'carawayroute_runs_given_up_total{evidence="lease expired"} 3.0' in text
+
+
 def test_read_fits_through_the_slowest_link_in_time():
     """Reads of 1 MB timed out repeatedly over slow links (cornice-sched-grown trouble-1)."""
     smallest_link_bits_per_ms = 5_000
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -12,6 +12,7 @@
     step,
     world,
 )
+from structlog.testing import capture_logs
 
 from carawayroute.fleet.entry import NoSuchJobError, NotAcceptedError
 from carawayroute_standins.fleet.judge import find_violations, starts
@@ -446,6 +447,47 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("mode", "evidence"), [("cut", "lease expired"), ("gone", "process ended")]
+)
+def test_given_up_runs_are_counted_by_evidence(mode, evidence):
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=4_000), NORMAL, OWNER)
+        await fleet.wait_until(lambda: starts(fleet.journal, ID.format(1)), 1_000, "a start")
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
+        if mode == "gone":
+            holder.restart_empty()
+        holder.mode = mode
+        await fleet.wait_until(
+            lambda: len(starts(fleet.journal, ID.format(1))) == 2, 14_000, "another start"
+        )
+        assert planner.given_up_by_evidence == {evidence: 1}
+        assert not planner.unmatched_by_outcome
+
+    run_scenario(scenario)
+
+
+def test_end_of_a_given_up_run_is_counted_and_its_acknowledgement_logged():
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=20_000), NORMAL, OWNER)
+        await fleet.wait_until(lambda: starts(fleet.journal, ID.format(1)), 1_000, "a start")
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
+        holder.mode = "cut"
+        await fleet.wait_until(
+            lambda: len(starts(fleet.journal, ID.format(1))) == 2, 14_000, "another start"
+        )
+        with capture_logs() as lines:
+            holder.mode = "up"
+            await fleet.clock.sleep_ms(1_000)
+        assert planner.unmatched_by_outcome == {"lapsed": 1}
+        acknowledged = [line for line in lines if line["event"] == "ends_acknowledged"]
+        assert [(line["through"], line["unmatched"]) for line in acknowledged] == [(1, 1)]
+
+    run_scenario(scenario)
+
+
 def test_state_request_reads_the_latest_records():
     """Every instance reports a completed job once its end is stored, despite rare reads."""
 
