Let the fleet judge find starts after an end that is acknowledged later

Callers saw a task run again after it had ended as done, with that end acknowledged. The judge of the emulated fleet only found starts after the acknowledgement. It now also reports starts between the end and its acknowledgement, unless the runner's lease lapsed between the two. What it reported before it still reports, also after such a lapse.

The emulated runner records lease_lapsed when a lease expires and ends a run; with idle_lease_lapses also when nothing runs, as both readings of that question have to hold.

--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -2,12 +2,14 @@
 
 import json
 
+from carawayroute.clock import Clock
 from carawayroute.fleet.jobs import JOB_KEY, JobTable, Stage
 from carawayroute.fleet.packing import Candidate
 from carawayroute.fleet.types import Capacity, Configuration, Queue, Runner, Team
 from carawayroute_schema import records_pb2 as pb
 from carawayroute_standins.fleet.taskrunner import TaskSpec, make_runner
 from carawayroute_standins.fleet.world import FleetWorld
+from carawayroute_standins.journal import Journal, JournalEntry
 from carawayrouted.platform.configuration import decode_configuration
 from carawayrouted.platform.formats import StoreFormat
 
@@ -148,3 +150,19 @@
 def world(**options) -> FleetWorld:
     """Return a running fleet."""
     return FleetWorld(StoreFormat(), runner_bytes, configuration_bytes(), **options)
+
+
+def journal_of(*entries: tuple[str, str, int]) -> Journal:
+    """Return a journal on one task.
+
+    :param entries: event type, runner and number of the run; ends are ends as done.
+    """
+    journal = Journal(Clock())
+    for what, runner, run in entries:
+        fields: dict[str, object] = {"runner": runner}
+        if what != "lease_lapsed":
+            fields.update(task="0000000000000001.0.0.0", run=run)
+        if what in ("task_ended", "end_acknowledged"):
+            fields["outcome"] = "done"
+        journal.entries.append(JournalEntry(0.0, what, fields))
+    return journal
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -9,6 +9,7 @@
     URGENT,
     configuration_bytes,
     job,
+    journal_of,
     step,
     world,
 )
@@ -510,3 +511,44 @@
         assert abs(second.speeds.speed("w1") - learnt) < 0.02
 
     run_scenario(scenario)
+
+
+STARTED, ENDED = ("task_started", "w1", 1), ("task_ended", "w1", 1)
+LAPSED, ACKNOWLEDGED = ("lease_lapsed", "w1", 0), ("end_acknowledged", "w1", 1)
+STARTED_AGAIN = ("task_started", "w2", 2)
+
+
+@pytest.mark.parametrize(
+    "entries, count",
+    [
+        ((STARTED, ENDED, STARTED_AGAIN), 0),
+        ((STARTED, ENDED, STARTED_AGAIN, ACKNOWLEDGED), 1),
+        ((STARTED, ENDED, LAPSED, STARTED_AGAIN, ACKNOWLEDGED), 0),
+        ((STARTED, ENDED, STARTED_AGAIN, LAPSED, ACKNOWLEDGED), 0),
+        ((STARTED, LAPSED, ENDED, STARTED_AGAIN, ACKNOWLEDGED), 1),
+        ((STARTED, ENDED, STARTED_AGAIN, ACKNOWLEDGED, LAPSED), 1),
+        ((STARTED, ENDED, ("lease_lapsed", "w2", 0), STARTED_AGAIN, ACKNOWLEDGED), 1),
+        ((STARTED, ENDED, ACKNOWLEDGED, STARTED_AGAIN), 1),
+        ((STARTED, ENDED, ACKNOWLEDGED, LAPSED, STARTED_AGAIN), 1),
+        ((STARTED, ENDED, LAPSED, ACKNOWLEDGED, STARTED_AGAIN), 1),
+    ],
+)
+def test_judge_finds_starts_after_an_end_that_is_acknowledged_then_or_later(entries, count):
+    assert len(find_violations(journal_of(*entries))) == count
+
+
+@pytest.mark.parametrize("idle_lease_lapses", [False, True])
+@pytest.mark.parametrize("run_ms, outcome", [(2_000, "done"), (60_000, "lapsed")])
+def test_emulator_records_the_lapse_of_a_lease_once(run_ms, outcome, idle_lease_lapses):
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=run_ms), NORMAL, OWNER)
+        await fleet.wait_until(lambda: starts(fleet.journal, ID.format(1)), 1_000, "a start")
+        fleet.runners_by_id["w1"].mode = "cut"
+        await fleet.clock.sleep_ms(15_000)
+        assert fleet.journal.all("task_ended")[0].fields["outcome"] == outcome
+        lapses = [entry.fields["runs"] for entry in fleet.journal.all("lease_lapsed")]
+        expected = [1] if outcome == "lapsed" else [0] if idle_lease_lapses else []
+        assert lapses == expected
+
+    options = {"racks": 1, "runners_per_rack": 1, "idle_lease_lapses": idle_lease_lapses}
+    run_scenario(scenario, **options)
