Show that an end out of reach is acknowledged after its task restarted

Callers saw a task run again after a run of it had ended as done, with that end acknowledged. The tests cut a runner off right after a start. Its task ends as done there, the planner gives the run up when the lease expires and starts the task elsewhere, and acknowledges the old end when the runner returns.

--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -552,3 +552,208 @@
 
     options = {"racks": 1, "runners_per_rack": 1, "idle_lease_lapses": idle_lease_lapses}
     run_scenario(scenario, **options)
+
+
+BOTH_READINGS = pytest.mark.parametrize(
+    "idle_lease_lapses", [False, True], ids=["idle_lease_stands", "idle_lease_lapses"]
+)
+SECOND_RUN = pytest.mark.parametrize("second_run", ["running", "ended"])
+
+
+async def cut_holder_off(fleet, job_id):
+    """Submit a job of one task and cut its runner off from the planner; return the runner."""
+    await fleet.submit(job(job_id, run_ms=2_000), NORMAL, OWNER)
+    await fleet.wait_until(lambda: starts(fleet.journal, job_id), 1_000, "a start")
+    holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
+    holder.mode = "cut"
+    return holder
+
+
+async def wait_second_start(fleet, job_id, second_run="running"):
+    """Wait until a task that ended as done out of reach is started elsewhere, or has ended there.
+
+    :param second_run: whether to return while the second run is running or once it has ended.
+    """
+    await fleet.wait_until(
+        lambda: len(starts(fleet.journal, job_id)) == 2, 15_000, "a second start"
+    )
+    ends = [
+        entry
+        for entry in fleet.journal.all("task_ended")
+        if str(entry.fields["task"]).startswith(job_id)
+    ]
+    assert [(end.fields["run"], end.fields["outcome"]) for end in ends] == [(1, "done")]
+    if second_run == "ended":
+        await fleet.wait_state(job_id, "completed", 6_000)
+
+
+def ends_acknowledged(fleet, runner):
+    """Return the tasks of a runner whose ends were acknowledged."""
+    return [
+        str(entry.fields["task"])
+        for entry in fleet.journal.all("end_acknowledged")
+        if entry.fields["runner"] == runner
+    ]
+
+
+@BOTH_READINGS
+@SECOND_RUN
+def test_end_on_a_runner_out_of_reach_is_not_acknowledged_after_its_task_restarted(
+    second_run, idle_lease_lapses
+):
+    async def scenario(fleet):
+        holder = await cut_holder_off(fleet, ID.format(1))
+        await wait_second_start(fleet, ID.format(1), second_run)
+        holder.mode = "up"
+        await fleet.clock.sleep_ms(6_000)
+        assert await fleet.state(ID.format(1)) == "completed"
+
+    run_scenario(scenario, idle_lease_lapses=idle_lease_lapses)
+
+
+@BOTH_READINGS
+@SECOND_RUN
+def test_end_on_an_unlisted_runner_is_not_acknowledged_after_its_task_restarted(
+    second_run, idle_lease_lapses
+):
+    async def scenario(fleet):
+        holder = await cut_holder_off(fleet, ID.format(1))
+        fleet.unlist(holder.listed.id)
+        await wait_second_start(fleet, ID.format(1), second_run)
+        holder.mode = "up"
+        fleet.list(holder.listed.id)
+        await fleet.clock.sleep_ms(6_000)
+        assert await fleet.state(ID.format(1)) == "completed"
+
+    run_scenario(scenario, idle_lease_lapses=idle_lease_lapses)
+
+
+@BOTH_READINGS
+@SECOND_RUN
+def test_next_planner_does_not_acknowledge_an_end_older_than_the_second_start(
+    second_run, idle_lease_lapses
+):
+    async def scenario(fleet):
+        holder = await cut_holder_off(fleet, ID.format(1))
+        await wait_second_start(fleet, ID.format(1), second_run)
+        # No planner reaches the runner before the first poll of the next one.
+        await fleet.kill_instance(fleet.planner_name())
+        holder.mode = "up"
+        await fleet.wait_ready()
+        await fleet.clock.sleep_ms(6_000)
+        assert await fleet.state(ID.format(1)) == "completed"
+
+    run_scenario(scenario, idle_lease_lapses=idle_lease_lapses)
+
+
+@BOTH_READINGS
+def test_runner_whose_lease_lapsed_under_other_work_is_used_again(idle_lease_lapses):
+    """The end `lapsed` has a higher number than the end as done, so both can be acknowledged."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(2), run_ms=12_000), NORMAL, OWNER)
+        holder = await cut_holder_off(fleet, ID.format(1))
+        await fleet.wait_until(
+            lambda: len(fleet.journal.all("task_started")) == 2, 1_000, "both starts"
+        )
+        fleet.add_runner("w2", "r1-0")
+        await fleet.wait_until(
+            lambda: len(starts(fleet.journal, ID.format(1))) == 2, 15_000, "a second start"
+        )
+        outcomes = [entry.fields["outcome"] for entry in fleet.journal.all("task_ended")]
+        assert outcomes == ["done", "lapsed"]
+        holder.mode = "up"
+        await fleet.wait_until(
+            lambda: len(ends_acknowledged(fleet, "w1")) == 2, 6_000, "both ends are acknowledged"
+        )
+        await fleet.wait_state(ID.format(1), "completed", 5_000)
+        fleet.list("w2", draining=True)
+        await fleet.clock.sleep_ms(400)
+        await fleet.submit(job(ID.format(3)), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(3), "completed", 8_000)
+        assert fleet.journal.all("task_started")[-1].fields["runner"] == "w1"
+        await fleet.wait_until(
+            lambda: ID.format(3) + ".0.0.0" in ends_acknowledged(fleet, "w1"),
+            2_000,
+            "the later end is acknowledged",
+        )
+        await fleet.wait_state(ID.format(2), "completed", 15_000)
+
+    run_scenario(scenario, racks=1, runners_per_rack=1, idle_lease_lapses=idle_lease_lapses)
+
+
+@BOTH_READINGS
+@SECOND_RUN
+def test_end_of_a_preempted_run_out_of_reach_is_not_acknowledged_after_its_task_restarted(
+    second_run, idle_lease_lapses
+):
+    async def scenario(fleet):
+        batch = job(ID.format(1), [step(1, 8)], BATCH, OTHER, 2_000)
+        await fleet.submit(batch, BATCH, OTHER)
+        await fleet.wait_until(lambda: starts(fleet.journal, ID.format(1)), 1_000, "a start")
+        # The planner has not noticed yet that no order reaches the runner.
+        fleet.runners_by_id["w1"].mode = "cut"
+        await fleet.submit(job(ID.format(2), [step(1, 8)], URGENT), URGENT, OWNER)
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        await fleet.wait_until(
+            lambda: any(
+                run.withdrawn and run.stage.job.id == ID.format(1)
+                for run in planner.runs_by_key.values()
+            ),
+            400,
+            "the run is being withdrawn",
+        )
+        fleet.add_runner("w2", "r1-0")
+        await wait_second_start(fleet, ID.format(1), second_run)
+        fleet.runners_by_id["w1"].mode = "up"
+        await fleet.clock.sleep_ms(6_000)
+        for number in (1, 2):
+            assert await fleet.state(ID.format(number)) == "completed"
+
+    run_scenario(scenario, racks=1, runners_per_rack=1, idle_lease_lapses=idle_lease_lapses)
+
+
+@BOTH_READINGS
+@pytest.mark.parametrize("cut_ms", [3_000, 7_500])
+def test_end_on_a_runner_back_within_its_lease_is_taken(cut_ms, idle_lease_lapses):
+    async def scenario(fleet):
+        holder = await cut_holder_off(fleet, ID.format(1))
+        await fleet.clock.sleep_ms(cut_ms)
+        assert fleet.journal.all("task_ended")[0].fields["outcome"] == "done"
+        assert fleet.journal.all("lease_lapsed") == []
+        holder.mode = "up"
+        await fleet.wait_state(ID.format(1), "completed", 2_000)
+        await fleet.clock.sleep_ms(6_000)
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+        assert ends_acknowledged(fleet, holder.listed.id) == [ID.format(1) + ".0.0.0"]
+
+    run_scenario(scenario, idle_lease_lapses=idle_lease_lapses)
+
+
+@BOTH_READINGS
+@SECOND_RUN
+def test_later_job_completes_beside_an_end_that_is_not_acknowledged(second_run, idle_lease_lapses):
+    async def scenario(fleet):
+        holder = await cut_holder_off(fleet, ID.format(1))
+        await wait_second_start(fleet, ID.format(1), second_run)
+        holder.mode = "up"
+        await fleet.clock.sleep_ms(4_000)
+        assert await fleet.state(ID.format(1)) == "completed"
+        # As many tasks as fill the fleet, so that the returned runner is wanted too.
+        later = job(ID.format(2), [step(8, 8)], run_ms=1_500)
+        await fleet.submit(later, NORMAL, OWNER)
+        await fleet.wait_state(ID.format(2), "completed", 20_000)
+        await fleet.clock.sleep_ms(2_000)
+        assert len(starts(fleet.journal, ID.format(2))) == 8
+        assert fleet.nodes_by_name[fleet.planner_name()].planner.runs_by_key == {}
+        done_elsewhere = {
+            str(entry.fields["task"])
+            for entry in fleet.journal.all("task_ended")
+            if entry.fields["runner"] != holder.listed.id
+        }
+        acknowledged = {
+            str(entry.fields["task"]) for entry in fleet.journal.all("end_acknowledged")
+        }
+        assert done_elsewhere <= acknowledged
+
+    run_scenario(scenario, idle_lease_lapses=idle_lease_lapses)
