Never acknowledge the end of a run whose task was started again

What callers saw: a task ran to its end twice.

Cause: when a lease expired without a reported end, the planner ended the run as lapsed and kept no trace of that. An older run's end was then taken as that of the task, and acknowledged, although a newer run had been started.

Change: a run that is given up is noted in its job's record as abandoned. If its end is reported before its task was ordered to start again, the end counts. Otherwise the newer run counts, and the end is withheld: it is never acknowledged to that process of the runner, nor are the ends after it, and the runner gets no new work until it restarts. An end that the runner lists as lapsed with a higher number shows that the lease did expire in between, and lifts this. Failed ends of abandoned runs count as attempts under the same conditions; before, they were dropped.

Why it works: the decision to start a task anew and the decision to acknowledge an older end are now both taken from the job's record, which the next planner reads before it polls a runner.

--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -33,6 +33,8 @@
     :ivar number: index of the step in the job.
     :ivar demand: resources that each task needs.
     :ivar runs: number of the latest run of each task.
+    :ivar ordered_runs: number of the latest run of each task for which a start request may have
+        been sent.
     :ivar failed_run: latest run of a gang that was counted as failed.
     """
 
@@ -45,6 +47,7 @@
         "job",
         "number",
         "occurrence",
+        "ordered_runs",
         "runners",
         "runs",
         "step",
@@ -62,6 +65,7 @@
             self.step.accelerators,
         )
         self.runs = [0] * count
+        self.ordered_runs = [0] * count
         self.done = bytearray(count)
         self.failures = [0] * count
         self.failed_run = 0
@@ -103,6 +107,12 @@
         """Return a run number above those of all earlier runs."""
         return max(self.runs, default=0) + 1
 
+    def restarted_after(self, index: int, run: int) -> bool:
+        """Return whether a task, or a member of its gang, may have been started after a run."""
+        if self.step.gang:
+            return max(self.ordered_runs) > run
+        return self.ordered_runs[index] > run
+
     def checkpoint(self, index: int) -> str:
         """Return the checkpoint of a task; the members of a gang share one."""
         return self.checkpoints.get(0 if self.step.gang else index, "")
@@ -136,13 +146,16 @@
             failed_run=self.failed_run,
         )
 
-    def record_failure(self, index: int) -> int:
-        """Count a failure and return the number so far; a gang counts one failure per run."""
+    def record_failure(self, index: int, run: int) -> int:
+        """Count a failed run and return the failures so far; a gang counts one per run.
+
+        :param run: number of the run that failed.
+        """
         if not self.step.gang:
             self.failures[index] += 1
             return self.failures[index]
-        if self.runs[index] > self.failed_run:
-            self.failed_run = self.runs[index]
+        if run > self.failed_run:
+            self.failed_run = run
             self.failures[0] += 1
         return self.failures[0]
 
@@ -155,6 +168,8 @@
         if not len(record.runs) == len(record.done) == len(record.places) == count:
             raise RecordError(f"progress of job {self.job.id} does not match its steps")
         self.runs = list(record.runs)
+        # The planner that wrote the record may have sent the start requests since.
+        self.ordered_runs = list(record.runs)
         self.done = bytearray(record.done)
         self.failures = list(record.failures)
         self.failed_run = record.failed_run
@@ -165,11 +180,13 @@
 class Job:
     """An accepted job.
 
+    :ivar abandoned: runs that were taken as ended although their runners reported no end.
     :ivar begun: a runner has started one of its tasks.
     :ivar ended_ms: time at which the job ended, by the instance's own clock.
     """
 
     __slots__ = (
+        "abandoned",
         "begun",
         "cancelled",
         "ended_ms",
@@ -183,6 +200,7 @@
     def __init__(self, record: pb.Job) -> None:
         self.id = record.id
         self.record = record
+        self.abandoned: set[tuple[int, int, int, int]] = set()
         self.begun = False
         self.cancelled = False
         self.failed = False
@@ -198,6 +216,29 @@
             self.stages_by_key[occurrence, step] = found
         return found
 
+    def abandon(self, stage: Stage, index: int, run: int) -> None:
+        """Note that a run is taken as ended although its runner reported no end."""
+        self.abandoned.add((stage.occurrence, stage.number, index, run))
+
+    def reinstate(self, task: TaskId, run: int) -> None:
+        """Note that the end of a run was reported after all."""
+        self.abandoned.discard((task.occurrence, task.step, task.index, run))
+
+    def was_abandoned(self, task: TaskId, run: int) -> bool:
+        """Return whether a run was taken as ended although its runner reported no end."""
+        return (task.occurrence, task.step, task.index, run) in self.abandoned
+
+    def is_superseded(self, task: TaskId, run: int) -> bool:
+        """Return whether a run was abandoned and its task may have been started again since.
+
+        The end of such a run must not count, nor may its runner be told that it was noted.
+        """
+        if not self.was_abandoned(task, run):
+            return False
+        stage = self.stages_by_key.get((task.occurrence, task.step))
+        # The record of an ended job has no stages, and names only superseded runs.
+        return stage is None or stage.restarted_after(task.index, run)
+
     @property
     def occurrences(self) -> int:
         """Return how many times the steps are run."""
@@ -269,6 +310,11 @@
         """Return the record that replaces the job's previous progress record."""
         ended = self.ended_ms is not None
         steps = [] if ended else [stage.to_record() for stage in self.stages_by_key.values()]
+        abandoned = [
+            pb.AbandonedRun(occurrence=occurrence, step=step, index=index, run=run)
+            for occurrence, step, index, run in sorted(self.abandoned)
+            if not ended or self.is_superseded(TaskId(self.id, occurrence, step, index), run)
+        ]
         return pb.Progress(
             steps=steps,
             ended=ended,
@@ -277,6 +323,7 @@
             reason=self.reason,
             term=term,
             begun=self.begun,
+            abandoned=abandoned,
         )
 
 
@@ -332,9 +379,14 @@
             job.begun = job.begun or record.begun
             job.failed = record.failed
             job.reason = record.reason
+            job.abandoned = {
+                (item.occurrence, item.step, item.index, item.run) for item in record.abandoned
+            }
             for item in record.steps:
                 job.stage(item.occurrence, item.step).apply(item)
             if record.ended:
+                # The record of an ended job has no steps; earlier records may have left some.
+                job.stages_by_key.clear()
                 # In a page of newest records, a cancel that came too late precedes the job's end.
                 job.cancelled = job.cancelled and not record.completed
                 self._close(job, now_ms)
@@ -359,6 +411,7 @@
         self._offset_by_key.clear()
         for job in self.jobs_by_id.values():
             job.stages_by_key.clear()
+            job.abandoned.clear()
             job.begun = False
             job.cancelled = False
             job.failed = False
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -48,6 +48,7 @@
     :ivar report_gap_ms: time between the last two reports, -1 before the second one.
     :ivar unmatched_ends: numbers of unacknowledged ends that matched no run known to the planner.
     :ivar listed: whether the platform's list of runners names this runner.
+    :ivar withheld: numbers of ends that must never be acknowledged to this process of the runner.
     """
 
     def __init__(
@@ -84,12 +85,19 @@
         self._clock_sample: tuple[int, float] | None = None
         self.ends_stored = asyncio.Event()
         self.listed = True
+        self.withheld: set[int] = set()
 
     @property
     def usable(self) -> bool:
-        """Return whether the runner is listed, answers polls and may get new tasks."""
+        """Return whether the runner is listed, answers polls and may get new tasks.
+
+        A runner with a withheld end gets none: acknowledgements cover all ends up to a number, so
+        later ends could not be acknowledged either.
+        """
         if not self.reachable or self.last_report_ms is None or not self.listed:
             return False
+        if self.withheld:
+            return False
         return self._clock.now_ms() - self.last_report_ms < MAX_REPORT_AGE_MS
 
     @property
@@ -135,8 +143,17 @@
         """
         self._clock_sample = (clock_ms, self._clock.now_ms())
 
+    def withhold(self, number: int) -> None:
+        """Exclude an end and all later ones from acknowledgement."""
+        self.withheld.add(number)
+
+    def release_before(self, number: int) -> None:
+        """Allow acknowledgement of the ends before a number."""
+        self.withheld = {one for one in self.withheld if one > number}
+
     def acknowledge_through(self, number: int) -> None:
-        """Acknowledge the ends up to a number with the next poll."""
+        """Acknowledge the ends up to a number with the next poll, except withheld ones."""
+        number = min([number, *(one - 1 for one in self.withheld)])
         if number > self.acknowledged:
             covered = sum(1 for end in self.unmatched_ends if end <= number)
             if covered:
@@ -159,7 +176,8 @@
                 await self._clock.sleep_ms(FAILED_POLL_INTERVAL_MS)
             elif self.has_unstored_ends:
                 self.ends_stored.clear()
-                await wait_event(self.ends_stored, UNSTORED_POLL_INTERVAL_MS)
+                interval_ms = POLL_WAIT_MS if self.withheld else UNSTORED_POLL_INTERVAL_MS
+                await wait_event(self.ends_stored, interval_ms)
 
     async def poll_now(self) -> None:
         """Poll once, concurrently with the long poll; calls close together share one poll."""
@@ -203,6 +221,7 @@
             self.acknowledged = 0
             self.last_handled = 0
             self.unmatched_ends.clear()
+            self.withheld.clear()
         self.boot_ms = report.boot_ms
         self._on_report(self, report, sent_ms)
 
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -393,6 +393,8 @@
             listed=link is not None and link.listed,
             ends_unacknowledged=link.last_handled - link.acknowledged if link is not None else 0,
         )
+        if run.stage.ordered_runs[run.index] >= run.number:
+            run.stage.job.abandon(run.stage, run.index, run.number)
         self._end_run(key, run, "lapsed", run.checkpoint)
 
     # ------------------------------------------------------------------ reports
@@ -404,8 +406,13 @@
         """
         self._reported.set()
         for ended in report.ended:
-            if ended.number > link.last_handled:
-                self._apply_end(link, ended)
+            if ended.number > link.last_handled and not self._apply_end(link, ended):
+                self._withhold_end(link, ended)
+        # A lapsed end shows that the lease expired after the ends before it, so that no planner
+        # can mistake them for the ends of runs that still counted.
+        link.release_before(
+            max((ended.number for ended in report.ended if ended.outcome == "lapsed"), default=0)
+        )
         last = max((ended.number for ended in report.ended), default=0)
         if last > link.last_handled:
             link.last_handled = last
@@ -420,6 +427,17 @@
             if run.acknowledged_ms is not None and run.acknowledged_ms < sent_ms:
                 self._give_up(key, run, "missing from report", sent_ms)
 
+    def _withhold_end(self, link: RunnerLink, ended: EndedTask) -> None:
+        log.warning(
+            "end_withheld",
+            task=ended.task,
+            run=ended.run,
+            runner=link.runner.id,
+            outcome=ended.outcome,
+            number=ended.number,
+        )
+        link.withhold(ended.number)
+
     async def _store_ends(self, link: RunnerLink, last: int, report: RunnerReport) -> None:
         jobs = {}
         for ended in report.ended:
@@ -464,16 +482,22 @@
         except RunnerError as error:
             log.warning("stray_stop_failed", task=item.task, run=item.run, error=str(error))
 
-    def _apply_end(self, link: RunnerLink, ended: EndedTask) -> None:
+    def _apply_end(self, link: RunnerLink, ended: EndedTask) -> bool:
+        """Apply an end and return whether it may be acknowledged."""
         key = (ended.task, ended.run)
         run = self.runs_by_key.get(key)
         if run is None or run.runner != link.runner.id:
-            self._apply_unmatched_end(link, ended)
-            return
+            return self._apply_unmatched_end(link, ended)
         self._end_run(key, run, ended.outcome, ended.checkpoint)
+        return True
+
+    def _apply_unmatched_end(self, link: RunnerLink, ended: EndedTask) -> bool:
+        """Handle the end of a run that is not known as running.
 
-    def _apply_unmatched_end(self, link: RunnerLink, ended: EndedTask) -> None:
-        """Handle the end of a run that is not known as running; a done task must not be lost."""
+        An abandoned run's end still counts if its task has not been started again. Otherwise the
+        newer run counts, and the end must not be acknowledged: the task would have been started
+        again after an acknowledged end.
+        """
         newest_run = self._newest_run(ended.task)
         self.unmatched_by_outcome[ended.outcome if ended.outcome in OUTCOMES else "other"] += 1
         link.unmatched_ends.append(ended.number)
@@ -491,16 +515,27 @@
         try:
             task = TaskId.parse(ended.task)
         except ValueError:
-            return
+            return True
         job = self.job_table.jobs_by_id.get(task.job_id)
-        if ended.outcome != "done" or job is None or task.step >= len(job.record.steps):
-            return
-        if job.ended_ms is not None:
-            return
+        if ended.outcome not in ("done", "failed") or job is None:
+            return True
+        if job.is_superseded(task, ended.run):
+            return False
+        if job.ended_ms is not None or task.step >= len(job.record.steps):
+            return True
         stage = job.stage(task.occurrence, task.step)
-        if not stage.finished and task.index < stage.step.count:
+        if task.index >= stage.step.count or stage.step.long_running or stage.done[task.index]:
+            return True
+        if ended.outcome == "done":
+            if stage.restarted_after(task.index, ended.run):
+                return False
             self._finish_task(stage, task.index)
-            self.job_table.close_if_finished(job, self._clock.now_ms())
+        elif job.was_abandoned(task, ended.run):
+            self._count_failure(stage, task.index, ended.run)
+        job.reinstate(task, ended.run)
+        self._changed.set()
+        self.job_table.close_if_finished(job, self._clock.now_ms())
+        return True
 
     def _newest_run(self, name: str) -> int:
         """Return the number of a task's latest run, 0 if there is none."""
@@ -516,8 +551,6 @@
 
     def _finish_task(self, stage: Stage, index: int) -> None:
         """Mark a task as done and withdraw its current run, if any."""
-        if stage.step.long_running:
-            return
         stage.mark_done(index)
         members = range(stage.step.count) if stage.step.gang else (index,)
         for member in members:
@@ -525,6 +558,15 @@
             if run is not None and not run.withdrawn:
                 self._withdraw(run, "done elsewhere")
 
+    def _count_failure(self, stage: Stage, index: int, run: int) -> int:
+        """Count a failed run and return the failures so far; too many fail the job."""
+        failures = stage.record_failure(index, run)
+        job = stage.job
+        if failures >= max(1, job.record.max_attempts):
+            job.failed = True
+            job.reason = f"task {stage.task(index)} failed {failures} times"
+        return failures
+
     def _end_run(self, key: RunKey, run: Run, outcome: str, checkpoint: str) -> None:
         """Apply the end of a run and free its capacity."""
         stage, index = run.stage, run.index
@@ -540,10 +582,7 @@
         if outcome == "done" and not stage.step.long_running:
             self._note_done(stage, index, run)
         elif outcome == "failed" and not stage.step.long_running and not stage.done[index]:
-            failures = stage.record_failure(index)
-            if failures >= max(1, job.record.max_attempts):
-                job.failed = True
-                job.reason = f"task {key[0]} failed {failures} times"
+            failures = self._count_failure(stage, index, run.number)
         log.info(
             "task_ended",
             job=job.id,
@@ -916,6 +955,7 @@
             if link is None or self._clock.now_ms() > deadline_ms:
                 self._fail_start(run, "no answer")
                 return
+            stage.ordered_runs[run.index] = run.number
             try:
                 clock_ms = await self._orders.start(
                     link.runner,
