Send a silent runner one order at a time

Cause: the link between the regions was full for some seconds after the store had been slow. Orders timed out, each left a connection that the runner counts for up to 7 s, and the retries of all tasks on a runner opened up to six at once, every 500 ms: more than the 64 connections that a runner holds. The retries kept it out of reach after the link was free again.

Change: orders to one runner pass a limiter: four at a time, one after an order went unanswered, one more with each answer. An order whose turn comes too late is not sent.

Why it works: unanswered orders are at most two a second, and with the polls leave about 25 lingering connections, whatever the number of tasks on the runner.

--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -1,12 +1,13 @@
 """The planner's link to one runner: polls it, renews its lease and acknowledges ended tasks."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import structlog
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.exceptions import RunnerError, RunnerNotListeningError, RunnerRefusedError
+from carawayroute.fleet.order_limiter import OrderLimiter
 from carawayroute.fleet.ports import RunnerClient
 from carawayroute.fleet.types import Runner, RunnerReport
 from carawayroute.misc import wait_event
@@ -71,6 +72,7 @@
         self._on_report = on_report
         self._on_fenced = on_fenced
         self._on_unreachable = on_unreachable
+        self._order_limiter = OrderLimiter()
         self._refused_polls = 0
         self._refused_since_ms = 0.0
         self._pending_poll: asyncio.Future | None = None
@@ -168,6 +170,23 @@
             self.acknowledged = number
             self.ends_stored.set()
 
+    async def send_order(
+        self, order: Callable[[], Awaitable[int]], is_needed: Callable[[], bool]
+    ) -> int | None:
+        """Send an order to the runner once it may get one more.
+
+        :param order: sends the order and returns the runner's clock in ms.
+        :param is_needed: checked when the order's turn has come.
+        :return: the runner's clock in ms, ``None`` if the order is no longer needed.
+        :raises RunnerError: the runner refused the order or did not answer.
+        """
+        async with self._order_limiter.admit():
+            if not is_needed():
+                return None
+            clock_ms = await order()
+            self._order_limiter.note_answer()
+            return clock_ms
+
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 
 import structlog
 
@@ -478,7 +479,9 @@
 
     async def _stop_stray(self, link: RunnerLink, item: RunningTask) -> None:
         try:
-            await self._orders.stop(link.runner, self.term, item.task, item.run)
+            await link.send_order(
+                lambda: self._orders.stop(link.runner, self.term, item.task, item.run), lambda: True
+            )
         except RunnerError as error:
             log.warning("stray_stop_failed", task=item.task, run=item.run, error=str(error))
 
@@ -653,7 +656,12 @@
                 await self._clock.sleep_ms(PASS_INTERVAL_MS)
                 continue
             try:
-                await self._orders.stop(link.runner, self.term, *key)
+                answer = await link.send_order(
+                    partial(self._orders.stop, link.runner, self.term, *key),
+                    lambda: self.runs_by_key.get(key) is run and not self._end_evidence(run),
+                )
+                if answer is None:
+                    continue
             except RunnerRefusedError as error:
                 if error.reason == "fence":
                     self._on_fenced(link)
@@ -950,22 +958,22 @@
         deadline_ms = self._clock.now_ms() + START_TIMEOUT_MS
         backoff = Backoff(RETRY_MS, PASS_INTERVAL_MS)
         unanswered = False
-        while not run.withdrawn and self.runs_by_key.get((task, run.number)) is run:
+
+        def is_needed() -> bool:
+            return not run.withdrawn and self.runs_by_key.get((task, run.number)) is run
+
+        while is_needed():
             link = self.links_by_id.get(run.runner)
             if link is None or self._clock.now_ms() > deadline_ms:
                 self._fail_start(run, "no answer")
                 return
-            stage.ordered_runs[run.index] = run.number
             try:
-                clock_ms = await self._orders.start(
-                    link.runner,
-                    self.term,
-                    task,
-                    run.number,
-                    stage.job.record.spec,
-                    stage.checkpoint(run.index),
-                    link.lease_until_ms(),
+                clock_ms = await link.send_order(
+                    partial(self._send_start, link, run),
+                    lambda: is_needed() and self._clock.now_ms() <= deadline_ms,
                 )
+                if clock_ms is None:
+                    continue
             except RunnerUnansweredError as error:
                 unanswered = True
                 log.info("start_unanswered", task=task, runner=run.runner, error=str(error))
@@ -987,6 +995,20 @@
             stage.job.begun = True
             return
 
+    async def _send_start(self, link: RunnerLink, run: Run) -> int:
+        """Send one start request and return the runner's clock."""
+        stage = run.stage
+        stage.ordered_runs[run.index] = run.number
+        return await self._orders.start(
+            link.runner,
+            self.term,
+            stage.task(run.index),
+            run.number,
+            stage.job.record.spec,
+            stage.checkpoint(run.index),
+            link.lease_until_ms(),
+        )
+
     def _fail_start(self, run: Run, reason: str, certain: bool = False) -> None:
         """Withdraw a run that could not be started, with the rest of its gang.
 
--- a/packages/standins/carawayroute_standins/fleet/taskrunner.py
+++ b/packages/standins/carawayroute_standins/fleet/taskrunner.py
@@ -143,6 +143,7 @@
         self._gang_wait_ms = gang_wait_ms
         self._idle_lease_lapses = idle_lease_lapses
         self.mode = "up"
+        self.unanswered_ms: list[float] = []
         self._failures_by_task: dict[str, int] = {}
         self._ended_event = asyncio.Event()
         self.boot_ms = 0
@@ -242,6 +243,7 @@
             await self.clock.sleep_ms(ORDER_LATENCY_MS)
             raise RunnerUnansweredError("connection reset")
         if self.mode in ("cut", "dead"):
+            self.unanswered_ms.append(self.clock.now_ms())
             await self.clock.sleep_ms(NO_ANSWER_TIMEOUT_MS)
             raise RunnerUnansweredError(self.mode)
         await self.clock.sleep_ms(ORDER_LATENCY_MS)
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -799,3 +799,28 @@
         assert done_elsewhere <= acknowledged
 
     run_scenario(scenario, idle_lease_lapses=idle_lease_lapses)
+
+
+def test_orders_to_a_silent_runner_leave_it_free_connections():
+    """Retried orders kept a runner out of reach after the cause of its silence was over.
+
+    Found on deckmali-render-grown turned_away_in_turn, seed 327280943024.
+    """
+    runner_connections = 64
+    lingering_ms = 7_000
+
+    async def scenario(fleet):
+        for number in range(8):
+            batch = job(ID.format(number), [step(8, 1, estimate_ms=60_000)], BATCH, run_ms=60_000)
+            await fleet.submit(batch, BATCH, OWNER)
+        await fleet.wait_until(
+            lambda: len(fleet.journal.all("task_started")) == 64, 3_000, "a full fleet"
+        )
+        silent = fleet.runners_by_id["w1"]
+        silent.mode = "cut"
+        for number in range(8):
+            await fleet.nodes_by_name["n1"].service.cancel(ID.format(number), 3_000)
+        await fleet.clock.sleep_ms(lingering_ms)
+        assert 0 < len(silent.unanswered_ms) < runner_connections
+
+    run_scenario(scenario)
