Withhold a superseded end also after a lapsed end of the same runner

Change: a withheld end stays withheld until the runner restarts. The judge of the emulator drops the exception for lapsed leases, and the emulator's record of lapses, which only that exception used; every case that it excused is now a violation. The test that expected the runner to be used again after a lapsed end is replaced by one that demands that neither end is acknowledged, and that the runner is used again after its restart.

Cost: such a runner gets no work until it restarts; how often that happens is counted by the event end_withheld.

--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -149,10 +149,6 @@
         """Exclude an end and all later ones from acknowledgement."""
         self.withheld.add(number)
 
-    def release_before(self, number: int) -> None:
-        """Allow acknowledgement of the ends before a number."""
-        self.withheld = {one for one in self.withheld if one > number}
-
     def acknowledge_through(self, number: int) -> None:
         """Acknowledge the ends up to a number with the next poll, except withheld ones."""
         number = min([number, *(one - 1 for one in self.withheld)])
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -409,11 +409,6 @@
         for ended in report.ended:
             if ended.number > link.last_handled and not self._apply_end(link, ended):
                 self._withhold_end(link, ended)
-        # A lapsed end shows that the lease expired after the ends before it, so that no planner
-        # can mistake them for the ends of runs that still counted.
-        link.release_before(
-            max((ended.number for ended in report.ended if ended.outcome == "lapsed"), default=0)
-        )
         last = max((ended.number for ended in report.ended), default=0)
         if last > link.last_handled:
             link.last_handled = last
--- a/packages/standins/carawayroute_standins/fleet/judge.py
+++ b/packages/standins/carawayroute_standins/fleet/judge.py
@@ -3,40 +3,27 @@
 from carawayroute_standins.journal import Journal
 
 
-def _binding_ends(journal: Journal) -> set[int]:
-    """Return the positions of ends as done after which their tasks must not start again.
-
-    These are acknowledged at some time, without a lapse of the runner's lease since the end.
-    """
-    binding: set[int] = set()
-    pending_by_runner: dict[str, dict[tuple[str, object], int]] = {}
-    for position, entry in enumerate(journal.entries):
-        pending = pending_by_runner.setdefault(str(entry.fields.get("runner", "")), {})
-        if entry.what == "lease_lapsed":
-            pending.clear()
-            continue
-        if entry.fields.get("outcome") != "done":
-            continue
-        key = (str(entry.fields["task"]), entry.fields["run"])
-        if entry.what == "task_ended":
-            pending[key] = position
-        elif entry.what == "end_acknowledged" and key in pending:
-            binding.add(pending.pop(key))
-    return binding
+def _acknowledged_ends(journal: Journal) -> set[tuple[str, object, str]]:
+    """Return task, run and runner of the ends as done that are acknowledged at some time."""
+    return {
+        (str(entry.fields["task"]), entry.fields["run"], str(entry.fields["runner"]))
+        for entry in journal.all("end_acknowledged")
+        if entry.fields["outcome"] == "done"
+    }
 
 
 def find_violations(journal: Journal) -> list[str]:
     """Return all violations: tasks that ran twice or again once done, and partial gangs.
 
-    A start between an end as done and its acknowledgement is a violation unless the runner's lease
-    lapsed between the two. A start after the acknowledgement always is one.
+    A start after an end as done is a violation if that end is acknowledged before or after it,
+    whether or not the runner's lease expired in between.
     """
     found: list[str] = []
-    binding = _binding_ends(journal)
+    acknowledged_ends = _acknowledged_ends(journal)
     done: set[str] = set()
     running: dict[str, tuple[int, str]] = {}
     acknowledged: set[str] = set()
-    for position, entry in enumerate(journal.entries):
+    for entry in journal.entries:
         task = str(entry.fields.get("task", ""))
         run = entry.fields.get("run")
         if entry.what == "task_started":
@@ -50,7 +37,8 @@
         elif entry.what in ("task_ended", "task_lost"):
             if running.get(task, (None, ""))[0] == run:
                 del running[task]
-            if position in binding:
+            end = (task, run, str(entry.fields["runner"]))
+            if end in acknowledged_ends:
                 done.add(task)
             if entry.fields.get("outcome") == "alone":
                 found.append(f"{task} waited in vain for the rest of its gang")
--- a/packages/standins/carawayroute_standins/fleet/taskrunner.py
+++ b/packages/standins/carawayroute_standins/fleet/taskrunner.py
@@ -114,8 +114,6 @@
     """Runs tasks on the orders of the planner with the highest term seen so far.
 
     :param clock_rate: rate of the runner's own clock relative to the emulator's.
-    :param idle_lease_lapses: whether the journal records a lapse when a lease expires under which
-        nothing runs. Nothing else depends on it.
     :ivar mode: ``up``, ``cut`` (no answer, runs on), ``dead`` (no answer, runs nothing), ``gone``
         (its process has ended: connections are refused), ``resetting`` (connections are reset,
         runs on), ``hung`` (tasks stand still), ``failing`` (every task fails at once).
@@ -131,7 +129,6 @@
         stop_ms: int = 200,
         max_lease_ms: int = 10_000,
         gang_wait_ms: int = 3_000,
-        idle_lease_lapses: bool = False,
     ) -> None:
         self.listed = listed
         self.clock = clock
@@ -141,7 +138,6 @@
         self._stop_ms = stop_ms
         self._most_lease_ms = max_lease_ms
         self._gang_wait_ms = gang_wait_ms
-        self._idle_lease_lapses = idle_lease_lapses
         self.mode = "up"
         self.unanswered_ms: list[float] = []
         self._failures_by_task: dict[str, int] = {}
@@ -160,7 +156,6 @@
         self._term = 0
         self._started_ms = self.clock.now_ms()
         self._lease_until_ms = 0.0
-        self._lapsed_lease_ms = 0.0
         self._runs: dict[tuple[str, int], _Run] = {}
         self._fenced_run_by_task: dict[str, int] = {}
         self._ended: list[EndedTask] = []
@@ -181,20 +176,12 @@
             await self.clock.sleep_ms(TICK_MS)
             if self.mode in ("dead", "gone"):
                 continue
-            if self.clock_ms() > self._lease_until_ms:
-                self._lapse()
+            if self._runs and self.clock_ms() > self._lease_until_ms:
+                for run in list(self._runs.values()):
+                    self.end(run, "lapsed")
             for run in list(self._runs.values()):
                 self._advance(run)
 
-    def _lapse(self) -> None:
-        """End all runs after the lease expired, and record the lapse once per lease."""
-        idle_lapse = self._idle_lease_lapses and self._lapsed_lease_ms < self._lease_until_ms
-        if self._runs or idle_lapse:
-            self._lapsed_lease_ms = self._lease_until_ms
-            self.journal.record("lease_lapsed", runner=self.listed.id, runs=len(self._runs))
-        for run in list(self._runs.values()):
-            self.end(run, "lapsed")
-
     def _advance(self, run: _Run) -> None:
         now_ms = self.clock.now_ms()
         if not run.working:
--- a/packages/standins/carawayroute_standins/fleet/world.py
+++ b/packages/standins/carawayroute_standins/fleet/world.py
@@ -50,7 +50,6 @@
 
     :param formats: format of the configuration and the runners in the store.
     :param list_runner: encodes a runner's listing in that format.
-    :param idle_lease_lapses: see `TaskRunner`; applies to all runners.
     :ivar unreachable_peers: instances without connections to their peers.
     """
 
@@ -62,14 +61,12 @@
         instances: int = 3,
         racks: int = 2,
         runners_per_rack: int = 4,
-        idle_lease_lapses: bool = False,
     ) -> None:
         self.clock = Clock(wall_offset_ms=1_000_000.0)
         self.journal = Journal(self.clock)
         self.store = TopicStore(self.clock)
         self.formats = formats
         self._list_runner = list_runner
-        self._idle_lease_lapses = idle_lease_lapses
         self.gangs = GangRegistry()
         self.tasks = TaskGroup()
         self.unreachable_peers: set[str] = set()
@@ -95,7 +92,6 @@
             self.gangs,
             stop_ms=STOP_MS,
             max_lease_ms=MAX_LEASE_MS,
-            idle_lease_lapses=self._idle_lease_lapses,
             **options,
         )
         self.runners_by_id[name] = runner
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -159,9 +159,11 @@
     """
     journal = Journal(Clock())
     for what, runner, run in entries:
-        fields: dict[str, object] = {"runner": runner}
-        if what != "lease_lapsed":
-            fields.update(task="0000000000000001.0.0.0", run=run)
+        fields: dict[str, object] = {
+            "runner": runner,
+            "task": "0000000000000001.0.0.0",
+            "run": run,
+        }
         if what in ("task_ended", "end_acknowledged"):
             fields["outcome"] = "done"
         journal.entries.append(JournalEntry(0.0, what, fields))
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -556,7 +556,7 @@
 
 
 STARTED, ENDED = ("task_started", "w1", 1), ("task_ended", "w1", 1)
-LAPSED, ACKNOWLEDGED = ("lease_lapsed", "w1", 0), ("end_acknowledged", "w1", 1)
+ACKNOWLEDGED = ("end_acknowledged", "w1", 1)
 STARTED_AGAIN = ("task_started", "w2", 2)
 
 
@@ -564,41 +564,16 @@
     "entries, count",
     [
         ((STARTED, ENDED, STARTED_AGAIN), 0),
+        ((STARTED, ENDED, ACKNOWLEDGED), 0),
         ((STARTED, ENDED, STARTED_AGAIN, ACKNOWLEDGED), 1),
-        ((STARTED, ENDED, LAPSED, STARTED_AGAIN, ACKNOWLEDGED), 0),
-        ((STARTED, ENDED, STARTED_AGAIN, LAPSED, ACKNOWLEDGED), 0),
-        ((STARTED, LAPSED, ENDED, STARTED_AGAIN, ACKNOWLEDGED), 1),
-        ((STARTED, ENDED, STARTED_AGAIN, ACKNOWLEDGED, LAPSED), 1),
-        ((STARTED, ENDED, ("lease_lapsed", "w2", 0), STARTED_AGAIN, ACKNOWLEDGED), 1),
         ((STARTED, ENDED, ACKNOWLEDGED, STARTED_AGAIN), 1),
-        ((STARTED, ENDED, ACKNOWLEDGED, LAPSED, STARTED_AGAIN), 1),
-        ((STARTED, ENDED, LAPSED, ACKNOWLEDGED, STARTED_AGAIN), 1),
+        ((STARTED, STARTED_AGAIN, ENDED, ACKNOWLEDGED), 1),
     ],
 )
 def test_judge_finds_starts_after_an_end_that_is_acknowledged_then_or_later(entries, count):
     assert len(find_violations(journal_of(*entries))) == count
 
 
-@pytest.mark.parametrize("idle_lease_lapses", [False, True])
-@pytest.mark.parametrize("run_ms, outcome", [(2_000, "done"), (60_000, "lapsed")])
-def test_emulator_records_the_lapse_of_a_lease_once(run_ms, outcome, idle_lease_lapses):
-    async def scenario(fleet):
-        await fleet.submit(job(ID.format(1), run_ms=run_ms), NORMAL, OWNER)
-        await fleet.wait_until(lambda: starts(fleet.journal, ID.format(1)), 1_000, "a start")
-        fleet.runners_by_id["w1"].mode = "cut"
-        await fleet.clock.sleep_ms(15_000)
-        assert fleet.journal.all("task_ended")[0].fields["outcome"] == outcome
-        lapses = [entry.fields["runs"] for entry in fleet.journal.all("lease_lapsed")]
-        expected = [1] if outcome == "lapsed" else [0] if idle_lease_lapses else []
-        assert lapses == expected
-
-    options = {"racks": 1, "runners_per_rack": 1, "idle_lease_lapses": idle_lease_lapses}
-    run_scenario(scenario, **options)
-
-
-BOTH_READINGS = pytest.mark.parametrize(
-    "idle_lease_lapses", [False, True], ids=["idle_lease_stands", "idle_lease_lapses"]
-)
 SECOND_RUN = pytest.mark.parametrize("second_run", ["running", "ended"])
 
 
@@ -638,11 +613,8 @@
     ]
 
 
-@BOTH_READINGS
 @SECOND_RUN
-def test_end_on_a_runner_out_of_reach_is_not_acknowledged_after_its_task_restarted(
-    second_run, idle_lease_lapses
-):
+def test_end_on_a_runner_out_of_reach_is_not_acknowledged_after_its_task_restarted(second_run):
     async def scenario(fleet):
         holder = await cut_holder_off(fleet, ID.format(1))
         await wait_second_start(fleet, ID.format(1), second_run)
@@ -650,14 +622,11 @@
         await fleet.clock.sleep_ms(6_000)
         assert await fleet.state(ID.format(1)) == "completed"
 
-    run_scenario(scenario, idle_lease_lapses=idle_lease_lapses)
+    run_scenario(scenario)
 
 
-@BOTH_READINGS
 @SECOND_RUN
-def test_end_on_an_unlisted_runner_is_not_acknowledged_after_its_task_restarted(
-    second_run, idle_lease_lapses
-):
+def test_end_on_an_unlisted_runner_is_not_acknowledged_after_its_task_restarted(second_run):
     async def scenario(fleet):
         holder = await cut_holder_off(fleet, ID.format(1))
         fleet.unlist(holder.listed.id)
@@ -667,14 +636,11 @@
         await fleet.clock.sleep_ms(6_000)
         assert await fleet.state(ID.format(1)) == "completed"
 
-    run_scenario(scenario, idle_lease_lapses=idle_lease_lapses)
+    run_scenario(scenario)
 
 
-@BOTH_READINGS
 @SECOND_RUN
-def test_next_planner_does_not_acknowledge_an_end_older_than_the_second_start(
-    second_run, idle_lease_lapses
-):
+def test_next_planner_does_not_acknowledge_an_end_older_than_the_second_start(second_run):
     async def scenario(fleet):
         holder = await cut_holder_off(fleet, ID.format(1))
         await wait_second_start(fleet, ID.format(1), second_run)
@@ -685,13 +651,10 @@
         await fleet.clock.sleep_ms(6_000)
         assert await fleet.state(ID.format(1)) == "completed"
 
-    run_scenario(scenario, idle_lease_lapses=idle_lease_lapses)
-
+    run_scenario(scenario)
 
-@BOTH_READINGS
-def test_runner_whose_lease_lapsed_under_other_work_is_used_again(idle_lease_lapses):
-    """The end `lapsed` has a higher number than the end as done, so both can be acknowledged."""
 
+def test_lapsed_end_does_not_release_an_earlier_end_that_must_not_be_acknowledged():
     async def scenario(fleet):
         await fleet.submit(job(ID.format(2), run_ms=12_000), NORMAL, OWNER)
         holder = await cut_holder_off(fleet, ID.format(1))
@@ -705,29 +668,28 @@
         outcomes = [entry.fields["outcome"] for entry in fleet.journal.all("task_ended")]
         assert outcomes == ["done", "lapsed"]
         holder.mode = "up"
-        await fleet.wait_until(
-            lambda: len(ends_acknowledged(fleet, "w1")) == 2, 6_000, "both ends are acknowledged"
-        )
         await fleet.wait_state(ID.format(1), "completed", 5_000)
+        await fleet.wait_state(ID.format(2), "completed", 15_000)
+        assert ends_acknowledged(fleet, "w1") == []
+        # The restarted process knows nothing of the end, so the runner is used again.
+        holder.restart_empty()
         fleet.list("w2", draining=True)
-        await fleet.clock.sleep_ms(400)
+        await fleet.clock.sleep_ms(2_000)
         await fleet.submit(job(ID.format(3)), NORMAL, OWNER)
         await fleet.wait_state(ID.format(3), "completed", 8_000)
         assert fleet.journal.all("task_started")[-1].fields["runner"] == "w1"
         await fleet.wait_until(
-            lambda: ID.format(3) + ".0.0.0" in ends_acknowledged(fleet, "w1"),
+            lambda: ends_acknowledged(fleet, "w1") == [ID.format(3) + ".0.0.0"],
             2_000,
             "the later end is acknowledged",
         )
-        await fleet.wait_state(ID.format(2), "completed", 15_000)
 
-    run_scenario(scenario, racks=1, runners_per_rack=1, idle_lease_lapses=idle_lease_lapses)
+    run_scenario(scenario, racks=1, runners_per_rack=1)
 
 
-@BOTH_READINGS
 @SECOND_RUN
 def test_end_of_a_preempted_run_out_of_reach_is_not_acknowledged_after_its_task_restarted(
-    second_run, idle_lease_lapses
+    second_run,
 ):
     async def scenario(fleet):
         batch = job(ID.format(1), [step(1, 8)], BATCH, OTHER, 2_000)
@@ -752,29 +714,26 @@
         for number in (1, 2):
             assert await fleet.state(ID.format(number)) == "completed"
 
-    run_scenario(scenario, racks=1, runners_per_rack=1, idle_lease_lapses=idle_lease_lapses)
+    run_scenario(scenario, racks=1, runners_per_rack=1)
 
 
-@BOTH_READINGS
 @pytest.mark.parametrize("cut_ms", [3_000, 7_500])
-def test_end_on_a_runner_back_within_its_lease_is_taken(cut_ms, idle_lease_lapses):
+def test_end_on_a_runner_back_within_its_lease_is_taken(cut_ms):
     async def scenario(fleet):
         holder = await cut_holder_off(fleet, ID.format(1))
         await fleet.clock.sleep_ms(cut_ms)
         assert fleet.journal.all("task_ended")[0].fields["outcome"] == "done"
-        assert fleet.journal.all("lease_lapsed") == []
         holder.mode = "up"
         await fleet.wait_state(ID.format(1), "completed", 2_000)
         await fleet.clock.sleep_ms(6_000)
         assert len(starts(fleet.journal, ID.format(1))) == 1
         assert ends_acknowledged(fleet, holder.listed.id) == [ID.format(1) + ".0.0.0"]
 
-    run_scenario(scenario, idle_lease_lapses=idle_lease_lapses)
+    run_scenario(scenario)
 
 
-@BOTH_READINGS
 @SECOND_RUN
-def test_later_job_completes_beside_an_end_that_is_not_acknowledged(second_run, idle_lease_lapses):
+def test_later_job_completes_beside_an_end_that_is_not_acknowledged(second_run):
     async def scenario(fleet):
         holder = await cut_holder_off(fleet, ID.format(1))
         await wait_second_start(fleet, ID.format(1), second_run)
@@ -798,7 +757,7 @@
         }
         assert done_elsewhere <= acknowledged
 
-    run_scenario(scenario, idle_lease_lapses=idle_lease_lapses)
+    run_scenario(scenario)
 
 
 def test_orders_to_a_silent_runner_leave_it_free_connections():
