List three tests of ends that are told before they are on record

Cause: the planner's instance answers a caller from its memory, where a task's end is known before the progress record is stored; a cancellation in between is answered without a record, or read back.

--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -510,3 +510,67 @@
         assert abs(second.speeds.speed("w1") - learnt) < 0.02
 
     run_scenario(scenario)
+
+
+async def end_task_while_planner_cannot_store(fleet) -> str:
+    """Run job 1 to its end with the planner's instance cut off from the store; return its name."""
+    await fleet.submit(job(ID.format(1), run_ms=1_000), NORMAL, OWNER)
+    await fleet.clock.sleep_ms(900)
+    planner = fleet.planner_name()
+    fleet.store.refused_instances.add(planner)
+    fleet.unreachable_peers.add(planner)
+    node = fleet.nodes_by_name[planner]
+    await fleet.wait_until(
+        lambda: node.job_table.jobs_by_id[ID.format(1)].completed, 500, "the end is reported"
+    )
+    return planner
+
+
+def test_end_is_not_told_before_it_is_stored():
+    """The planner's instance told `completed`, was stopped, and the next one told `running`.
+
+    Found by the soak, seeds 1 and 2.
+    """
+
+    async def scenario(fleet):
+        planner = await end_task_while_planner_cannot_store(fleet)
+        told = [await fleet.state(ID.format(1), at=planner) for _ in range(3)]
+        assert told == ["running"] * 3
+        await fleet.kill_instance(planner)
+        assert await fleet.state(ID.format(1)) == "running"
+        await fleet.wait_ready()
+        await fleet.wait_state(ID.format(1), "completed", 3_000)
+
+    run_scenario(scenario)
+
+
+def test_cancellation_is_not_answered_without_a_record():
+    """A cancellation was answered as done, and the next planner knew neither it nor the end."""
+
+    async def scenario(fleet):
+        planner = await end_task_while_planner_cannot_store(fleet)
+        with pytest.raises(NotAcceptedError):
+            await fleet.nodes_by_name[planner].service.cancel(ID.format(1), 1_000)
+
+    run_scenario(scenario)
+
+
+def test_cancelled_job_is_not_completed_by_an_end_that_is_stored_later():
+    """Instances told `cancelled`, and `completed` once the planner could store the earlier end."""
+
+    async def scenario(fleet):
+        planner = await end_task_while_planner_cannot_store(fleet)
+        other = next(name for name in fleet.nodes_by_name if name != planner)
+        await fleet.nodes_by_name[other].service.cancel(ID.format(1), 1_000)
+        await fleet.clock.sleep_ms(100)
+        assert await fleet.state(ID.format(1), at=other) == "cancelled"
+        fleet.store.refused_instances.clear()
+        fleet.unreachable_peers.clear()
+        await fleet.clock.sleep_ms(1_500)
+        assert fleet.planner_name() == planner
+        fleet.start_instance("n4")
+        await fleet.wait_ready()
+        for name in fleet.nodes_by_name:
+            assert await fleet.state(ID.format(1), at=name) == "cancelled"
+
+    run_scenario(scenario)
