Tell callers of a job's end only from the records in the store

The planner's instance told completed, was stopped or cut off from the store, and the next planner told running. A cancellation in between was answered as done without a record. Cause: the state that callers see came from the planner's memory, where an end is known before its progress record is stored. Change: each job keeps its final state as read from the log (Job.stored_end); callers are told a final state, and a cancellation is skipped, only by it. The planner's instance takes it from its own progress records, which it reads back but otherwise ignores; its decisions go on from memory. A job whose end is not stored is not purged. Why it works: all instances tell ends from the same log, and the store keeps what it has confirmed.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -191,11 +191,11 @@
         :raises StateUnknownError: this instance cannot read the state now.
         """
         job = await self._find(job_id, wait_ms)
-        if not job.closed:
+        if not job.stored_end:
             await self._refresh(job_id)
             # A refresh may replace the job's object.
             job = self._job_table.jobs_by_id.get(job_id, job)
-        return job.state
+        return job.reported_state
 
     async def _refresh(self, job_id: str) -> None:
         """Read the latest records if the state is stale; keep the known state if that fails."""
@@ -211,7 +211,7 @@
             )
 
     async def cancel(self, job_id: str, wait_ms: float) -> None:
-        """Store the cancellation of a job; a job that is already closed is left as it is.
+        """Store the cancellation of a job; a job whose end is stored is left as it is.
 
         :param wait_ms: time until the caller's deadline.
         :raises NoSuchJobError: no such job has been accepted.
@@ -220,11 +220,11 @@
         :raises OutcomeUnknownError: the cancellation may have been stored.
         """
         job = await self._find(job_id, wait_ms)
-        if job.closed:
+        if job.stored_end:
             return
         cancel = pb.Cancel(entry=self._name, at_ms=self._clock.wall_ms())
         await self._write(CANCEL_KEY + job_id, cancel.SerializeToString(), job_id, wait_ms)
-        log.info("job_cancelled", job=job_id, was=job.state)
+        log.info("job_cancelled", job=job_id, was=job.reported_state)
         self._on_stored()
 
     def pending(self, queue: Queue) -> int:
--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -167,6 +167,7 @@
 
     :ivar begun: a runner has started one of its tasks.
     :ivar ended_ms: time at which the job ended, by the instance's own clock.
+    :ivar stored_end: final state according to the records in the store, or an empty string.
     """
 
     __slots__ = (
@@ -178,6 +179,7 @@
         "reason",
         "record",
         "stages_by_key",
+        "stored_end",
     )
 
     def __init__(self, record: pb.Job) -> None:
@@ -188,6 +190,7 @@
         self.failed = False
         self.reason = ""
         self.ended_ms: float | None = None
+        self.stored_end = ""
         self.stages_by_key: dict[tuple[int, int], Stage] = {}
 
     def stage(self, occurrence: int, step: int) -> Stage:
@@ -224,7 +227,7 @@
 
     @property
     def state(self) -> str:
-        """Return the job's state as reported to callers."""
+        """Return the job's state, which at the planner may include an end not stored yet."""
         if self.cancelled:
             return CANCELLED
         if self.failed:
@@ -233,6 +236,22 @@
             return COMPLETED
         return RUNNING if self.started else QUEUED
 
+    @property
+    def reported_state(self) -> str:
+        """Return the job's state as reported to callers: final only if the store has the end."""
+        # An end that is not stored is unknown to the next planner, which may run the task again.
+        return self.stored_end or (RUNNING if self.started else QUEUED)
+
+    def end_in(self, record: pb.Progress) -> str:
+        """Return the final state according to a progress record, empty if the job is open."""
+        if record.failed:
+            return FAILED
+        if record.ended:
+            return COMPLETED if record.completed else CANCELLED
+        if len(record.steps) < self.occurrences * len(self.record.steps):
+            return ""
+        return COMPLETED if all(all(item.done) for item in record.steps) else ""
+
     def open_stages(self, wall_ms: float) -> Iterator[Stage]:
         """Yield the unfinished stages that are due and whose dependencies are finished.
 
@@ -327,11 +346,13 @@
         if kind == CANCEL_KEY:
             if not job.closed:
                 job.cancelled = True
+            job.stored_end = job.stored_end or CANCELLED
         elif kind == PROGRESS_KEY:
             record = pb.Progress.FromString(value)
             job.begun = job.begun or record.begun
             job.failed = record.failed
             job.reason = record.reason
+            self.note_stored_end(job, record)
             for item in record.steps:
                 job.stage(item.occurrence, item.step).apply(item)
             if record.ended:
@@ -341,6 +362,13 @@
         self.close_if_finished(job, now_ms)
         return job
 
+    def note_stored_end(self, job: Job, record: pb.Progress) -> None:
+        """Set a job's final state for callers from a progress record read from the store."""
+        end = job.end_in(record)
+        # In a page of newest records, a cancel that came too late precedes the job's end.
+        if end and (not job.stored_end or end == COMPLETED):
+            job.stored_end = end
+
     def close_if_finished(self, job: Job, now_ms: float) -> None:
         """Remove a job from the open jobs once it is closed and none of its tasks is placed."""
         if job.id not in self.open_by_id or not job.closed:
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -287,6 +287,9 @@
             progress = pb.Progress.FromString(record.value)
             if progress.term == self.planner.term:
                 # The planner's state in memory is newer than the record that it stored.
+                job = self.job_table.jobs_by_id.get(record.key[len(PROGRESS_KEY) :])
+                if job is not None:
+                    self.job_table.note_stored_end(job, progress)
                 return
         try:
             self.job_table.apply(record.offset, record.key, record.value, self.clock.now_ms())
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -668,6 +668,8 @@
         for job in list(self.job_table.jobs_by_id.values()):
             if job.ended_ms is None or now_ms - job.ended_ms < self._settings.retention_ms:
                 continue
+            if not job.stored_end:
+                continue
             records.extend((key, b"") for key in self.job_table.forget(job.id))
             if len(records) >= MAX_RECORDS_PER_PURGE:
                 break
