Tell the end of a job that was stored first, cancelled or completed

Seen: test_cancelled_job_is_not_completed_by_an_end_that_is_stored_later: all instances told cancelled; once the planner could store an end that it had taken before the cancellation, they told completed. Cause: a progress record with completed undid every cancellation, so that in a page of newest records one that came too late has no effect; live records are not told apart from those. Change: the offsets of the two records decide which end counts, in whatever order they are read; the planner's instance tells cancelled too. A job that the planner knows as completed stays so in its decisions. Why it works: the first end in the log's order is the same for all who read it. Exception, not mended: a completed job's progress that is stored again after a late cancellation hides the first record in a page.

--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -311,7 +311,7 @@
         self.open_by_id: dict[str, Job] = {}
         self.offset = 0
         self._offset_by_key: dict[str, int] = {}
-        self._early_records_by_job: dict[str, list[tuple[str, bytes]]] = {}
+        self._early_records_by_job: dict[str, list[tuple[str, int, bytes]]] = {}
 
     def apply(self, offset: int, key: str, value: bytes, now_ms: float) -> Job | None:
         """Apply a record and return the job that it changes.
@@ -326,48 +326,61 @@
             self._drop(kind, job_id)
             return None
         try:
-            return self._apply(kind, job_id, value, now_ms)
+            return self._apply(kind, job_id, offset, value, now_ms)
         except (DecodeError, IndexError) as error:
             raise RecordError(f"record {key} at {offset} cannot be read: {error}") from error
 
-    def _apply(self, kind: str, job_id: str, value: bytes, now_ms: float) -> Job | None:
+    def _apply(
+        self, kind: str, job_id: str, offset: int, value: bytes, now_ms: float
+    ) -> Job | None:
         job = self.jobs_by_id.get(job_id)
         if kind == JOB_KEY:
             if job is None:
                 job = Job(pb.Job.FromString(value))
                 self.jobs_by_id[job_id] = job
                 self.open_by_id[job_id] = job
-                for early_kind, early_value in self._early_records_by_job.pop(job_id, ()):
-                    self._apply(early_kind, job_id, early_value, now_ms)
+                for early_kind, early_offset, early in self._early_records_by_job.pop(job_id, ()):
+                    self._apply(early_kind, job_id, early_offset, early, now_ms)
             return job
         if job is None:
-            self._early_records_by_job.setdefault(job_id, []).append((kind, value))
+            self._early_records_by_job.setdefault(job_id, []).append((kind, offset, value))
             return None
         if kind == CANCEL_KEY:
-            if not job.closed:
+            # In a page of newest records, the job's end may precede an earlier cancel.
+            before_end = offset < self._offset_by_key.get(PROGRESS_KEY + job_id, -1)
+            if not job.closed or before_end:
                 job.cancelled = True
-            job.stored_end = job.stored_end or CANCELLED
+            if not job.stored_end or before_end:
+                job.stored_end = CANCELLED
         elif kind == PROGRESS_KEY:
             record = pb.Progress.FromString(value)
             job.begun = job.begun or record.begun
             job.failed = record.failed
             job.reason = record.reason
-            self.note_stored_end(job, record)
+            if self.note_stored_end(job, offset, record):
+                job.cancelled = job.stored_end == CANCELLED
             for item in record.steps:
                 job.stage(item.occurrence, item.step).apply(item)
             if record.ended:
-                # In a page of newest records, a cancel that came too late precedes the job's end.
-                job.cancelled = job.cancelled and not record.completed
                 self._close(job, now_ms)
         self.close_if_finished(job, now_ms)
         return job
 
-    def note_stored_end(self, job: Job, record: pb.Progress) -> None:
-        """Set a job's final state for callers from a progress record read from the store."""
+    def note_stored_end(self, job: Job, offset: int, record: pb.Progress) -> bool:
+        """Set a job's final state for callers from a progress record read from the store.
+
+        The end that was stored first counts.
+
+        :param offset: offset of the record.
+        :returns: whether the final state was set.
+        """
         end = job.end_in(record)
         # In a page of newest records, a cancel that came too late precedes the job's end.
-        if end and (not job.stored_end or end == COMPLETED):
-            job.stored_end = end
+        late_cancel = offset < self._offset_by_key.get(CANCEL_KEY + job.id, -1)
+        if not end or (job.stored_end and not late_cancel):
+            return False
+        job.stored_end = end
+        return True
 
     def close_if_finished(self, job: Job, now_ms: float) -> None:
         """Remove a job from the open jobs once it is closed and none of its tasks is placed."""
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -289,7 +289,7 @@
                 # The planner's state in memory is newer than the record that it stored.
                 job = self.job_table.jobs_by_id.get(record.key[len(PROGRESS_KEY) :])
                 if job is not None:
-                    self.job_table.note_stored_end(job, progress)
+                    self.job_table.note_stored_end(job, record.offset, progress)
                 return
         try:
             self.job_table.apply(record.offset, record.key, record.value, self.clock.now_ms())
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -1,5 +1,6 @@
 """Tests of the scheduler's decisions and of the job state, without I/O."""
 
+import itertools
 import random
 
 from fleet_builders import (
@@ -338,6 +339,27 @@
     assert states == {("cancelled", (3, 0), b"\x00\x01")}
 
 
+def test_end_that_was_stored_first_is_told_whatever_the_order_of_records():
+    """An instance that was started later told another end than those that read the log."""
+    one = job(ID.format(1))
+    ended = job_table_of(one)
+    stage_of(ended).mark_done(0)
+    ended.close_if_finished(ended.jobs_by_id[one.id], 0.0)
+    progress = ended.jobs_by_id[one.id].to_progress(7).SerializeToString()
+    for cancel_offset, end in ((2, "cancelled"), (4, "completed")):
+        records = [
+            (1, "a/" + one.id, one.SerializeToString()),
+            (3, PROGRESS_KEY + one.id, progress),
+            (cancel_offset, CANCEL_KEY + one.id, b"\x0a\x01n"),
+        ]
+        for shuffled in itertools.permutations(records):
+            other = JobTable()
+            for offset, key, value in shuffled:
+                other.apply(offset, key, value, 0.0)
+            found = other.jobs_by_id[one.id]
+            assert (found.reported_state, found.state, found.closed) == (end, end, True)
+
+
 def test_older_record_of_a_key_is_ignored():
     one = job(ID.format(1))
     job_table = job_table_of(one)
