--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -183,6 +183,7 @@
     :ivar abandoned: runs that were taken as ended although their runners reported no end.
     :ivar begun: a runner has started one of its tasks.
     :ivar ended_ms: time at which the job ended, by the instance's own clock.
+    :ivar stored_end: final state according to the records in the store, or an empty string.
     """
 
     __slots__ = (
@@ -195,6 +196,7 @@
         "reason",
         "record",
         "stages_by_key",
+        "stored_end",
     )
 
     def __init__(self, record: pb.Job) -> None:
@@ -206,6 +208,7 @@
         self.failed = False
         self.reason = ""
         self.ended_ms: float | None = None
+        self.stored_end = ""
         self.stages_by_key: dict[tuple[int, int], Stage] = {}
 
     def stage(self, occurrence: int, step: int) -> Stage:
@@ -265,7 +268,7 @@
 
     @property
     def state(self) -> str:
-        """Return the job's state as reported to callers."""
+        """Return the job's state, which at the planner may include an end not stored yet."""
         if self.cancelled:
             return CANCELLED
         if self.failed:
@@ -274,6 +277,22 @@
             return COMPLETED
         return RUNNING if self.started else QUEUED
 
+    @property
+    def reported_state(self) -> str:
+        """Return the job's state as reported to callers: final only if the store has the end."""
+        # An end that is not stored is unknown to the next planner, which may run the task again.
+        return self.stored_end or (RUNNING if self.started else QUEUED)
+
+    def end_in(self, record: pb.Progress) -> str:
+        """Return the final state according to a progress record, empty if the job is open."""
+        if record.failed:
+            return FAILED
+        if record.ended:
+            return COMPLETED if record.completed else CANCELLED
+        if len(record.steps) < self.occurrences * len(self.record.steps):
+            return ""
+        return COMPLETED if all(all(item.done) for item in record.steps) else ""
+
     def open_stages(self, wall_ms: float) -> Iterator[Stage]:
         """Yield the unfinished stages that are due and whose dependencies are finished.
 
@@ -339,7 +358,7 @@
         self.open_by_id: dict[str, Job] = {}
         self.offset = 0
         self._offset_by_key: dict[str, int] = {}
-        self._early_records_by_job: dict[str, list[tuple[str, bytes]]] = {}
+        self._early_records_by_job: dict[str, list[tuple[str, int, bytes]]] = {}
 
     def apply(self, offset: int, key: str, value: bytes, now_ms: float) -> Job | None:
         """Apply a record and return the job that it changes.
@@ -354,26 +373,32 @@
             self._drop(kind, job_id)
             return None
         try:
-            return self._apply(kind, job_id, value, now_ms)
+            return self._apply(kind, job_id, offset, value, now_ms)
         except (DecodeError, IndexError) as error:
             raise RecordError(f"record {key} at {offset} cannot be read: {error}") from error
 
-    def _apply(self, kind: str, job_id: str, value: bytes, now_ms: float) -> Job | None:
+    def _apply(
+        self, kind: str, job_id: str, offset: int, value: bytes, now_ms: float
+    ) -> Job | None:
         job = self.jobs_by_id.get(job_id)
         if kind == JOB_KEY:
             if job is None:
                 job = Job(pb.Job.FromString(value))
                 self.jobs_by_id[job_id] = job
                 self.open_by_id[job_id] = job
-                for early_kind, early_value in self._early_records_by_job.pop(job_id, ()):
-                    self._apply(early_kind, job_id, early_value, now_ms)
+                for early_kind, early_offset, early in self._early_records_by_job.pop(job_id, ()):
+                    self._apply(early_kind, job_id, early_offset, early, now_ms)
             return job
         if job is None:
-            self._early_records_by_job.setdefault(job_id, []).append((kind, value))
+            self._early_records_by_job.setdefault(job_id, []).append((kind, offset, value))
             return None
         if kind == CANCEL_KEY:
-            if not job.closed:
+            # In a page of newest records, the job's end may precede an earlier cancel.
+            before_end = offset < self._offset_by_key.get(PROGRESS_KEY + job_id, -1)
+            if not job.closed or before_end:
                 job.cancelled = True
+            if not job.stored_end or before_end:
+                job.stored_end = CANCELLED
         elif kind == PROGRESS_KEY:
             record = pb.Progress.FromString(value)
             job.begun = job.begun or record.begun
@@ -382,17 +407,33 @@
             job.abandoned = {
                 (item.occurrence, item.step, item.index, item.run) for item in record.abandoned
             }
+            if self.note_stored_end(job, offset, record):
+                job.cancelled = job.stored_end == CANCELLED
             for item in record.steps:
                 job.stage(item.occurrence, item.step).apply(item)
             if record.ended:
                 # The record of an ended job has no steps; earlier records may have left some.
                 job.stages_by_key.clear()
-                # In a page of newest records, a cancel that came too late precedes the job's end.
-                job.cancelled = job.cancelled and not record.completed
                 self._close(job, now_ms)
         self.close_if_finished(job, now_ms)
         return job
 
+    def note_stored_end(self, job: Job, offset: int, record: pb.Progress) -> bool:
+        """Set a job's final state for callers from a progress record read from the store.
+
+        The end that was stored first counts.
+
+        :param offset: offset of the record.
+        :returns: whether the final state was set.
+        """
+        end = job.end_in(record)
+        # In a page of newest records, a cancel that came too late precedes the job's end.
+        late_cancel = offset < self._offset_by_key.get(CANCEL_KEY + job.id, -1)
+        if not end or (job.stored_end and not late_cancel):
+            return False
+        job.stored_end = end
+        return True
+
     def close_if_finished(self, job: Job, now_ms: float) -> None:
         """Remove a job from the open jobs once it is closed and none of its tasks is placed."""
         if job.id not in self.open_by_id or not job.closed:
