Do not note abandoned runs of steps that last

A task of a step that lasts is started again however it ends, so its older ends never conflict with a new start; noting its runs would only keep a returned runner from getting work.

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -394,8 +394,9 @@
             listed=link is not None and link.listed,
             ends_unacknowledged=link.last_handled - link.acknowledged if link is not None else 0,
         )
-        if run.stage.ordered_runs[run.index] >= run.number:
-            run.stage.job.abandon(run.stage, run.index, run.number)
+        stage = run.stage
+        if stage.ordered_runs[run.index] >= run.number and not stage.step.long_running:
+            stage.job.abandon(stage, run.index, run.number)
         self._end_run(key, run, "lapsed", run.checkpoint)
 
     # ------------------------------------------------------------------ reports
