Never hold a planner's term again that was given up

What callers would see: a task that ended, and whose end was acknowledged, is run once more.

Cause: `step_down` cleared the term, and the answer to the heartbeat, a record of this process, set the same term again. A second planner of that term began, numbered its batches from 0 under the same epoch, and the store took its first batch for a repeat: it answered that the batch was stored and stored nothing. Also, a planner that ended gave up whatever term its process held by then, also a newer one.

Change: a process remembers the highest term that it gave up or lost, and its own records of that term or an older one no longer set the term; a new claim opens a new term. A planner gives up its own term only: `step_down` takes the term.

Why it works: each term has at most one planner in a process, and a process restart changes the holder, so the sequence of batches under one epoch comes from one writer. A process that stepped down waits like the others for its last heartbeat to grow old and then claims a term, which is higher.

--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -32,6 +32,9 @@
     term is the record's offset plus one; it increases with each holder and serves as a fencing
     token. The holder appends heartbeats under the same condition.
 
+    A process never holds a term again that it has given up: a second planner of the term would
+    number its batches from 0 under the same epoch, and the store would take them for repeats.
+
     :param holder: identity of this process, different after each restart.
     :param address: address at which peers reach this instance.
     :param election_delay_ms: extra wait before this instance claims a vacant term.
@@ -55,6 +58,7 @@
         self._newest_offset = -1
         self._newest_seen_ms = 0.0
         self._claim_jitter_ms = random.uniform(0, CLAIM_JITTER_MS)
+        self._given_up_term = 0
         self.term = 0
         self.accelerators = 0
         self.candidate = True
@@ -88,12 +92,15 @@
         self._newest_seen_ms = self._clock.now_ms()
         self._claim_jitter_ms = random.uniform(0, CLAIM_JITTER_MS)
         is_own = leader.instance == self._holder and not leader.resigned
-        self._set_term(self.current_term() if is_own else 0)
+        term = self.current_term()
+        # The answer to a heartbeat may arrive after the term was given up.
+        self._set_term(term if is_own and term > self._given_up_term else 0)
 
     def _set_term(self, term: int) -> None:
         if term == self.term:
             return
         was, self.term = self.term, term
+        self._given_up_term = max(self._given_up_term, was)
         newest = self._newest
         log.info(
             "term_gained" if term else "term_lost",
@@ -103,9 +110,14 @@
         )
         self.changed.set()
 
-    def step_down(self) -> None:
-        """Give up the term, for example because the store or a runner knows a newer one."""
-        self._set_term(0)
+    def step_down(self, term: int) -> None:
+        """Give up a term, for example because the store or a runner knows a newer one.
+
+        :param term: the term to give up; a newer one that this process holds is kept.
+        """
+        self._given_up_term = max(self._given_up_term, term)
+        if self.term <= term:
+            self._set_term(0)
 
     def _may_claim(self) -> bool:
         """Return whether this instance may claim the term now.
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -141,7 +141,7 @@
     :param jobs_follower: follower of the jobs topic, which keeps ``job_table`` up to date.
     :param configuration: returns the current configuration, None until it is loaded.
     :param make_runners_follower: creates the follower of the platform's list of runners.
-    :param on_term_lost: called when the planner is fenced or ends.
+    :param on_term_lost: called with the planner's term when the planner is fenced or ends.
     :param on_capacity: called with the number of accelerators of the usable runners.
     :ivar placing: if false, no scheduling passes are run.
     :ivar given_up_by_evidence: number of runs ended without a reported end.
@@ -159,7 +159,7 @@
         jobs_follower: TopicFollower,
         configuration: Callable[[], Configuration | None],
         make_runners_follower: Callable[["Planner"], TopicFollower],
-        on_term_lost: Callable[[], None],
+        on_term_lost: Callable[[int], None],
         on_capacity: Callable[[int], None],
     ) -> None:
         self.term = term
@@ -212,7 +212,7 @@
             log.warning("planner_fenced", term=self.term, by="store")
         finally:
             # Whatever the reason for ending, the term must be given up.
-            self._on_term_lost()
+            self._on_term_lost(self.term)
             await self._tasks.cancel()
 
     async def _take_over(self) -> None:
@@ -278,7 +278,7 @@
 
     def _on_fenced(self, link: RunnerLink) -> None:
         log.warning("planner_fenced", term=self.term, by=link.runner.id)
-        self._on_term_lost()
+        self._on_term_lost(self.term)
 
     def _on_runner_lost(self, link: RunnerLink) -> None:
         self.runner_health.note_lost(link.runner.id)
@@ -912,7 +912,7 @@
             await self._writer.write(records)
         except StoreFencedError:
             log.warning("planner_fenced", term=self.term, by="store")
-            self._on_term_lost()
+            self._on_term_lost(self.term)
             raise asyncio.CancelledError from None
 
     async def _start(self, placement: Placement, runs: list[Run]) -> None:
