Acknowledge no ends to a process that may be new

What callers would see: a task is done on a runner that has just restarted, and is run once more elsewhere; its end is lost although it was acknowledged.

Cause: a poll sent the number that the old process had reached until an answer showed the new one. Ends are numbered anew in each process, so the first poll acknowledged ends of the new process that the planner had not seen.

Change: a poll acknowledges nothing while the runner is out of reach, or once an order's answer shows a clock that fell back, until a later poll is answered. An answer that was overtaken by a later one is not taken for this: its clock is compared with what the runner may have shown since its request. The link records the clock from all orders' answers, so of stops too, with the time of the request.

Why it works: ends that were acknowledged stay forgotten at the runner, so the number need not be sent again before the process is known; unlike a reset to 0, nothing has to be handled twice.

--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -85,6 +85,7 @@
         self.last_handled = 0
         self.unmatched_ends: list[int] = []
         self._clock_sample: tuple[int, float] | None = None
+        self._clock_fell_back_ms: float | None = None
         self.ends_stored = asyncio.Event()
         self.listed = True
         self.withheld: set[int] = set()
@@ -138,12 +139,21 @@
         """Return whether the runner's lease has expired, so that no task on it can still run."""
         return self._clock.now_ms() > self.lease_expiry_ms
 
-    def sample_clock(self, clock_ms: int) -> None:
+    def _sample_clock(self, clock_ms: int, sent_ms: float) -> None:
         """Record the runner's clock as of now.
 
-        :param clock_ms: time on the runner's clock.
+        :param clock_ms: time on the runner's clock in an answer.
+        :param sent_ms: clock time at which the request was sent.
         """
-        self._clock_sample = (clock_ms, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        if self._clock_sample is not None:
+            sampled_ms, at_ms = self._clock_sample
+            # Answers may overtake each other, but none is older than its request.
+            overtaken_ms = max(0.0, at_ms - sent_ms) * (1 + 2 * MAX_CLOCK_DRIFT)
+            if clock_ms + overtaken_ms < sampled_ms:
+                log.warning("runner_clock_fell_back", runner=self.runner.id, clock_ms=clock_ms)
+                self._clock_fell_back_ms = now_ms
+        self._clock_sample = (clock_ms, now_ms)
 
     def withhold(self, number: int) -> None:
         """Exclude an end and all later ones from acknowledgement."""
@@ -175,6 +185,8 @@
     ) -> int | None:
         """Send an order to the runner once it may get one more.
 
+        The runner's clock is recorded from the answer.
+
         :param order: sends the order and returns the runner's clock in ms.
         :param is_needed: checked when the order's turn has come.
         :return: the runner's clock in ms, ``None`` if the order is no longer needed.
@@ -183,8 +195,10 @@
         async with self._order_limiter.admit():
             if not is_needed():
                 return None
+            sent_ms = self._clock.now_ms()
             clock_ms = await order()
             self._order_limiter.note_answer()
+            self._sample_clock(clock_ms, sent_ms)
             return clock_ms
 
     async def run(self) -> None:
@@ -216,9 +230,12 @@
         # The lease of an unreachable runner is not renewed, as its tasks can only be rescheduled
         # after it expires.
         lease_until_ms = self.lease_until_ms() if self.reachable else 0
+        # The process may be a new one, whose ends have the numbers of those acknowledged before.
+        confirmed = self.reachable and self._clock_fell_back_ms is None
+        acknowledged = self.acknowledged if confirmed else 0
         try:
             report = await self._runner_client.hold(
-                self.runner, self._term, self.acknowledged, lease_until_ms, wait_ms
+                self.runner, self._term, acknowledged, lease_until_ms, wait_ms
             )
         except RunnerRefusedError as error:
             if error.reason == "fence":
@@ -228,7 +245,9 @@
         except RunnerError as error:
             self._handle_failure(error)
             return
-        self.sample_clock(report.clock_ms)
+        self._sample_clock(report.clock_ms, sent_ms)
+        if self._clock_fell_back_ms is not None and sent_ms >= self._clock_fell_back_ms:
+            self._clock_fell_back_ms = None
         self._refused_polls = 0
         if not self.reachable:
             log.info("runner_reached", runner=self.runner.id, clock_ms=report.clock_ms)
@@ -241,6 +260,7 @@
             self.last_handled = 0
             self.unmatched_ends.clear()
             self.withheld.clear()
+            self._clock_fell_back_ms = None
         self.boot_ms = report.boot_ms
         self._on_report(self, report, sent_ms)
 
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -989,7 +989,6 @@
                 self.runner_health.note_refusal(run.runner, error.reason)
                 self._fail_start(run, error.reason, certain=not unanswered)
                 return
-            link.sample_clock(clock_ms)
             run.acknowledged_ms = self._clock.now_ms()
             run.started_ms = run.acknowledged_ms
             stage.job.begun = True
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -1,5 +1,7 @@
 """Tests of a whole fleet in virtual time, checked against the runners' journal."""
 
+import asyncio
+
 import pytest
 from fleet_builders import (
     BATCH,
@@ -15,8 +17,12 @@
 )
 from structlog.testing import capture_logs
 
+from carawayroute.clock import Clock
 from carawayroute.fleet.entry import NoSuchJobError, NotAcceptedError
+from carawayroute.fleet.links import RunnerLink
+from carawayroute.fleet.types import EndedTask, RunnerReport
 from carawayroute_standins.fleet.judge import find_violations, starts
+from carawayroute_standins.fleet.taskrunner import make_runner
 from carawayroute_standins.virtual import run_virtual
 
 ID = "00000000000000{:02x}"
@@ -824,3 +830,120 @@
         assert 0 < len(silent.unanswered_ms) < runner_connections
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("reset_ms", [210, 360, 540])
+def test_end_on_a_restarted_runner_is_not_acknowledged_unseen(reset_ms):
+    """The first poll of a new process acknowledged as many ends as the old one had reported."""
+
+    async def scenario(fleet):
+        for number in range(4):
+            await fleet.submit(job(ID.format(number), run_ms=200), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(2_000)
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        assert planner.links_by_id["w1"].acknowledged > 0
+        await fleet.submit(job(ID.format(9), run_ms=20), NORMAL, OWNER)
+        await fleet.wait_until(lambda: planner.runs_by_key, 1_000, "a placement")
+        runner = fleet.runners_by_id["w1"]
+        runner.mode = "resetting"
+        await fleet.clock.sleep_ms(reset_ms)
+        runner.restart_empty()
+        runner.mode = "up"
+        await fleet.wait_state(ID.format(9), "completed", 5_000)
+        assert len(starts(fleet.journal, ID.format(9))) == 1
+
+    run_scenario(scenario, racks=1, runners_per_rack=1)
+
+
+class ScriptedRunner:
+    """A runner client whose polls are answered by the test, in any order.
+
+    :ivar polls: for each unanswered poll, the number that it acknowledges and its answer.
+    """
+
+    def __init__(self) -> None:
+        self.polls: list[tuple[int, asyncio.Future]] = []
+
+    async def hold(self, runner, term, acknowledged, lease_until_ms, wait_ms):
+        answer = asyncio.get_running_loop().create_future()
+        self.polls.append((acknowledged, answer))
+        return await answer
+
+
+def run_link(scenario):
+    """Run a scenario on a link that acknowledges each report's ends, with a scripted runner."""
+
+    def on_report(link, report, sent_ms):
+        last = max((ended.number for ended in report.ended), default=0)
+        link.last_handled = max(link.last_handled, last)
+        link.acknowledge_through(last)
+
+    async def run():
+        clock = Clock(wall_offset_ms=0.0)
+        client = ScriptedRunner()
+        link = RunnerLink(
+            make_runner("w1", "r1-0"),
+            1,
+            client,
+            clock,
+            8_000,
+            0.0,
+            on_report,
+            lambda link: None,
+            lambda link: None,
+        )
+        task = asyncio.ensure_future(link.run())
+        try:
+            await clock.sleep_ms(1)
+            await scenario(link, client, clock)
+        finally:
+            task.cancel()
+
+    run_virtual(run())
+
+
+def report_of(clock_ms, boot_ms, *ends):
+    """Return a report of ends as done, by number."""
+    ended = [EndedTask(number, f"{ID.format(number)}.0.0.0", 1, "done", "") for number in ends]
+    return RunnerReport(clock_ms, boot_ms, [], ended)
+
+
+def test_order_answered_by_a_new_process_stops_acknowledgements():
+    """A runner that restarts between two polls is first noticed by the clock in its answers."""
+
+    async def scenario(link, client, clock):
+        async def order():
+            return 10
+
+        client.polls.pop()[1].set_result(report_of(5_000, 1, 7))
+        await clock.sleep_ms(1)
+        assert client.polls.pop()[0] == 7
+        await link.send_order(order, lambda: True)
+        renewed = asyncio.ensure_future(link.poll_now())
+        await clock.sleep_ms(20)
+        acknowledged, answer = client.polls.pop()
+        assert acknowledged == 0
+        answer.set_result(report_of(30, 2, 1))
+        await renewed
+        assert link.acknowledged == 1
+
+    run_link(scenario)
+
+
+def test_answers_in_another_order_do_not_stop_acknowledgements():
+    """An order's answer that is overtaken by a report shows an older clock of the same process."""
+
+    async def scenario(link, client, clock):
+        async def order():
+            await clock.sleep_ms(400)
+            return 4_600
+
+        order_sent = asyncio.ensure_future(link.send_order(order, lambda: True))
+        await clock.sleep_ms(390)
+        client.polls.pop()[1].set_result(report_of(4_980, 1, 7))
+        await order_sent
+        asyncio.ensure_future(link.poll_now())
+        await clock.sleep_ms(20)
+        assert [acknowledged for acknowledged, _ in client.polls] == [7, 7]
+
+    run_link(scenario)
