Drop a report of a runner's process that has been replaced

What callers would see: as with an end that is acknowledged unseen: a task that is done on a runner that has just restarted is run once more.

Cause: two polls may be under way at once. A report of the old process that arrived after one of the new process was compared with the boot_ms known when its poll was sent, and so made the link go back to the old process and its numbers of ends, which the next poll acknowledged to the new one.

Change: a report with an earlier boot_ms is dropped if boot_ms changed while its poll was under way.

Measured: the new tests found (boot_ms, last_handled, acknowledged) at (1, 7, 7) instead of (2, 1, 1), with and without a report of the old process before; both hold now. A third test, which passed before, keeps a new process whose wall clock was set back from being ignored. The four test files: 171 passed.

Why it works: a poll sent after the new process was seen cannot reach the old one; a poll sent before can, and only its answer is dropped. What the old process ran or ended is given up as it was lost.

--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -245,6 +245,11 @@
         except RunnerError as error:
             self._handle_failure(error)
             return
+        if self.boot_ms != boot_ms and report.boot_ms < self.boot_ms:
+            # A new process has reported since this poll was sent. Without such a report an earlier
+            # boot_ms shows a wall clock that was set back.
+            log.info("late_report_dropped", runner=self.runner.id, boot_ms=report.boot_ms)
+            return
         self._sample_clock(report.clock_ms, sent_ms)
         if self._clock_fell_back_ms is not None and sent_ms >= self._clock_fell_back_ms:
             self._clock_fell_back_ms = None
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -947,3 +947,37 @@
         assert [acknowledged for acknowledged, _ in client.polls] == [7, 7]
 
     run_link(scenario)
+
+
+@pytest.mark.parametrize("known_before", [False, True])
+def test_late_report_of_the_old_process_is_dropped(known_before):
+    """A report that arrives after one of the new process was taken for that of a third one."""
+
+    async def scenario(link, client, clock):
+        if known_before:
+            client.polls.pop()[1].set_result(report_of(1_000, 1))
+            await clock.sleep_ms(1)
+        _, late = client.polls.pop()
+        renewed = asyncio.ensure_future(link.poll_now())
+        await clock.sleep_ms(20)
+        client.polls.pop()[1].set_result(report_of(10, 2, 1))
+        await renewed
+        late.set_result(report_of(5_000, 1, 7))
+        await clock.sleep_ms(1)
+        assert (link.boot_ms, link.last_handled, link.acknowledged) == (2, 1, 1)
+        assert client.polls.pop()[0] in (0, 1)
+
+    run_link(scenario)
+
+
+def test_new_process_with_an_earlier_wall_clock_is_followed():
+    """A wall clock that is set back during a restart must not hide the new process."""
+
+    async def scenario(link, client, clock):
+        client.polls.pop()[1].set_result(report_of(1_000, 2, 7))
+        await clock.sleep_ms(1)
+        client.polls.pop()[1].set_result(report_of(10, 1, 1))
+        await clock.sleep_ms(1)
+        assert (link.boot_ms, link.acknowledged) == (1, 1)
+
+    run_link(scenario)
