Allow for the longest lease after a runner's restart

What callers would see: a task runs twice at once, and both runs may end as done.

Cause: a start sent while a runner restarts carries a lease end on the old process's clock, minutes ahead of the new one's. The new process cuts it to the longest lease that it accepts, while the planner reckoned with the usual one, and so started the task elsewhere while it still ran.

Change: when the runner's clock falls back or its boot_ms changes, the lease expires for the planner no earlier than the longest lease from then. The bound for inherited leases is used for this; it is now in PlannerSettings.

Measured: the new test, a runner that is cut off right after such a start (resets of 0, 120 and 240 ms), found "runs twice: (1, 'w2') and 2" in all three cases; all hold now. The four test files: 174 passed.

Why it works: such a lease was granted before the answer that shows the new process, so it ends before the bound counted from that answer. Not covered: a start on the old clock that is carried out after this answer, or whose answer is lost before the runner is cut off.

--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -37,6 +37,8 @@
 
     :param term: the planner's term, sent with each request as a fencing token.
     :param lease_ms: duration of the lease that each poll requests.
+    :param lease_bound_ms: time by this instance's clock within which the longest lease that a
+        runner accepts has certainly expired.
     :param initial_lease_expiry_ms: clock time by which every lease from an earlier planner has
         certainly expired.
     :param on_report: called with each report and the clock time at which its poll was sent.
@@ -59,6 +61,7 @@
         runner_client: RunnerClient,
         clock: Clock,
         lease_ms: int,
+        lease_bound_ms: float,
         initial_lease_expiry_ms: float,
         on_report: Callable[["RunnerLink", RunnerReport, float], None],
         on_fenced: Callable[["RunnerLink"], None],
@@ -69,6 +72,7 @@
         self._runner_client = runner_client
         self._clock = clock
         self._lease_ms = lease_ms
+        self._lease_bound_ms = lease_bound_ms
         self._on_report = on_report
         self._on_fenced = on_fenced
         self._on_unreachable = on_unreachable
@@ -153,8 +157,15 @@
             if clock_ms + overtaken_ms < sampled_ms:
                 log.warning("runner_clock_fell_back", runner=self.runner.id, clock_ms=clock_ms)
                 self._clock_fell_back_ms = now_ms
+                self._extend_lease_expiry()
         self._clock_sample = (clock_ms, now_ms)
 
+    def _extend_lease_expiry(self) -> None:
+        """Allow for the longest lease, as a new process may have been sent one on the old clock."""
+        self.lease_expiry_ms = max(
+            self.lease_expiry_ms, self._clock.now_ms() + self._lease_bound_ms
+        )
+
     def withhold(self, number: int) -> None:
         """Exclude an end and all later ones from acknowledgement."""
         self.withheld.add(number)
@@ -266,6 +277,7 @@
             self.unmatched_ends.clear()
             self.withheld.clear()
             self._clock_fell_back_ms = None
+            self._extend_lease_expiry()
         self.boot_ms = report.boot_ms
         self._on_report(self, report, sent_ms)
 
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -134,6 +134,11 @@
         self.max_lease_ms = max_lease_ms
         self.stop_ms = stop_ms
 
+    @property
+    def lease_bound_ms(self) -> float:
+        """Return the time within which the longest lease has certainly expired."""
+        return self.max_lease_ms * 1.04 + 500
+
 
 class Planner:
     """The planner of the whole fleet for one term.
@@ -284,7 +289,7 @@
         self.runner_health.note_lost(link.runner.id)
 
     def _inherited_lease_expiry_ms(self) -> float:
-        return self._term_start_ms + self._settings.max_lease_ms * 1.04 + 500
+        return self._term_start_ms + self._settings.lease_bound_ms
 
     # ------------------------------------------------------------------ runners
 
@@ -309,6 +314,7 @@
             self._orders,
             self._clock,
             self._settings.lease_ms,
+            self._settings.lease_bound_ms,
             max(inherited_expiry_ms, removed_expiry_ms),
             self._apply_report,
             self._on_fenced,
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -887,6 +887,7 @@
             client,
             clock,
             8_000,
+            10_900.0,
             0.0,
             on_report,
             lambda link: None,
@@ -981,3 +982,31 @@
         assert (link.boot_ms, link.acknowledged) == (1, 1)
 
     run_link(scenario)
+
+
+@pytest.mark.parametrize("reset_ms", [0, 120, 240])
+def test_task_on_a_restarted_runner_is_not_restarted_within_the_longest_lease(reset_ms):
+    """A lease reckoned by the old process's clock is cut to the longest one by the new process."""
+
+    async def scenario(fleet):
+        await fleet.clock.sleep_ms(30_000)
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        await fleet.submit(job(ID.format(9), run_ms=30_000), NORMAL, OWNER)
+        await fleet.wait_until(lambda: planner.runs_by_key, 1_000, "a placement")
+        name = next(iter(planner.runs_by_key.values())).runner
+        runner = fleet.runners_by_id[name]
+        runner.mode = "resetting"
+        await fleet.clock.sleep_ms(reset_ms)
+        runner.restart_empty()
+        runner.mode = "up"
+        before = len(starts(fleet.journal, ID.format(9)))
+        await fleet.wait_until(
+            lambda: len(starts(fleet.journal, ID.format(9))) > before, 3_000, "a start"
+        )
+        assert fleet.journal.all("task_started")[-1].fields["runner"] == name
+        runner.mode = "cut"
+        await fleet.wait_until(
+            lambda: len(starts(fleet.journal, ID.format(9))) > before + 1, 14_000, "another start"
+        )
+
+    run_scenario(scenario)
