Retry a stop that the runner refused

What callers would see: a task runs twice at once, after a start without an answer and a stop that an overloaded runner refused.

Cause: any refusal of a stop but that for the fence was taken as an answer. From then on a report without the run ended it, although the start could still be carried out: a refused stop does not keep the runner from starting the run later.

Change: a refused stop is waited out and sent again like one without an answer.

Measured: the new test (a start that is carried out after 4 s, stops refused for 3 s as unhealthy, invalid or boot) saw two starts instead of one for each reason; one now.

Why it works: a run that is withdrawn ends by a report only if the report was asked for after a stop that was carried out; from that stop on the runner refuses the start.

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -79,7 +79,7 @@
 class Run:
     """The planner's state of one run of a task.
 
-    :ivar acknowledged_ms: time at which the runner answered the last start or stop request. Only
+    :ivar acknowledged_ms: time at which the runner carried out the last start or stop request. Only
         polls sent later show whether the run exists.
     :ivar withdrawn: reason why the planner stops the run, or an empty string.
     :ivar progress_ms: time of the last poll that showed a new percentage.
@@ -668,11 +668,11 @@
                 )
                 if answer is None:
                     continue
-            except RunnerRefusedError as error:
-                if error.reason == "fence":
+            except RunnerError as error:
+                if isinstance(error, RunnerRefusedError) and error.reason == "fence":
                     self._on_fenced(link)
                     return
-            except RunnerError as error:
+                # A refused stop had no effect: a start may still be carried out late.
                 log.info("stop_unanswered", task=key[0], runner=run.runner, error=str(error))
                 await self._clock.sleep_ms(backoff.next_ms())
                 continue
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -1,6 +1,7 @@
 """Tests of a whole fleet in virtual time, checked against the runners' journal."""
 
 import asyncio
+import contextlib
 
 import pytest
 from fleet_builders import (
@@ -19,6 +20,7 @@
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.entry import NoSuchJobError, NotAcceptedError
+from carawayroute.fleet.exceptions import RunnerRefusedError, RunnerUnansweredError
 from carawayroute.fleet.links import RunnerLink
 from carawayroute.fleet.types import EndedTask, RunnerReport
 from carawayroute_standins.fleet.judge import find_violations, starts
@@ -1010,3 +1012,40 @@
         )
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("reason", ["unhealthy", "invalid", "boot"])
+def test_refused_stop_does_not_end_a_run_that_may_still_start(reason):
+    """A refused stop was taken as answered, so the next report ended a run not yet started."""
+
+    async def scenario(fleet):
+        client = fleet.runner_clients_by_name[fleet.planner_name()]
+        start, stop = client.start, client.stop
+        refused_until_ms = fleet.clock.now_ms() + 3_000
+        late_starts = []
+
+        async def start_late(*arguments):
+            await fleet.clock.sleep_ms(4_000)
+            with contextlib.suppress(RunnerRefusedError):
+                await start(*arguments)
+
+        async def lose_start(runner, term, task, run, *rest):
+            if run > 1:
+                return await start(runner, term, task, run, *rest)
+            if not late_starts:
+                late_starts.append(task)
+                fleet.tasks.start(start_late(runner, term, task, run, *rest), "late start")
+            await fleet.clock.sleep_ms(500)
+            raise RunnerUnansweredError("lost")
+
+        async def refuse_stop(*arguments):
+            if fleet.clock.now_ms() < refused_until_ms:
+                raise RunnerRefusedError(reason)
+            return await stop(*arguments)
+
+        client.start, client.stop = lose_start, refuse_stop
+        await fleet.submit(job(ID.format(9), run_ms=10_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(9_000)
+        assert starts(fleet.journal, ID.format(9)) == [ID.format(9) + ".0.0.0"]
+
+    run_scenario(scenario)
