--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -96,15 +96,9 @@
 
     @property
     def usable(self) -> bool:
-        """Return whether the runner is listed, answers polls and may get new tasks.
-
-        A runner with a withheld end gets none: acknowledgements cover all ends up to a number, so
-        later ends could not be acknowledged either.
-        """
+        """Return whether the runner is listed, answers polls and may get new tasks."""
         if not self.reachable or self.last_report_ms is None or not self.listed:
             return False
-        if self.withheld:
-            return False
         return self._clock.now_ms() - self.last_report_ms < MAX_REPORT_AGE_MS
 
     @property
@@ -121,7 +115,12 @@
     @property
     def has_unstored_ends(self) -> bool:
         """Return whether processed ends of the runner are not stored yet."""
-        return self.last_handled > self.acknowledged
+        return self.unacknowledged_ends > 0
+
+    @property
+    def unacknowledged_ends(self) -> int:
+        """Return the number of processed ends that are not acknowledged."""
+        return self.last_handled - self.acknowledged
 
     def report_age_ms(self) -> float:
         """Return the time since the last report, -1 if there was none."""
@@ -171,7 +170,7 @@
         )
 
     def withhold(self, number: int) -> None:
-        """Exclude an end and all later ones from acknowledgement."""
+        """Exclude an end, and so all later ones, from acknowledgement."""
         self.withheld.add(number)
 
     def acknowledge_through(self, number: int) -> None:
@@ -220,8 +219,7 @@
                 await self._clock.sleep_ms(FAILED_POLL_INTERVAL_MS)
             elif self.has_unstored_ends:
                 self.ends_stored.clear()
-                interval_ms = POLL_WAIT_MS if self.withheld else UNSTORED_POLL_INTERVAL_MS
-                await wait_event(self.ends_stored, interval_ms)
+                await wait_event(self.ends_stored, UNSTORED_POLL_INTERVAL_MS)
 
     async def poll_now(self) -> None:
         """Poll once, concurrently with the long poll; calls close together share one poll."""
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -54,6 +54,12 @@
 PREEMPTION_TIMEOUT_MS = 1_500
 PREEMPTION_CHECK_INTERVAL_MS = 100
 
+# The platform drops a runner from its list after some seconds of silence. A runner that it still
+# lists is waited for this long after its lease expired: its tasks may have ended as done.
+LISTED_RUNNER_WAIT_MS = 15_000
+# A report shows up to 500 ends; a runner that cannot be acknowledged gets no work near that number.
+MAX_UNACKNOWLEDGED_ENDS = 400
+
 STATUS_INTERVAL_MS = 2_000
 # The record is about 3 KB for 176 runners and is read by every instance.
 SPEEDS_INTERVAL_MS = 6_000
@@ -371,7 +377,10 @@
             return ""
         if link.process_ended:
             return "process ended"
-        return "lease expired" if link.lease_expired() else ""
+        expired_ms = self._clock.now_ms() - link.lease_expiry_ms
+        if expired_ms <= (LISTED_RUNNER_WAIT_MS if link.listed else 0):
+            return ""
+        return "lease expired"
 
     def _give_up(self, key: RunKey, run: Run, evidence: str, sent_ms: float | None = None) -> None:
         """End a run whose end was not reported.
@@ -398,7 +407,7 @@
             poll_ms=round(now_ms - sent_ms) if sent_ms is not None else -1,
             lease_expired_ms_ago=round(now_ms - self._lease_expiry_ms(run.runner)),
             listed=link is not None and link.listed,
-            ends_unacknowledged=link.last_handled - link.acknowledged if link is not None else 0,
+            ends_unacknowledged=link.unacknowledged_ends if link is not None else 0,
         )
         stage = run.stage
         if stage.ordered_runs[run.index] >= run.number and not stage.step.long_running:
@@ -533,6 +542,7 @@
             return True
         if ended.outcome == "done":
             if stage.restarted_after(task.index, ended.run):
+                job.abandon(stage, task.index, ended.run)
                 return False
             self._finish_task(stage, task.index)
         elif job.was_abandoned(task, ended.run):
@@ -695,7 +705,9 @@
         free_by_id = {
             link.runner.id: link.runner.capacity.copy()
             for link in self.links_by_id.values()
-            if link.usable and not link.runner.draining
+            if link.usable
+            and not link.runner.draining
+            and not (link.withheld and link.unacknowledged_ends > MAX_UNACKNOWLEDGED_ENDS)
         }
         for run in self.runs_by_key.values():
             free = free_by_id.get(run.runner)
@@ -705,7 +717,8 @@
         avoided: list[Candidate] = []
         for name, free in free_by_id.items():
             candidate = Candidate(self.links_by_id[name].runner, free, self.speeds.speed(name))
-            (candidates if self.runner_health.is_healthy(name) else avoided).append(candidate)
+            preferred = self.runner_health.is_healthy(name) and not self.links_by_id[name].withheld
+            (candidates if preferred else avoided).append(candidate)
         return candidates, avoided
 
     def _idle_jobs(self) -> set[str]:
@@ -961,6 +974,7 @@
         task = stage.task(run.index)
         deadline_ms = self._clock.now_ms() + START_TIMEOUT_MS
         backoff = Backoff(RETRY_MS, PASS_INTERVAL_MS)
+        ordered_before = stage.ordered_runs[run.index]
         unanswered = False
 
         def is_needed() -> bool:
@@ -969,7 +983,9 @@
         while is_needed():
             link = self.links_by_id.get(run.runner)
             if link is None or self._clock.now_ms() > deadline_ms:
-                self._fail_start(run, "no answer")
+                self._fail_start(
+                    run, "no answer", certain=stage.ordered_runs[run.index] < run.number
+                )
                 return
             try:
                 clock_ms = await link.send_order(
@@ -991,6 +1007,8 @@
                     self._on_fenced(link)
                     return
                 self.runner_health.note_refusal(run.runner, error.reason)
+                if not unanswered:
+                    stage.ordered_runs[run.index] = ordered_before
                 self._fail_start(run, error.reason, certain=not unanswered)
                 return
             run.acknowledged_ms = self._clock.now_ms()
