Read to an end that the store told after the call, with reads that callers share

Callers of an instance that was further behind than one page of 96 KB were told that accepted jobs do not exist. read_to_end() read one page and did not look at the end that came with it. It now reads on until a read that was sent after the call ends where the topic ends. Callers that ask at the same time share one read, since each one transferred the same page over the link that made the instance late. The state counts as current as of the time at which a read was sent, not at which its answer arrived; a page may say how old its end is. Concurrent loads are shared as well.

--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -30,6 +30,7 @@
     :ivar loaded: set while the topic has been loaded.
     :ivar changed: set after each load and read.
     :ivar recovered_ms: clock time at which reads last succeeded again after failing.
+    :ivar known_end: end of the topic as last told by the store.
     """
 
     def __init__(
@@ -50,10 +51,20 @@
         self.offset = 0
         self.loaded = asyncio.Event()
         self.changed = asyncio.Event()
+        self.known_end = 0
         self._current_as_of_ms: float | None = None
-        self._behind = False
         self.recovered_ms = 0.0
         self._read_requested = asyncio.Event()
+        self._reads_sent = 0
+        # Number of the newest read whose answer ended where the topic ended.
+        self._last_complete_read = 0
+        self._shared_read: asyncio.Task | None = None
+        self._shared_load: asyncio.Task | None = None
+
+    @property
+    def behind(self) -> bool:
+        """Return whether the store told of records that have not been read yet."""
+        return self.offset < self.known_end
 
     def lag_ms(self) -> float:
         """Return the time in ms since the topic was last read to its end, infinite if never."""
@@ -69,9 +80,11 @@
             sent_ms = self._clock.now_ms()
             try:
                 if not self.loaded.is_set():
-                    await self._load()
+                    await self._join_load()
+                elif self.behind:
+                    await self._join_read()
                 else:
-                    await self._read(sent_ms)
+                    await self._read(READ_WAIT_MS)
             except StoreTrimmedError as error:
                 log.info("topic_trimmed", topic=self.topic, first=error.first, at=self.offset)
                 self.loaded.clear()
@@ -91,7 +104,7 @@
 
     async def _wait_interval(self, sent_ms: float) -> None:
         left_ms = self._read_interval_ms - (self._clock.now_ms() - sent_ms)
-        if left_ms <= 0 or self._behind:
+        if left_ms <= 0 or self.behind:
             return
         if await wait_event(self._read_requested, left_ms):
             self._read_requested.clear()
@@ -109,7 +122,7 @@
         """Load the newest records again, concurrently with the long-polling read."""
         self.loaded.clear()
         try:
-            await self._load()
+            await self._join_load()
         except StoreError as error:
             # `run` loads them once the store answers.
             log.warning("reload_failed", topic=self.topic, error=str(error))
@@ -122,6 +135,35 @@
             self.changed.clear()
             await self.changed.wait()
 
+    async def read_to_end(self, until: Callable[[], bool] | None = None) -> None:
+        """Read up to an end of the topic that the store told after this call.
+
+        Concurrent calls share their reads, as each transfers the same records.
+
+        :param until: checked after each read; stops early once it is true.
+        :raises StoreError: the store did not answer.
+        """
+        first_read = self._reads_sent + 1
+        while self._last_complete_read < first_read:
+            try:
+                await self._join_read()
+            except StoreTrimmedError:
+                await self.reload()
+                await self.loaded.wait()
+            if until is not None and until():
+                return
+
+    async def _join_load(self) -> None:
+        """Load the topic, or wait for the load in progress."""
+        if self._shared_load is None:
+            self._shared_load = asyncio.create_task(self._load(), name=f"load {self.topic}")
+            self._shared_load.add_done_callback(self._end_load)
+        await asyncio.shield(self._shared_load)
+
+    def _end_load(self, task: asyncio.Task) -> None:
+        self._shared_load = None
+        _retrieve_exception(task)
+
     async def _load(self) -> None:
         sent_ms = self._clock.now_ms()
         found = await self._store.newest(self.topic)
@@ -130,29 +172,40 @@
         if self._on_reloaded is not None:
             self._on_reloaded({record.key for record in found.records})
         self.offset = found.next_offset
+        self.known_end = max(self.known_end, found.end)
         self._current_as_of_ms = sent_ms
         self.loaded.set()
         self.changed.set()
         log.info("topic_loaded", topic=self.topic, keys=len(found.records), offset=self.offset)
 
-    async def read_to_end(self) -> None:
-        """Read the available records at once, concurrently with the long-polling read.
+    async def _join_read(self) -> None:
+        """Read the available records, or wait for the read in progress."""
+        if self._shared_read is None:
+            self._shared_read = asyncio.create_task(self._read(0), name=f"read {self.topic}")
+            self._shared_read.add_done_callback(self._end_read)
+        await asyncio.shield(self._shared_read)
 
-        :raises StoreError: the store did not answer.
-        """
-        try:
-            await self._read(self._clock.now_ms(), 0)
-        except StoreTrimmedError:
-            await self.reload()
-            await self.loaded.wait()
+    def _end_read(self, task: asyncio.Task) -> None:
+        self._shared_read = None
+        _retrieve_exception(task)
 
-    async def _read(self, sent_ms: float, wait_ms: int = READ_WAIT_MS) -> None:
+    async def _read(self, wait_ms: int) -> None:
+        sent_ms = self._clock.now_ms()
+        self._reads_sent += 1
+        number = self._reads_sent
         found = await self._store.read(self.topic, self.offset, wait_ms)
         for record in found.records:
             if record.offset >= self.offset:
                 self._apply(record)
         self.offset = max(self.offset, found.next_offset)
-        self._behind = self.offset < found.end
+        self.known_end = max(self.known_end, found.end)
         if self.offset >= found.end:
-            self._current_as_of_ms = self._clock.now_ms() if found.records else sent_ms
+            self._last_complete_read = max(self._last_complete_read, number)
+            self._current_as_of_ms = max(self._current_as_of_ms or 0.0, sent_ms - found.age_ms)
         self.changed.set()
+
+
+def _retrieve_exception(task: asyncio.Task) -> None:
+    """Mark a task's exception as retrieved: all that waited for the task may have left."""
+    if not task.cancelled():
+        task.exception()
--- a/packages/library/carawayroute/fleet/ports.py
+++ b/packages/library/carawayroute/fleet/ports.py
@@ -35,11 +35,15 @@
 
     :param next_offset: offset from which to continue reading.
     :param end: offset at which the partition ends.
+    :param age_ms: how long before the answer the store told ``end``.
     """
 
-    __slots__ = ("end", "next_offset", "records")
+    __slots__ = ("age_ms", "end", "next_offset", "records")
 
-    def __init__(self, records: list[KeyedRecord], next_offset: int, end: int) -> None:
+    def __init__(
+        self, records: list[KeyedRecord], next_offset: int, end: int, age_ms: float = 0.0
+    ) -> None:
+        self.age_ms = age_ms
         self.records = records
         self.next_offset = next_offset
         self.end = end
