Ask other instances for a job before its absence or state is told as unknown

Callers got 410 for accepted jobs, or 503 from an instance that was behind or loading while others knew the job. A lookup of an unknown job now reads the store to an end told after the request and, if that takes longer than 150 ms or the instance knows that it is behind, asks the planner and other instances at the same time. The first proof counts: a peer answers that a job is absent only if it has read to such an end itself. Without a proof before the caller's deadline the answer stays 503. DELETE takes the same way.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -98,7 +98,7 @@
         )
 
     async def _serve_peer(self, message: bytes) -> bytes:
-        return await self.node.store.serve(message)
+        return await self.node.serve_peer(message)
 
     async def _ready(self, request: web.BaseRequest) -> web.Response:
         return web.Response(status=503 if self.node.not_ready() else 200)
--- a/packages/daemon/carawayrouted/relay_links.py
+++ b/packages/daemon/carawayrouted/relay_links.py
@@ -9,7 +9,7 @@
 from carawayroute.fleet.relay import PeerError
 from carawayroute.misc import TaskGroup
 
-SERVING_CONTEXTS = 4
+SERVING_CONTEXTS = 16
 
 log = structlog.get_logger()
 
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -11,7 +11,9 @@
 from carawayroute.fleet.exceptions import StoreError, StoreRefusedError
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, Job, JobTable
+from carawayroute.fleet.lookup import JobStatus, PeerLookup
 from carawayroute.fleet.ranking import LATE_FACTOR
+from carawayroute.fleet.relay import PeerError
 from carawayroute.fleet.types import Queue, Team
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import wait_event
@@ -29,6 +31,8 @@
 MAX_STATE_AGE_MS = 60
 # A read takes about 5 ms, or 20 ms from another region.
 STATE_READ_TIMEOUT_MS = 150
+# How long a lookup waits for the store before it asks other instances as well.
+PEER_LOOKUP_DELAY_MS = 150
 # Requests do not refresh the state while the store has been unresponsive for longer than this.
 STORE_UNRESPONSIVE_MS = 1_500
 # The platform allows a count of pending jobs to be 2 s old.
@@ -69,6 +73,7 @@
 
     :param name: name of this instance, recorded as the entry of its jobs.
     :param on_stored: called after a job or a cancellation has been stored.
+    :param peer_lookup: finds jobs that this instance does not know.
     """
 
     def __init__(
@@ -80,6 +85,7 @@
         writer: LogWriter,
         admission: AdmissionController,
         on_stored: Callable[[], None],
+        peer_lookup: PeerLookup,
     ) -> None:
         self._name = name
         self._clock = clock
@@ -88,6 +94,7 @@
         self._writer = writer
         self.admission = admission
         self._on_stored = on_stored
+        self._peer_lookup = peer_lookup
 
     async def submit(self, queue: Queue, team: Team | None, job: pb.Job, wait_ms: float) -> None:
         """Accept a job; submitting a known id again has no effect.
@@ -164,33 +171,106 @@
             log.warning("request_outcome_unknown", job=job_id, key=key[:1])
             raise OutcomeUnknownError("the store did not answer in time") from error
 
-    async def _find(self, job_id: str, wait_ms: float) -> Job:
-        """Return a job, reading the store first if the job is not known here.
+    def _known_job(self, job_id: str) -> Job | None:
+        """Return a job if this instance can tell its state."""
+        job = self._job_table.jobs_by_id.get(job_id)
+        # A load of the state begins by discarding the progress of jobs, except stored ends.
+        if job is None or not (job.stored_end or self._follower.loaded.is_set()):
+            return None
+        return job
 
-        :raises NoSuchJobError: no such job has been accepted.
-        :raises StateUnknownError: the state cannot be read.
+    async def find_in_store(self, job_id: str, wait_ms: float) -> JobStatus | None:
+        """Return a job's status, reading the store first if the job is not known here.
+
+        :return: ``None`` if no such job has been accepted.
+        :raises TimeoutError: the job is not known and the store was not read to its end in time.
+        :raises StoreError: the job is not known and the store cannot be read.
         """
-        try:
-            async with asyncio.timeout(max(0.0, wait_ms - RESPONSE_MARGIN_MS) / 1000):
-                await self._follower.loaded.wait()
-                if job_id not in self._job_table.jobs_by_id:
-                    await self._follower.read_to_end()
-        except (TimeoutError, StoreError) as error:
-            log.info("job_state_unknown", job=job_id, state_age_ms=round(self._follower.lag_ms()))
-            raise StateUnknownError("the state of jobs cannot be read") from error
-        job = self._job_table.jobs_by_id.get(job_id)
+        job = self._known_job(job_id)
         if job is None:
+            async with asyncio.timeout(wait_ms / 1000):
+                await self._follower.loaded.wait()
+                if self._known_job(job_id) is None:
+                    await self._follower.read_to_end(lambda: self._known_job(job_id) is not None)
+            job = self._known_job(job_id)
+        return JobStatus(job.reported_state, bool(job.stored_end)) if job is not None else None
+
+    async def _find(self, job_id: str, wait_ms: float) -> JobStatus:
+        """Return the status of a job from this instance's state, the store, or another instance.
+
+        :raises NoSuchJobError: no such job has been accepted.
+        :raises StateUnknownError: neither the store nor another instance could tell in time.
+        """
+        job = self._known_job(job_id)
+        if job is not None:
+            return JobStatus(job.reported_state, bool(job.stored_end))
+        asked_ms = self._clock.now_ms()
+        status, evidence = await self._look_up(job_id, max(0.0, wait_ms - RESPONSE_MARGIN_MS))
+        outcome = "unknown" if not evidence else "found" if status is not None else "absent"
+        log.info(
+            "job_lookup",
+            job=job_id,
+            outcome=outcome,
+            evidence=evidence,
+            state_age_ms=round(min(self._follower.lag_ms(), 1e9)),
+            offset=self._follower.offset,
+            known_end=self._follower.known_end,
+            took_ms=round(self._clock.now_ms() - asked_ms),
+        )
+        if not evidence:
+            raise StateUnknownError("neither the store nor another instance can tell")
+        if status is None:
             raise NoSuchJobError(job_id)
-        return job
+        return status
+
+    async def _look_up(self, job_id: str, wait_ms: float) -> tuple[JobStatus | None, str]:
+        """Ask the store and, unless it answers soon, other instances; the first proof counts.
+
+        :return: the job's status, ``None`` if it is absent, and where the proof comes from, an
+            empty string if there is none.
+        """
+        store_failed = asyncio.Event()
+        evidence_by_task = {
+            asyncio.ensure_future(self.find_in_store(job_id, wait_ms)): "store",
+            asyncio.ensure_future(self._ask_peers(job_id, wait_ms, store_failed)): "peer",
+        }
+        pending = set(evidence_by_task)
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                while pending:
+                    done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                    for task in done:
+                        error = task.exception()
+                        if error is None:
+                            return task.result(), evidence_by_task[task]
+                        if not isinstance(error, StoreError | PeerError | TimeoutError):
+                            raise error
+                        store_failed.set()
+        except TimeoutError:
+            pass
+        finally:
+            for task in pending:
+                task.cancel()
+        return None, ""
+
+    async def _ask_peers(
+        self, job_id: str, wait_ms: float, store_failed: asyncio.Event
+    ) -> JobStatus | None:
+        """Ask other instances, at once if this instance knows that it is behind."""
+        if self._follower.loaded.is_set() and not self._follower.behind:
+            await wait_event(store_failed, min(wait_ms, PEER_LOOKUP_DELAY_MS))
+        return await self._peer_lookup.find(job_id, wait_ms)
 
     async def state(self, job_id: str, wait_ms: float) -> str:
         """Return a job's state.
 
         :param wait_ms: time until the caller's deadline.
         :raises NoSuchJobError: no such job has been accepted.
-        :raises StateUnknownError: this instance cannot read the state now.
+        :raises StateUnknownError: the state cannot be read now.
         """
-        job = await self._find(job_id, wait_ms)
+        job = self._known_job(job_id)
+        if job is None:
+            return (await self._find(job_id, wait_ms)).state
         if not job.stored_end:
             await self._refresh(job_id)
             # A refresh may replace the job's object.
@@ -215,16 +295,18 @@
 
         :param wait_ms: time until the caller's deadline.
         :raises NoSuchJobError: no such job has been accepted.
-        :raises StateUnknownError: this instance cannot read the state now.
+        :raises StateUnknownError: whether the job exists cannot be read now.
         :raises NotAcceptedError: the cancellation was not stored.
         :raises OutcomeUnknownError: the cancellation may have been stored.
         """
-        job = await self._find(job_id, wait_ms)
-        if job.stored_end:
+        until_ms = self._clock.now_ms() + wait_ms
+        status = await self._find(job_id, wait_ms)
+        if status.ended:
             return
+        left_ms = until_ms - self._clock.now_ms()
         cancel = pb.Cancel(entry=self._name, at_ms=self._clock.wall_ms())
-        await self._write(CANCEL_KEY + job_id, cancel.SerializeToString(), job_id, wait_ms)
-        log.info("job_cancelled", job=job_id, was=job.reported_state)
+        await self._write(CANCEL_KEY + job_id, cancel.SerializeToString(), job_id, left_ms)
+        log.info("job_cancelled", job=job_id, was=status.state)
         self._on_stored()
 
     def pending(self, queue: Queue) -> int:
--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -77,6 +77,12 @@
         """Return the number of accelerators that the planner reaches, 0 while it is unknown."""
         return self._newest.accelerators if self._newest is not None else 0
 
+    def planner_address(self) -> str:
+        """Return the address at which peers reach the planner, empty while there is none."""
+        if self._newest is None or self._newest.resigned:
+            return ""
+        return self._newest.address
+
     def current_term(self) -> int:
         """Return the newest known term, 0 if there is none."""
         if self._newest is None:
--- /dev/null
+++ b/packages/library/carawayroute/fleet/lookup.py
@@ -0,0 +1,130 @@
+"""Looks up jobs at other instances, for an instance whose own state is behind."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import structlog
+from google.protobuf.message import DecodeError
+
+from carawayroute.fleet.exceptions import StoreError
+from carawayroute.fleet.relay import PeerError, Peers, RelayedStore
+from carawayroute.misc import interleave
+from carawayroute_schema import records_pb2 as pb
+
+# Peers that are asked at the same time; the first conclusive answer counts.
+PEERS_PER_ROUND = 2
+MAX_ROUNDS = 3
+# A peer that has to read the store first needs this long over a slow link.
+PEER_TIMEOUT_MS = 1_200
+# Part of a peer's timeout that is reserved for its answer.
+PEER_ANSWER_MARGIN_MS = 100
+
+log = structlog.get_logger()
+
+
+class JobStatus:
+    """What an instance knows of an accepted job.
+
+    :param state: the job's state as reported to callers.
+    :param ended: whether the state is final.
+    """
+
+    __slots__ = ("ended", "state")
+
+    def __init__(self, state: str, ended: bool) -> None:
+        self.state = state
+        self.ended = ended
+
+
+class PeerLookup:
+    """Ask peers for a job: the planner first, then peers of this and of other regions.
+
+    A peer answers only what it can prove: it knows the job, or it has read the store to its end
+    since it was asked and has not found it.
+
+    :param store: knows the addresses of the peers.
+    :param planner_address: returns the address of the planner's instance, empty if unknown.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        store: RelayedStore,
+        own_address: str,
+        planner_address: Callable[[], str],
+    ) -> None:
+        self._peers = peers
+        self._store = store
+        self._own_address = own_address
+        self._planner_address = planner_address
+
+    def _candidates(self) -> list[str]:
+        planner = self._planner_address()
+        others = list(self._store.addresses - {self._own_address, planner})
+        random.shuffle(others)
+        near = [one for one in others if one in self._store.same_region_addresses]
+        far = [one for one in others if one not in self._store.same_region_addresses]
+        first = [planner] if planner and planner != self._own_address else []
+        # Peers of one region may share the cause that keeps this instance behind.
+        return first + interleave(far, near)
+
+    async def find(self, job_id: str, wait_ms: float) -> JobStatus | None:
+        """Return a job's status as a peer knows it, ``None`` if a peer has proved its absence.
+
+        :param wait_ms: time until the answer is needed.
+        :raises PeerError: no peer could tell.
+        """
+        candidates = self._candidates()
+        for number in range(MAX_ROUNDS):
+            addresses = candidates[number * PEERS_PER_ROUND : (number + 1) * PEERS_PER_ROUND]
+            pending = {
+                asyncio.ensure_future(self._ask(address, job_id, min(wait_ms, PEER_TIMEOUT_MS)))
+                for address in addresses
+            }
+            try:
+                while pending:
+                    done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                    errors = [task.exception() for task in done]
+                    for task in done:
+                        if task.exception() is None:
+                            return task.result()
+                    log.info("peer_lookup_failed", job=job_id, errors=[str(one) for one in errors])
+            finally:
+                for task in pending:
+                    task.cancel()
+        raise PeerError("no peer could tell")
+
+    async def _ask(self, address: str, job_id: str, timeout_ms: float) -> JobStatus | None:
+        call = pb.StoreCall(
+            kind=pb.StoreCall.LOOK_UP_JOB,
+            job_id=job_id,
+            wait_ms=max(0, int(timeout_ms - PEER_ANSWER_MARGIN_MS)),
+        )
+        reply = await self._peers.ask(address, call.SerializeToString(), timeout_ms)
+        try:
+            answer = pb.StoreAnswer.FromString(reply)
+        except DecodeError as error:
+            raise PeerError(f"{address}: {error}") from error
+        if answer.outcome == pb.StoreAnswer.NO_SUCH_JOB:
+            return None
+        if answer.outcome != pb.StoreAnswer.DONE or not answer.job_state:
+            raise PeerError(f"{address}: {answer.reason or 'cannot tell'}")
+        return JobStatus(answer.job_state, answer.job_ended)
+
+
+async def serve_lookup(
+    call: pb.StoreCall, find: Callable[[str, float], Awaitable[JobStatus | None]]
+) -> pb.StoreAnswer:
+    """Return the answer to a peer's lookup.
+
+    :param find: returns a job's status, ``None`` if the job is proved to be absent, from this
+        instance's state and the store alone.
+    """
+    try:
+        status = await find(call.job_id, call.wait_ms)
+    except (StoreError, TimeoutError) as error:
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.UNANSWERED, reason=type(error).__name__)
+    if status is None:
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.NO_SUCH_JOB)
+    return pb.StoreAnswer(job_state=status.state, job_ended=status.ended)
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -13,6 +13,7 @@
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.jobs import PROGRESS_KEY, SPEEDS_KEY, JobTable, RecordError
 from carawayroute.fleet.leadership import Leadership
+from carawayroute.fleet.lookup import PeerLookup, serve_lookup
 from carawayroute.fleet.planner import Planner, PlannerSettings
 from carawayroute.fleet.ports import KeyedRecord, PlatformFormat, RunnerClient, Store
 from carawayroute.fleet.relay import Peers, RelayedStore
@@ -169,6 +170,7 @@
             self.writer,
             self.admission,
             self._job_written,
+            PeerLookup(peers, self.store, settings.address, self.leadership.planner_address),
         )
 
     def start(self) -> None:
@@ -209,6 +211,22 @@
         """Return the term in which this instance is the planner, 0 if it is not."""
         return self.planner.term if self.planner else 0
 
+    async def serve_peer(self, message: bytes) -> bytes:
+        """Return the answer to a message of a peer.
+
+        :param message: encoded ``StoreCall``.
+        """
+        try:
+            call = pb.StoreCall.FromString(message)
+        except DecodeError as error:
+            log.warning("peer_call_unreadable", error=str(error))
+            return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
+        if call.kind == pb.StoreCall.LOOK_UP_JOB:
+            answer = await serve_lookup(call, self.service.find_in_store)
+        else:
+            answer = await self.store.serve(call)
+        return answer.SerializeToString()
+
     # ------------------------------------------------------------------ replicated state
 
     def _apply_configuration(self, record: KeyedRecord) -> None:
--- a/packages/library/carawayroute/fleet/relay.py
+++ b/packages/library/carawayroute/fleet/relay.py
@@ -186,21 +186,14 @@
             return answer, uncertain
         return None, uncertain
 
-    async def serve(self, message: bytes) -> bytes:
-        """Make a store call for a peer and return the encoded answer.
+    async def serve(self, call: pb.StoreCall) -> pb.StoreAnswer:
+        """Make a store call for a peer.
 
         Refused while the store does not answer this instance directly.
-
-        :param message: encoded ``StoreCall``.
         """
-        try:
-            call = pb.StoreCall.FromString(message)
-        except DecodeError as error:
-            log.warning("relay_call_unreadable", error=str(error))
-            return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
         if not self.reached_directly:
-            return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
-        return (await make_call(self._direct, call)).SerializeToString()
+            return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED)
+        return await make_call(self._direct, call)
 
 
 async def make_call(store: Store, call: pb.StoreCall) -> pb.StoreAnswer:
--- a/packages/library/carawayroute/misc.py
+++ b/packages/library/carawayroute/misc.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import itertools
 import random
 from collections.abc import Coroutine, Iterable
 
@@ -23,6 +24,12 @@
     )
 
 
+def interleave(first: list[str], second: list[str]) -> list[str]:
+    """Return the elements of two lists in turn, followed by the rest of the longer one."""
+    pairs = itertools.zip_longest(first, second)
+    return [item for pair in pairs for item in pair if item is not None]
+
+
 async def wait_event(event: asyncio.Event, timeout_ms: float) -> bool:
     """Wait for an event and return whether it was set within the timeout."""
     try:
--- a/packages/standins/carawayroute_standins/fleet/world.py
+++ b/packages/standins/carawayroute_standins/fleet/world.py
@@ -42,7 +42,7 @@
             await world.clock.sleep_ms(timeout_ms)
             raise PeerError(address)
         await world.clock.sleep_ms(PEER_LATENCY_MS)
-        return await peer.store.serve(message)
+        return await peer.serve_peer(message)
 
 
 class FleetWorld:
