Know a job from the answer to its own append

The instance that accepted a job denied it 6 s later, since it had not read its own record back. An append's answer tells the records' offsets, so accepted jobs and cancellations enter the state at once.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -161,7 +161,7 @@
         """
         try:
             async with asyncio.timeout(max(0.0, wait_ms - RESPONSE_MARGIN_MS) / 1000):
-                await self._writer.write([(key, value)])
+                offset_by_key = await self._writer.write([(key, value)])
         except StoreRefusedError as error:
             log.info("request_not_stored", job=job_id, key=key[:1], error=str(error))
             most_ms = min(MAX_RETRY_AFTER_MS, RETRY_AFTER_SHARE * late_limit_ms)
@@ -170,6 +170,9 @@
         except TimeoutError as error:
             log.warning("request_outcome_unknown", job=job_id, key=key[:1])
             raise OutcomeUnknownError("the store did not answer in time") from error
+        if key in offset_by_key:
+            # This instance may read its own record seconds later.
+            self._job_table.apply(offset_by_key[key], key, value, self._clock.now_ms())
 
     def _known_job(self, job_id: str) -> Job | None:
         """Return a job if this instance can tell its state."""
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -318,6 +318,7 @@
 
     def _job_written(self) -> None:
         if self.planner is not None:
+            self.planner.changed()
             self.jobs_follower.request_read()
 
     # ------------------------------------------------------------------ planner
--- a/packages/library/carawayroute/fleet/writer.py
+++ b/packages/library/carawayroute/fleet/writer.py
@@ -78,13 +78,15 @@
             return 0.0
         return self._clock.now_ms() - self._failing_since_ms
 
-    async def write(self, records: list[tuple[str, bytes]]) -> None:
+    async def write(self, records: list[tuple[str, bytes]]) -> dict[str, int]:
         """Append records and return once the store has them.
 
         Cancelling the call withdraws records that have not been sent yet, unless
         ``retry_until_stored`` is set.
 
         :param records: pairs of key and value.
+        :return: offsets by key of the records that were sent together, of which the newest for each
+            key was stored; empty if the answer with the offsets was lost.
         :raises StoreRefusedError: the records are not in the store and never will be.
         :raises StoreFencedError: a producer with a higher epoch has taken over.
         """
@@ -101,7 +103,7 @@
         self._wake.set()
         try:
             # Cancelling one caller must not cancel the batch.
-            await asyncio.shield(item.done)
+            return await asyncio.shield(item.done)
         except asyncio.CancelledError:
             if self._retry_until_stored or item not in self._waiting:
                 raise
@@ -137,11 +139,14 @@
         backoff = Backoff(FIRST_RETRY_MS, MAX_RETRY_MS)
         uncertain = False
         while True:
-            error = await self._send_once(records, uncertain)
+            error, offset = await self._send_once(records, uncertain)
             if error is None:
                 self._note_success()
                 self._sequence += 1
-                _resolve(batch, None)
+                offset_by_key = {}
+                if offset is not None:
+                    offset_by_key = {key: offset + number for number, key in enumerate(newest)}
+                _resolve(batch, None, offset_by_key)
                 return
             if isinstance(error, StoreFencedError):
                 self.fenced = True
@@ -161,13 +166,15 @@
 
     async def _send_once(
         self, records: list[tuple[str, bytes]], uncertain: bool
-    ) -> StoreError | None:
-        """Send a batch once and return the error, ``None`` if the batch is stored.
+    ) -> tuple[StoreError | None, int | None]:
+        """Send a batch once.
 
         :param uncertain: an earlier attempt may have stored the batch.
+        :return: the error, ``None`` if the batch is stored, and the offset of its first record,
+            ``None`` if it is unknown.
         """
         try:
-            await self._store.append(
+            appended = await self._store.append(
                 self._topic,
                 records,
                 producer=self._producer,
@@ -176,7 +183,7 @@
             )
         except StoreSequenceError as error:
             if uncertain and error.expected == self._sequence + 1:
-                return None
+                return None, None
             log.warning(
                 "append_sequence_mismatch",
                 topic=self._topic,
@@ -184,10 +191,10 @@
                 expected=error.expected,
             )
             self._sequence = error.expected
-            return error
+            return error, None
         except StoreError as error:
-            return error
-        return None
+            return error, None
+        return None, appended.offset
 
     def _refuse_unsent(self) -> None:
         """Fail the writes whose records were never sent once the store is unresponsive."""
@@ -207,12 +214,16 @@
             self._failing_since_ms = None
 
 
-def _resolve(batch: list[_PendingWrite], error: StoreError | None) -> None:
+def _resolve(
+    batch: list[_PendingWrite],
+    error: StoreError | None,
+    offset_by_key: dict[str, int] | None = None,
+) -> None:
     for item in batch:
         if item.done.done():
             continue
         if error is None:
-            item.done.set_result(None)
+            item.done.set_result(offset_by_key or {})
         else:
             item.done.set_exception(error)
             # Marks the exception as retrieved: the caller may be gone, and the error was logged.
