Look for an earlier acceptance before a job is rejected

A caller whose first attempt was accepted, or whose answer was lost, could be told 429 ("never runs") by an instance that had not read the job yet, while the job ran. Before a rejection the store, and then peers, are asked for up to 400 ms. The new test failed before: the second instance rejected the job.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -33,6 +33,8 @@
 STATE_READ_TIMEOUT_MS = 150
 # How long a lookup waits for the store before it asks other instances as well.
 PEER_LOOKUP_DELAY_MS = 150
+# How long a job's rejection is delayed to find out whether an earlier attempt was accepted.
+MAX_REPEAT_CHECK_MS = 400
 # Requests do not refresh the state while the store has been unresponsive for longer than this.
 STORE_UNRESPONSIVE_MS = 1_500
 # The platform allows a count of pending jobs to be 2 s old.
@@ -123,6 +125,9 @@
         job_critical_path_ms = Job(job).critical_path_ms()
         decision = self.admission.decide(job, job_critical_path_ms)
         if not decision.accepted:
+            if await self._accepted_before(job.id, wait_ms):
+                log.info("job_repeated", job=job.id)
+                return
             log.info(
                 "job_rejected",
                 job=job.id,
@@ -150,6 +155,14 @@
         )
         self._on_stored()
 
+    async def _accepted_before(self, job_id: str, wait_ms: float) -> bool:
+        """Return whether an earlier attempt is known to have stored a job.
+
+        A caller whose earlier attempt was not answered must not be told that its job never runs.
+        """
+        status, _ = await self._look_up(job_id, min(wait_ms, MAX_REPEAT_CHECK_MS))
+        return status is not None
+
     async def _write(
         self, key: str, value: bytes, job_id: str, wait_ms: float, late_limit_ms: float = 0.0
     ) -> None:
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -19,6 +19,7 @@
 from structlog.testing import capture_logs
 
 from carawayroute.clock import Clock
+from carawayroute.fleet.admission import AdmissionDecision
 from carawayroute.fleet.entry import NoSuchJobError, NotAcceptedError, OutcomeUnknownError
 from carawayroute.fleet.exceptions import RunnerRefusedError, RunnerUnansweredError
 from carawayroute.fleet.links import RunnerLink
@@ -535,6 +536,23 @@
     run_scenario(scenario)
 
 
+def test_accepted_job_is_not_rejected_by_another_instance():
+    """A repeated submission is told as accepted by an instance that has not read the job yet."""
+
+    async def scenario(fleet):
+        class RejectAll:
+            def decide(self, job, critical_path_ms):
+                return AdmissionDecision(False, "backlog", 1_000)
+
+        fleet.nodes_by_name["n2"].service.admission = RejectAll()
+        await fleet.submit(job(ID.format(1), run_ms=5_000), NORMAL, OWNER, at="n1")
+        await fleet.submit(job(ID.format(1), run_ms=5_000), NORMAL, OWNER, at="n2")
+        with pytest.raises(NotAcceptedError):
+            await fleet.submit(job(ID.format(2)), NORMAL, OWNER, at="n2")
+
+    run_scenario(scenario)
+
+
 def test_stalled_urgent_gang_restarts_elsewhere():
     """With hung runners, urgent gangs waited until the runners recovered, 6 s and more."""
 
