Count pending jobs from the store or another instance when the state is old

It is now read like an unknown job: from the store if that answers in time, else from another instance whose state is recent.

--- a/packages/daemon/carawayrouted/platform/callers.py
+++ b/packages/daemon/carawayrouted/platform/callers.py
@@ -83,7 +83,7 @@
             return _reply(401)
         rest = request.path[len(queue.prefix) :]
         if rest == "" and request.method == "GET":
-            return self._pending(queue)
+            return await self._pending(queue, _wait_ms(request))
         if not JOB_ID.fullmatch(rest):
             return _reply(404)
         return await self._job_call(request, configuration, queue, team, rest)
@@ -122,9 +122,9 @@
             return _reply(503, retry_after_ms=1_000)
         return _reply(405)
 
-    def _pending(self, queue: Queue) -> web.Response:
+    async def _pending(self, queue: Queue, wait_ms: float) -> web.Response:
         try:
-            return _reply(200, {"pending": self._service.pending(queue)})
+            return _reply(200, {"pending": await self._service.pending(queue, wait_ms)})
         except StateUnknownError:
             return _reply(503, retry_after_ms=1_000)
 
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -1,7 +1,8 @@
 """Callers' operations on jobs: submit, read the state, cancel, and count pending jobs."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import TypeVar
 
 import structlog
 
@@ -44,6 +45,8 @@
 
 log = structlog.get_logger()
 
+Found = TypeVar("Found")
+
 
 class NotAcceptedError(CarawayrouteError):
     """The request was not recorded: a submitted job never runs, a cancellation has no effect.
@@ -240,15 +243,30 @@
         return status
 
     async def _look_up(self, job_id: str, wait_ms: float) -> tuple[JobStatus | None, str]:
-        """Ask the store and, unless it answers soon, other instances; the first proof counts.
+        """Return a job's status, ``None`` if it is absent, and where the proof comes from.
+
+        The second value is an empty string if there is no proof.
+        """
+        return await self._first_proof(
+            self.find_in_store(job_id, wait_ms),
+            lambda: self._peer_lookup.find_job(job_id, wait_ms),
+            wait_ms,
+        )
+
+    async def _first_proof(
+        self,
+        from_store: Coroutine[None, None, Found],
+        from_peers: Callable[[], Coroutine[None, None, Found]],
+        wait_ms: float,
+    ) -> tuple[Found | None, str]:
+        """Read the store and, unless it answers soon, ask other instances.
 
-        :return: the job's status, ``None`` if it is absent, and where the proof comes from, an
-            empty string if there is none.
+        :return: the first result and where it comes from, an empty string if there is none.
         """
         store_failed = asyncio.Event()
         evidence_by_task = {
-            asyncio.ensure_future(self.find_in_store(job_id, wait_ms)): "store",
-            asyncio.ensure_future(self._ask_peers(job_id, wait_ms, store_failed)): "peer",
+            asyncio.ensure_future(from_store): "store",
+            asyncio.ensure_future(self._ask_peers(from_peers, wait_ms, store_failed)): "peer",
         }
         pending = set(evidence_by_task)
         try:
@@ -270,12 +288,15 @@
         return None, ""
 
     async def _ask_peers(
-        self, job_id: str, wait_ms: float, store_failed: asyncio.Event
-    ) -> JobStatus | None:
+        self,
+        from_peers: Callable[[], Coroutine[None, None, Found]],
+        wait_ms: float,
+        store_failed: asyncio.Event,
+    ) -> Found:
         """Ask other instances, at once if this instance knows that it is behind."""
         if self._follower.loaded.is_set() and not self._follower.behind:
             await wait_event(store_failed, min(wait_ms, PEER_LOOKUP_DELAY_MS))
-        return await self._peer_lookup.find(job_id, wait_ms)
+        return await from_peers()
 
     async def state(self, job_id: str, wait_ms: float) -> str:
         """Return a job's state.
@@ -325,13 +346,41 @@
         log.info("job_cancelled", job=job_id, was=status.state)
         self._on_stored()
 
-    def pending(self, queue: Queue) -> int:
+    def _can_count_pending(self) -> bool:
+        return self._follower.loaded.is_set() and self._follower.lag_ms() <= MAX_PENDING_AGE_MS
+
+    async def pending_in_store(self, queue: str, wait_ms: float) -> int:
+        """Return a queue's number of pending jobs, reading the store first if the state is old.
+
+        :raises TimeoutError: the store was not read to its end in time.
+        :raises StoreError: the store cannot be read.
+        """
+        if not self._can_count_pending():
+            async with asyncio.timeout(wait_ms / 1000):
+                await self._follower.loaded.wait()
+                await self._follower.read_to_end()
+        return self._job_table.count_pending(queue)
+
+    async def pending(self, queue: Queue, wait_ms: float) -> int:
         """Return the number of a queue's accepted jobs that wait for their first task to start.
 
-        :raises StateUnknownError: the state is not loaded or too old.
+        :param wait_ms: time until the caller's deadline.
+        :raises StateUnknownError: neither the store nor another instance could tell in time.
         """
-        age_ms = self._follower.lag_ms()
-        if not self._follower.loaded.is_set() or age_ms > MAX_PENDING_AGE_MS:
-            log.info("pending_unknown", queue=queue.name, state_age_ms=round(min(age_ms, 1e9)))
+        if self._can_count_pending():
+            return self._job_table.count_pending(queue.name)
+        wait_ms = max(0.0, wait_ms - RESPONSE_MARGIN_MS)
+        count, evidence = await self._first_proof(
+            self.pending_in_store(queue.name, wait_ms),
+            lambda: self._peer_lookup.count_pending(queue.name, wait_ms),
+            wait_ms,
+        )
+        if count is None:
+            log.info(
+                "pending_unknown",
+                queue=queue.name,
+                state_age_ms=round(min(self._follower.lag_ms(), 1e9)),
+            )
             raise StateUnknownError("the state of jobs is too old or has not been read yet")
-        return self._job_table.count_pending(queue.name)
+        log.info("pending_looked_up", queue=queue.name, evidence=evidence)
+        return count
--- a/packages/library/carawayroute/fleet/lookup.py
+++ b/packages/library/carawayroute/fleet/lookup.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
+from typing import Protocol
 
 import structlog
 from google.protobuf.message import DecodeError
@@ -37,8 +38,26 @@
         self.ended = ended
 
 
+class LocalLookup(Protocol):
+    """Answers from an instance's own state and the store, without asking other instances."""
+
+    async def find_in_store(self, job_id: str, wait_ms: float) -> JobStatus | None:
+        """Return a job's status, ``None`` if no such job has been accepted.
+
+        :raises TimeoutError: it cannot be told in time.
+        :raises StoreError: the store cannot be read.
+        """
+
+    async def pending_in_store(self, queue: str, wait_ms: float) -> int:
+        """Return the number of a queue's jobs that wait for their first task to start.
+
+        :raises TimeoutError: it cannot be told in time.
+        :raises StoreError: the store cannot be read.
+        """
+
+
 class PeerLookup:
-    """Ask peers for a job: the planner first, then peers of this and of other regions.
+    """Ask peers for jobs: the planner first, then peers of other regions and of this one.
 
     A peer answers only what it can prove: it knows the job, or it has read the store to its end
     since it was asked and has not found it.
@@ -59,6 +78,27 @@
         self._own_address = own_address
         self._planner_address = planner_address
 
+    async def find_job(self, job_id: str, wait_ms: float) -> JobStatus | None:
+        """Return a job's status as a peer knows it, ``None`` if a peer has proved its absence.
+
+        :param wait_ms: time until the answer is needed.
+        :raises PeerError: no peer could tell.
+        """
+        call = pb.StoreCall(kind=pb.StoreCall.LOOK_UP_JOB, job_id=job_id)
+        answer = await self._first_proof(call, wait_ms)
+        if answer.outcome == pb.StoreAnswer.NO_SUCH_JOB:
+            return None
+        return JobStatus(answer.job_state, answer.job_ended)
+
+    async def count_pending(self, queue: str, wait_ms: float) -> int:
+        """Return the number of a queue's pending jobs as a peer knows it.
+
+        :param wait_ms: time until the answer is needed.
+        :raises PeerError: no peer could tell.
+        """
+        call = pb.StoreCall(kind=pb.StoreCall.COUNT_PENDING, queue=queue)
+        return (await self._first_proof(call, wait_ms)).pending
+
     def _candidates(self) -> list[str]:
         planner = self._planner_address()
         others = list(self._store.addresses - {self._own_address, planner})
@@ -69,18 +109,15 @@
         # Peers of one region may share the cause that keeps this instance behind.
         return first + interleave(far, near)
 
-    async def find(self, job_id: str, wait_ms: float) -> JobStatus | None:
-        """Return a job's status as a peer knows it, ``None`` if a peer has proved its absence.
-
-        :param wait_ms: time until the answer is needed.
-        :raises PeerError: no peer could tell.
-        """
+    async def _first_proof(self, call: pb.StoreCall, wait_ms: float) -> pb.StoreAnswer:
+        """Ask a few peers at a time and return the first conclusive answer."""
+        timeout_ms = min(wait_ms, PEER_TIMEOUT_MS)
+        call.wait_ms = max(0, int(timeout_ms - PEER_ANSWER_MARGIN_MS))
         candidates = self._candidates()
         for number in range(MAX_ROUNDS):
             addresses = candidates[number * PEERS_PER_ROUND : (number + 1) * PEERS_PER_ROUND]
             pending = {
-                asyncio.ensure_future(self._ask(address, job_id, min(wait_ms, PEER_TIMEOUT_MS)))
-                for address in addresses
+                asyncio.ensure_future(self._ask(address, call, timeout_ms)) for address in addresses
             }
             try:
                 while pending:
@@ -89,40 +126,32 @@
                     for task in done:
                         if task.exception() is None:
                             return task.result()
-                    log.info("peer_lookup_failed", job=job_id, errors=[str(one) for one in errors])
+                    log.info("peer_lookup_failed", errors=[str(error) for error in errors])
             finally:
                 for task in pending:
                     task.cancel()
         raise PeerError("no peer could tell")
 
-    async def _ask(self, address: str, job_id: str, timeout_ms: float) -> JobStatus | None:
-        call = pb.StoreCall(
-            kind=pb.StoreCall.LOOK_UP_JOB,
-            job_id=job_id,
-            wait_ms=max(0, int(timeout_ms - PEER_ANSWER_MARGIN_MS)),
-        )
+    async def _ask(self, address: str, call: pb.StoreCall, timeout_ms: float) -> pb.StoreAnswer:
         reply = await self._peers.ask(address, call.SerializeToString(), timeout_ms)
         try:
             answer = pb.StoreAnswer.FromString(reply)
         except DecodeError as error:
             raise PeerError(f"{address}: {error}") from error
+        found = answer.job_state or answer.HasField("pending")
+        if answer.outcome == pb.StoreAnswer.DONE and found:
+            return answer
         if answer.outcome == pb.StoreAnswer.NO_SUCH_JOB:
-            return None
-        if answer.outcome != pb.StoreAnswer.DONE or not answer.job_state:
-            raise PeerError(f"{address}: {answer.reason or 'cannot tell'}")
-        return JobStatus(answer.job_state, answer.job_ended)
-
+            return answer
+        raise PeerError(f"{address}: {answer.reason or 'cannot tell'}")
 
-async def serve_lookup(
-    call: pb.StoreCall, find: Callable[[str, float], Awaitable[JobStatus | None]]
-) -> pb.StoreAnswer:
-    """Return the answer to a peer's lookup.
 
-    :param find: returns a job's status, ``None`` if the job is proved to be absent, from this
-        instance's state and the store alone.
-    """
+async def serve_lookup(call: pb.StoreCall, local: LocalLookup) -> pb.StoreAnswer:
+    """Return the answer to a peer's lookup."""
     try:
-        status = await find(call.job_id, call.wait_ms)
+        if call.kind == pb.StoreCall.COUNT_PENDING:
+            return pb.StoreAnswer(pending=await local.pending_in_store(call.queue, call.wait_ms))
+        status = await local.find_in_store(call.job_id, call.wait_ms)
     except (StoreError, TimeoutError) as error:
         return pb.StoreAnswer(outcome=pb.StoreAnswer.UNANSWERED, reason=type(error).__name__)
     if status is None:
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -221,8 +221,8 @@
         except DecodeError as error:
             log.warning("peer_call_unreadable", error=str(error))
             return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
-        if call.kind == pb.StoreCall.LOOK_UP_JOB:
-            answer = await serve_lookup(call, self.service.find_in_store)
+        if call.kind in (pb.StoreCall.LOOK_UP_JOB, pb.StoreCall.COUNT_PENDING):
+            answer = await serve_lookup(call, self.service)
         else:
             answer = await self.store.serve(call)
         return answer.SerializeToString()
