Take a topic as read to its end only by when the store told the end

A page may come from a peer whose knowledge of the end is older than the request (age_ms). read_to_end() now ends once the state is current as of a time after the call, which allows for that age and also counts loads.

--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -55,9 +55,6 @@
         self._current_as_of_ms: float | None = None
         self.recovered_ms = 0.0
         self._read_requested = asyncio.Event()
-        self._reads_sent = 0
-        # Number of the newest read whose answer ended where the topic ended.
-        self._last_complete_read = 0
         self._shared_read: asyncio.Task | None = None
         self._shared_load: asyncio.Task | None = None
 
@@ -143,8 +140,8 @@
         :param until: checked after each read; stops early once it is true.
         :raises StoreError: the store did not answer.
         """
-        first_read = self._reads_sent + 1
-        while self._last_complete_read < first_read:
+        asked_ms = self._clock.now_ms()
+        while self._current_as_of_ms is None or self._current_as_of_ms < asked_ms:
             try:
                 await self._join_read()
             except StoreTrimmedError:
@@ -191,8 +188,6 @@
 
     async def _read(self, wait_ms: int) -> None:
         sent_ms = self._clock.now_ms()
-        self._reads_sent += 1
-        number = self._reads_sent
         found = await self._store.read(self.topic, self.offset, wait_ms)
         for record in found.records:
             if record.offset >= self.offset:
@@ -200,7 +195,6 @@
         self.offset = max(self.offset, found.next_offset)
         self.known_end = max(self.known_end, found.end)
         if self.offset >= found.end:
-            self._last_complete_read = max(self._last_complete_read, number)
             self._current_as_of_ms = max(self._current_as_of_ms or 0.0, sent_ms - found.age_ms)
         self.changed.set()
 
