Keep a job's state when the progress is discarded during a refresh

A caller that asked while a planner was being stopped could be told that a running job is queued: the stop discards the progress of all jobs before it loads them again, and the state was read after the refresh. The state from before the refresh is told in that case.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -308,11 +308,12 @@
         job = self._known_job(job_id)
         if job is None:
             return (await self._find(job_id, wait_ms)).state
+        state = job.reported_state
         if not job.stored_end:
             await self._refresh(job_id)
-            # A refresh may replace the job's object.
-            job = self._job_table.jobs_by_id.get(job_id, job)
-        return job.reported_state
+            # The progress of jobs may have been discarded meanwhile, to be loaded again.
+            job = self._known_job(job_id)
+        return job.reported_state if job is not None else state
 
     async def _refresh(self, job_id: str) -> None:
         """Read the latest records if the state is stale; keep the known state if that fails."""
