Answer a lookup before the first load with 503 instead of 500

What callers saw: reading or cancelling a job at an instance that had not loaded the state by the caller's deadline was answered 500. Cause: the line job_state_unknown rounds the age of the state, which is infinite before the first load, and round() raises OverflowError on it, in place of StateUnknownError. Change: the age is bounded before it is rounded, as pending_unknown already did. Result: test_lookup_before_the_state_is_loaded_raises_state_unknown fails with OverflowError without the change and passes with it.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -164,6 +164,10 @@
             log.warning("request_outcome_unknown", job=job_id, key=key[:1])
             raise OutcomeUnknownError("the store did not answer in time") from error
 
+    def _state_age_ms(self) -> int:
+        """Return the age of the state for log lines, which hold no infinite numbers."""
+        return round(min(self._follower.lag_ms(), 1e9))
+
     async def _find(self, job_id: str, wait_ms: float) -> Job:
         """Return a job, reading the store first if the job is not known here.
 
@@ -176,7 +180,7 @@
                 if job_id not in self._job_table.jobs_by_id:
                     await self._follower.read_to_end()
         except (TimeoutError, StoreError) as error:
-            log.info("job_state_unknown", job=job_id, state_age_ms=round(self._follower.lag_ms()))
+            log.info("job_state_unknown", job=job_id, state_age_ms=self._state_age_ms())
             raise StateUnknownError("the state of jobs cannot be read") from error
         job = self._job_table.jobs_by_id.get(job_id)
         if job is None:
@@ -234,6 +238,6 @@
         """
         age_ms = self._follower.lag_ms()
         if not self._follower.loaded.is_set() or age_ms > MAX_PENDING_AGE_MS:
-            log.info("pending_unknown", queue=queue.name, state_age_ms=round(min(age_ms, 1e9)))
+            log.info("pending_unknown", queue=queue.name, state_age_ms=self._state_age_ms())
             raise StateUnknownError("the state of jobs is too old or has not been read yet")
         return self._job_table.count_pending(queue.name)
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -19,7 +19,12 @@
 from structlog.testing import capture_logs
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.entry import NoSuchJobError, NotAcceptedError, OutcomeUnknownError
+from carawayroute.fleet.entry import (
+    NoSuchJobError,
+    NotAcceptedError,
+    OutcomeUnknownError,
+    StateUnknownError,
+)
 from carawayroute.fleet.exceptions import RunnerRefusedError, RunnerUnansweredError
 from carawayroute.fleet.links import RunnerLink
 from carawayroute.fleet.types import EndedTask, RunnerReport
@@ -85,6 +90,18 @@
     run_scenario(scenario)
 
 
+def test_lookup_before_the_state_is_loaded_raises_state_unknown():
+    """Callers of an instance whose store did not answer since its start got a 500, not a 503."""
+
+    async def scenario(fleet):
+        fleet.store.mode = "silent"
+        fleet.start_instance("n4")
+        with pytest.raises(StateUnknownError):
+            await fleet.state(ID.format(1), at="n4")
+
+    run_scenario(scenario)
+
+
 def test_steps_of_gangs_run_in_dependency_order():
     async def scenario(fleet):
         steps = [step(4, 8, gang=True, same_rack=True), step(4, 8, gang=True, depends_on=[0])]
