Log and count what decided a lookup of an unknown job, and how far reads are behind

What callers saw: 410 for accepted jobs, without a line in the log of the instance that answered, so that a job whose absence is proved at the end of the topic could not be told from one that had not been read yet.

Change: one line job_lookup for each lookup of a job that was not known at first, with its outcome (found, absent, unknown), the evidence (record, end_reached, behind, not_loaded, read_failed), offset, known end, age and duration; it replaces job_state_unknown. One warning topic_behind for a follower that has not reached the end of its topic for over 1 s, and one line topic_caught_up. TopicFollower.known_end and behind_records are public. Metrics: job_lookups by outcome and evidence, jobs_behind_records, store_received_bytes by kind of call (also of answers that were cut off), store_calls_unanswered by kind and cause. No answer changes: a lookup that ends behind is still answered 410, with the evidence `behind`.

--- a/packages/daemon/carawayrouted/fleet_metrics.py
+++ b/packages/daemon/carawayrouted/fleet_metrics.py
@@ -11,23 +11,31 @@
 
 
 class LabelledCounts(Collector):
-    """A counter with one label whose values are read on each scrape."""
+    """A counter with labels whose values are read on each scrape.
 
-    __slots__ = ("_label", "_name", "_read", "_text")
+    :param labels: names of the labels.
+    :param read: returns the counts, keyed by the labels' values.
+    """
+
+    __slots__ = ("_labels", "_name", "_read", "_text")
 
     def __init__(
-        self, name: str, text: str, label: str, read: Callable[[], Mapping[str, int]]
+        self,
+        name: str,
+        text: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Mapping[tuple[str, ...], int]],
     ) -> None:
         self._name = name
         self._text = text
-        self._label = label
+        self._labels = labels
         self._read = read
 
     def collect(self) -> Iterator[CounterMetricFamily]:
         """Yield the counter with its current values."""
-        family = CounterMetricFamily(self._name, self._text, labels=[self._label])
-        for value, count in sorted(self._read().items()):
-            family.add_metric([value], count)
+        family = CounterMetricFamily(self._name, self._text, labels=self._labels)
+        for values, count in sorted(self._read().items()):
+            family.add_metric(values, count)
         yield family
 
 
@@ -63,7 +71,19 @@
         self, name: str, text: str, label: str, read: Callable[[], Mapping[str, int]]
     ) -> None:
         """Add a counter by label whose values are read on each scrape."""
-        self.registry.register(LabelledCounts(f"carawayroute_{name}", text, label, read))
+        self.counts_by_labels(
+            name, text, (label,), lambda: {(value,): count for value, count in read().items()}
+        )
+
+    def counts_by_labels(
+        self,
+        name: str,
+        text: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Mapping[tuple[str, ...], int]],
+    ) -> None:
+        """Add a counter by several labels whose values are read on each scrape."""
+        self.registry.register(LabelledCounts(f"carawayroute_{name}", text, labels, read))
 
     async def show(self, request: web.BaseRequest) -> web.Response:
         """Return the metrics in the text format."""
--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -77,6 +77,11 @@
         gauge("runner_looks", "Looks at runners.", lambda: self.runners_client.polls)
         gauge("jobs_open", "Jobs that have not ended.", lambda: len(node.job_table.open_by_id))
         gauge("jobs_lag_ms", "Age of the state of jobs.", node.jobs_follower.lag_ms)
+        gauge(
+            "jobs_behind_records",
+            "Records of the jobs topic that are known to exist and have not been read.",
+            lambda: node.jobs_follower.behind_records,
+        )
         gauge("log_lines", "Log lines written.", lambda: self._output.lines)
         gauge("log_lines_dropped", "Log lines dropped.", lambda: self._output.dropped)
         gauge(
@@ -97,6 +102,25 @@
             lambda: node.planner.unmatched_by_outcome if node.planner else {},
         )
 
+        self.metrics.counts_by_labels(
+            "job_lookups",
+            "Lookups of jobs that were not known at first.",
+            ("outcome", "evidence"),
+            lambda: node.service.lookups_by_evidence,
+        )
+        self.metrics.counts(
+            "store_received_bytes",
+            "Bytes received from the store, including those of incomplete answers.",
+            "kind",
+            lambda: self.direct_store.bytes_by_kind,
+        )
+        self.metrics.counts_by_labels(
+            "store_calls_unanswered",
+            "Calls to the store without a complete answer.",
+            ("kind", "cause"),
+            lambda: self.direct_store.unanswered_by_kind,
+        )
+
     async def _serve_peer(self, message: bytes) -> bytes:
         return await self.node.store.serve(message)
 
--- a/packages/daemon/carawayrouted/platform/http.py
+++ b/packages/daemon/carawayrouted/platform/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+from collections.abc import Callable
 
 import aiohttp
 
@@ -52,6 +53,7 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         read_timeout_ms: float | None = None,
+        on_received: Callable[[int], None] | None = None,
     ) -> Reply:
         """Make a call and return its complete answer.
 
@@ -59,6 +61,8 @@
 
         :param timeout_ms: limit for the whole call.
         :param read_timeout_ms: longest time without received data.
+        :param on_received: called at the end with the number of bytes of the body that arrived,
+            also if the body is incomplete; not called if no answer began.
         :raises NotListeningError: the connection was refused; nothing was sent.
         :raises RequestNotSentError: connecting failed otherwise; nothing was sent.
         :raises TimeoutError: no complete answer came in time, or the connection broke.
@@ -72,7 +76,11 @@
             async with self._session.request(
                 method, url, data=body, headers=headers, timeout=timeout
             ) as response:
-                return Reply(response.status, await response.read())
+                try:
+                    return Reply(response.status, await response.read())
+                finally:
+                    if on_received is not None:
+                        on_received(response.content.total_bytes)
         except aiohttp.ClientConnectorError as error:
             if error.errno == errno.ECONNREFUSED:
                 raise NotListeningError(str(error)) from error
--- a/packages/daemon/carawayrouted/platform/store.py
+++ b/packages/daemon/carawayrouted/platform/store.py
@@ -1,8 +1,10 @@
 """Client of the platform's store, a log with keyed topics."""
 
+import asyncio
 import base64
 import json
 import struct
+from collections import Counter
 from urllib.parse import quote
 
 import structlog
@@ -32,6 +34,10 @@
 # Takes well under READ_TIMEOUT_MS over the smallest machine's link (5 Mbit/s).
 READ_KB = 96
 REFUSED_STATUSES = (429, 503, 507)
+# Kinds of calls.
+APPEND = "append"
+READ = "read"
+NEWEST = "newest"
 
 log = structlog.get_logger()
 
@@ -43,31 +49,46 @@
     if the result is unknown.
 
     :ivar calls: number of HTTP calls made.
+    :ivar bytes_by_kind: bytes of the answers' bodies that arrived, including incomplete ones.
+    :ivar unanswered_by_kind: number of calls without a complete answer, by kind and cause:
+        ``not_sent`` (no connection), ``timed_out`` (or the connection broke), or ``cancelled`` by
+        the caller.
     """
 
     def __init__(self, pool: HttpPool, address: Address) -> None:
         self._pool = pool
         self._base = f"http://{address}/v1/"
         self.calls = 0
+        self.bytes_by_kind: Counter[str] = Counter()
+        self.unanswered_by_kind: Counter[tuple[str, str]] = Counter()
 
     async def _call(
         self,
+        kind: str,
         method: str,
         path: str,
         timeout_ms: float,
         body: bytes | None = None,
         read_timeout_ms: float | None = None,
     ) -> Reply:
+        def count_bytes(received: int) -> None:
+            self.bytes_by_kind[kind] += received
+
         self.calls += 1
         headers = {"Content-Type": "application/octet-stream"} if body is not None else None
         try:
             reply = await self._pool.call(
-                method, self._base + path, timeout_ms, body, headers, read_timeout_ms
+                method, self._base + path, timeout_ms, body, headers, read_timeout_ms, count_bytes
             )
         except RequestNotSentError as error:
+            self.unanswered_by_kind[kind, "not_sent"] += 1
             raise StoreRefusedError(f"no connection to the store: {error}") from error
         except TimeoutError as error:
+            self.unanswered_by_kind[kind, "timed_out"] += 1
             raise StoreUnansweredError(str(error)) from error
+        except asyncio.CancelledError:
+            self.unanswered_by_kind[kind, "cancelled"] += 1
+            raise
         if reply.status in REFUSED_STATUSES:
             raise StoreRefusedError(f"the store answered {reply.status}")
         return reply
@@ -98,7 +119,7 @@
         if sequence is not None and records:
             query += f"&sequence={sequence}"
         body = b"".join(_encode_record(key, value) for key, value in records)
-        reply = await self._call("POST", query, APPEND_TIMEOUT_MS, body)
+        reply = await self._call(APPEND, "POST", query, APPEND_TIMEOUT_MS, body)
         found = _decode_json(reply)
         if reply.status == 412:
             raise StoreConflictError(_integer_or(found.get("end"), -1))
@@ -120,7 +141,7 @@
             f"log-read?topic={quote(topic)}&part={PARTITION}&from={offset}"
             f"&max_kb={READ_KB}&wait_ms={wait_ms}"
         )
-        reply = await self._call("GET", query, READ_TIMEOUT_MS + wait_ms)
+        reply = await self._call(READ, "GET", query, READ_TIMEOUT_MS + wait_ms)
         if reply.status == 410:
             raise StoreTrimmedError(_integer_or(_decode_json(reply).get("first"), 0))
         if reply.status != 200:
@@ -160,7 +181,9 @@
         while True:
             attempts += 1
             try:
-                reply = await self._call("GET", query, PAGE_TIMEOUT_MS, None, PAGE_READ_TIMEOUT_MS)
+                reply = await self._call(
+                    NEWEST, "GET", query, PAGE_TIMEOUT_MS, None, PAGE_READ_TIMEOUT_MS
+                )
             except StoreUnansweredError as error:
                 if not after or attempts == MAX_PAGE_ATTEMPTS:
                     raise
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -1,6 +1,7 @@
 """Callers' operations on jobs: submit, read the state, cancel, and count pending jobs."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 import structlog
@@ -35,6 +36,15 @@
 MAX_PENDING_AGE_MS = 2_000
 # Part of the caller's deadline that is reserved for sending the response.
 RESPONSE_MARGIN_MS = 250
+# Outcomes of looking up a job that was not known at first, and the evidence that decided them.
+FOUND = "found"
+ABSENT = "absent"
+UNKNOWN = "unknown"
+RECORD = "record"
+END_REACHED = "end_reached"
+BEHIND = "behind"
+NOT_LOADED = "not_loaded"
+READ_FAILED = "read_failed"
 
 log = structlog.get_logger()
 
@@ -69,6 +79,8 @@
 
     :param name: name of this instance, recorded as the entry of its jobs.
     :param on_stored: called after a job or a cancellation has been stored.
+    :ivar lookups_by_evidence: number of lookups of jobs that were not known at first, by outcome
+        and evidence.
     """
 
     def __init__(
@@ -88,6 +100,7 @@
         self._writer = writer
         self.admission = admission
         self._on_stored = on_stored
+        self.lookups_by_evidence: Counter[tuple[str, str]] = Counter()
 
     async def submit(self, queue: Queue, team: Team | None, job: pb.Job, wait_ms: float) -> None:
         """Accept a job; submitting a known id again has no effect.
@@ -164,29 +177,46 @@
             log.warning("request_outcome_unknown", job=job_id, key=key[:1])
             raise OutcomeUnknownError("the store did not answer in time") from error
 
-    def _state_age_ms(self) -> int:
-        """Return the age of the state for log lines, which hold no infinite numbers."""
-        return round(min(self._follower.lag_ms(), 1e9))
-
     async def _find(self, job_id: str, wait_ms: float) -> Job:
         """Return a job, reading the store first if the job is not known here.
 
         :raises NoSuchJobError: no such job has been accepted.
         :raises StateUnknownError: the state cannot be read.
         """
+        started_ms = self._clock.now_ms()
+        known_at_first = job_id in self._job_table.jobs_by_id
         try:
             async with asyncio.timeout(max(0.0, wait_ms - RESPONSE_MARGIN_MS) / 1000):
                 await self._follower.loaded.wait()
                 if job_id not in self._job_table.jobs_by_id:
                     await self._follower.read_to_end()
         except (TimeoutError, StoreError) as error:
-            log.info("job_state_unknown", job=job_id, state_age_ms=self._state_age_ms())
+            evidence = READ_FAILED if self._follower.loaded.is_set() else NOT_LOADED
+            self._note_lookup(job_id, UNKNOWN, evidence, started_ms)
             raise StateUnknownError("the state of jobs cannot be read") from error
         job = self._job_table.jobs_by_id.get(job_id)
         if job is None:
+            evidence = BEHIND if self._follower.behind_records else END_REACHED
+            self._note_lookup(job_id, ABSENT, evidence, started_ms)
             raise NoSuchJobError(job_id)
+        if not known_at_first:
+            self._note_lookup(job_id, FOUND, RECORD, started_ms)
         return job
 
+    def _note_lookup(self, job_id: str, outcome: str, evidence: str, started_ms: float) -> None:
+        """Log and count a lookup."""
+        self.lookups_by_evidence[outcome, evidence] += 1
+        log.info(
+            "job_lookup",
+            job=job_id,
+            outcome=outcome,
+            evidence=evidence,
+            state_age_ms=self._follower.state_age_ms(),
+            offset=self._follower.offset,
+            end=self._follower.known_end,
+            took_ms=round(self._clock.now_ms() - started_ms),
+        )
+
     async def state(self, job_id: str, wait_ms: float) -> str:
         """Return a job's state.
 
@@ -238,6 +268,8 @@
         """
         age_ms = self._follower.lag_ms()
         if not self._follower.loaded.is_set() or age_ms > MAX_PENDING_AGE_MS:
-            log.info("pending_unknown", queue=queue.name, state_age_ms=self._state_age_ms())
+            log.info(
+                "pending_unknown", queue=queue.name, state_age_ms=self._follower.state_age_ms()
+            )
             raise StateUnknownError("the state of jobs is too old or has not been read yet")
         return self._job_table.count_pending(queue.name)
--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -15,6 +15,10 @@
 READ_WAIT_MS = 800
 FIRST_RETRY_MS = 30
 MAX_RETRY_MS = 300
+# A follower that has not reached the end of the topic for longer than this logs that it is behind.
+BEHIND_LOG_MS = 1_000
+# Longest age that is logged; it stands for a topic that was never read to its end.
+MAX_LOGGED_AGE_MS = 1_000_000_000
 
 log = structlog.get_logger()
 
@@ -27,6 +31,7 @@
         in the meantime can be dropped.
     :param read_interval_ms: minimum time between two reads, to limit calls to the store.
     :ivar offset: offset of the next record to read.
+    :ivar known_end: offset at which the topic ends, as last told by the store.
     :ivar loaded: set while the topic has been loaded.
     :ivar changed: set after each load and read.
     :ivar recovered_ms: clock time at which reads last succeeded again after failing.
@@ -48,10 +53,13 @@
         self._on_reloaded = on_reloaded
         self._read_interval_ms = read_interval_ms
         self.offset = 0
+        self.known_end = 0
         self.loaded = asyncio.Event()
         self.changed = asyncio.Event()
         self._current_as_of_ms: float | None = None
         self._behind = False
+        self._behind_since_ms: float | None = None
+        self._behind_logged = False
         self.recovered_ms = 0.0
         self._read_requested = asyncio.Event()
 
@@ -61,6 +69,15 @@
             return float("inf")
         return self._clock.now_ms() - self._current_as_of_ms
 
+    @property
+    def behind_records(self) -> int:
+        """Return the number of records before the known end that have not been read."""
+        return max(0, self.known_end - self.offset)
+
+    def state_age_ms(self) -> int:
+        """Return ``lag_ms`` as a finite integer for log lines."""
+        return round(min(self.lag_ms(), MAX_LOGGED_AGE_MS))
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         backoff = Backoff(FIRST_RETRY_MS, MAX_RETRY_MS)
@@ -80,6 +97,7 @@
                 if not failing:
                     log.warning("store_read_failing", topic=self.topic, error=str(error))
                 failing = True
+                self._log_if_behind()
                 await self._clock.sleep_ms(backoff.next_ms())
                 continue
             if failing:
@@ -130,10 +148,12 @@
         if self._on_reloaded is not None:
             self._on_reloaded({record.key for record in found.records})
         self.offset = found.next_offset
+        self.known_end = max(self.known_end, found.end)
         self._current_as_of_ms = sent_ms
         self.loaded.set()
         self.changed.set()
         log.info("topic_loaded", topic=self.topic, keys=len(found.records), offset=self.offset)
+        self._log_if_behind()
 
     async def read_to_end(self) -> None:
         """Read the available records at once, concurrently with the long-polling read.
@@ -152,7 +172,37 @@
             if record.offset >= self.offset:
                 self._apply(record)
         self.offset = max(self.offset, found.next_offset)
+        self.known_end = max(self.known_end, found.end)
         self._behind = self.offset < found.end
         if self.offset >= found.end:
             self._current_as_of_ms = self._clock.now_ms() if found.records else sent_ms
         self.changed.set()
+        self._log_if_behind()
+
+    def _log_if_behind(self) -> None:
+        """Log once that the end has not been reached for long, and once that it has been."""
+        now_ms = self._clock.now_ms()
+        if not self.behind_records:
+            if self._behind_logged and self._behind_since_ms is not None:
+                log.info(
+                    "topic_caught_up",
+                    topic=self.topic,
+                    offset=self.offset,
+                    end=self.known_end,
+                    state_age_ms=self.state_age_ms(),
+                    took_ms=round(now_ms - self._behind_since_ms),
+                )
+            self._behind_since_ms = None
+            self._behind_logged = False
+            return
+        if self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+        if not self._behind_logged and now_ms - self._behind_since_ms > BEHIND_LOG_MS:
+            self._behind_logged = True
+            log.warning(
+                "topic_behind",
+                topic=self.topic,
+                offset=self.offset,
+                end=self.known_end,
+                state_age_ms=self.state_age_ms(),
+            )
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -15,6 +15,8 @@
     FormatError,
     RunnerNotListeningError,
     RunnerUnansweredError,
+    StoreRefusedError,
+    StoreUnansweredError,
 )
 from carawayroute_standins.fleet.taskrunner import make_runner
 from carawayrouted.fleet_metrics import FleetMetrics
@@ -215,6 +217,17 @@
     assert 'carawayroute_runs_given_up_total{evidence="lease expired"} 3.0' in text
 
 
+def test_counts_are_shown_by_several_labels():
+    metrics = FleetMetrics()
+    counts = {("absent", "behind"): 2, ("found", "record"): 1}
+    metrics.counts_by_labels(
+        "job_lookups", "Lookups of jobs.", ("outcome", "evidence"), lambda: counts
+    )
+    text = generate_latest(metrics.registry).decode()
+    assert 'carawayroute_job_lookups_total{evidence="behind",outcome="absent"} 2.0' in text
+    assert 'carawayroute_job_lookups_total{evidence="record",outcome="found"} 1.0' in text
+
+
 def test_read_fits_through_the_slowest_link_in_time():
     """Reads of 1 MB timed out repeatedly over slow links (cornice-sched-grown trouble-1)."""
     smallest_link_bits_per_ms = 5_000
@@ -274,6 +287,56 @@
     assert asked == ["", "k2", "k2"]
 
 
+def test_bytes_and_unanswered_calls_of_the_store_are_counted(monkeypatch):
+    """The first read is answered, the second times out half way, the third is cancelled there,
+    and the fourth finds no listener."""
+    page = struct.pack(">QQ", 1, 0) + _encode_record("a", b"x" * 83)
+    asked = []
+
+    async def read(request):
+        asked.append(request.query["from"])
+        if len(asked) == 1:
+            return web.Response(body=page)
+        response = web.StreamResponse(headers={"Content-Length": str(len(page))})
+        await response.prepare(request)
+        await response.write(page[:50])
+        await asyncio.sleep(1)
+        return response
+
+    async def run():
+        app = web.Application()
+        app.router.add_get("/v1/log-read", read)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        pool = HttpPool()
+        client = store.HttpStore(pool, f"127.0.0.1:{port}")
+        monkeypatch.setattr(store, "READ_TIMEOUT_MS", 200)
+        try:
+            await client.read("keyed.t", 0, 0)
+            assert client.bytes_by_kind == {"read": len(page)}
+            assert not client.unanswered_by_kind
+            with pytest.raises(StoreUnansweredError):
+                await client.read("keyed.t", 0, 0)
+            assert client.bytes_by_kind == {"read": len(page) + 50}
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await client.read("keyed.t", 0, 0)
+            assert client.bytes_by_kind == {"read": len(page) + 100}
+            await site.stop()
+            with pytest.raises(StoreRefusedError):
+                await client.read("keyed.t", 0, 0)
+        finally:
+            await pool.close()
+            await runner.cleanup()
+        causes = ("timed_out", "cancelled", "not_sent")
+        assert client.unanswered_by_kind == {("read", cause): 1 for cause in causes}
+
+    asyncio.run(run())
+
+
 def test_slow_runner_stays_below_its_connection_limit():
     """Stops that timed out opened 20 connections a second. A runner that kept each for 4 s accepted
     no new ones while stops were sent (cornice-sched-grown trouble-3)."""
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -4,7 +4,7 @@
 import signal
 
 import pytest
-from fleet_cluster import CALLER_HEADERS, FleetCluster, job_body
+from fleet_cluster import CALLER_HEADERS, HOST, FleetCluster, job_body
 
 from carawayroute_standins.fleet.judge import find_violations, starts
 
@@ -59,6 +59,23 @@
     run_scenario(tmp_path, scenario, instances=1)
 
 
+def test_lookups_and_bytes_from_the_store_are_shown_as_metrics(tmp_path):
+    async def scenario(cluster):
+        for method in ("GET", "DELETE"):
+            assert (await cluster.call("n1", method, "/render/" + ID.format(1)))[0] == 410
+        url = f"http://{HOST}:{cluster.ports_by_name['n1']['metrics']}/metrics"
+        async with cluster.session.get(url) as response:
+            lines = (await response.text()).splitlines()
+        lookups = 'carawayroute_job_lookups_total{evidence="end_reached",outcome="absent"} 2.0'
+        assert lookups in lines
+        assert "carawayroute_jobs_behind_records 0.0" in lines
+        for kind in ("append", "newest", "read"):
+            name = f'carawayroute_store_received_bytes_total{{kind="{kind}"}} '
+            assert [float(line.split()[1]) for line in lines if line.startswith(name)][0] > 0
+
+    run_scenario(tmp_path, scenario, instances=1)
+
+
 def test_jobs_complete_after_planner_is_killed(tmp_path):
     async def scenario(cluster):
         for number in range(5):
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -20,13 +20,21 @@
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.entry import (
+    EntryService,
     NoSuchJobError,
     NotAcceptedError,
     OutcomeUnknownError,
     StateUnknownError,
 )
-from carawayroute.fleet.exceptions import RunnerRefusedError, RunnerUnansweredError
+from carawayroute.fleet.exceptions import (
+    RunnerRefusedError,
+    RunnerUnansweredError,
+    StoreUnansweredError,
+)
+from carawayroute.fleet.follower import TopicFollower
+from carawayroute.fleet.jobs import JOB_KEY, JobTable
 from carawayroute.fleet.links import RunnerLink
+from carawayroute.fleet.ports import KeyedRecord, RecordPage
 from carawayroute.fleet.types import EndedTask, RunnerReport
 from carawayroute_standins.fleet.judge import find_violations, starts
 from carawayroute_standins.fleet.taskrunner import make_runner
@@ -102,6 +110,141 @@
     run_scenario(scenario)
 
 
+class PagedStore:
+    """A topic of job records that is read in pages.
+
+    :ivar page_size: number of records of a page.
+    :ivar failing: whether reads fail.
+    """
+
+    def __init__(self, clock, count, page_size):
+        self._clock = clock
+        self.records = []
+        self.page_size = page_size
+        self.failing = False
+        for number in range(count):
+            self.append(ID.format(number))
+
+    def append(self, job_id):
+        record = job(job_id).SerializeToString()
+        self.records.append(KeyedRecord(len(self.records), JOB_KEY + job_id, record))
+
+    async def newest(self, topic):
+        return RecordPage([], 0, 0)
+
+    async def read(self, topic, offset, wait_ms):
+        await self._clock.sleep_ms(max(10, wait_ms))
+        if self.failing:
+            raise StoreUnansweredError("silent")
+        records = self.records[offset : offset + self.page_size]
+        return RecordPage(records, offset + len(records), len(self.records))
+
+
+def lookup_parts(count, page_size):
+    """Return a paged store, a follower that has not read any of its records, and a service."""
+    clock = Clock()
+    table = JobTable()
+    paged = PagedStore(clock, count, page_size)
+
+    def apply(record):
+        table.apply(record.offset, record.key, record.value, clock.now_ms())
+
+    follower = TopicFollower(paged, clock, "keyed.jobs", apply)
+    service = EntryService("n1", clock, table, follower, None, None, lambda: None)
+    return paged, follower, service
+
+
+@pytest.mark.parametrize(
+    ("number", "page_size", "outcome", "evidence"),
+    [
+        (1, 8, "found", "record"),
+        (9, 8, "absent", "end_reached"),
+        (9, 4, "absent", "behind"),
+        (5, 4, "absent", "behind"),
+    ],
+)
+def test_lookup_of_an_unknown_job_logs_its_evidence(number, page_size, outcome, evidence):
+    async def run():
+        _, follower, service = lookup_parts(8, page_size)
+        await follower.reload()
+        with capture_logs() as lines, contextlib.suppress(NoSuchJobError):
+            await service.state(ID.format(number), 1_000)
+        lookups = [line for line in lines if line["event"] == "job_lookup"]
+        assert [(line["outcome"], line["evidence"]) for line in lookups] == [(outcome, evidence)]
+        line = lookups[0]
+        assert (line["job"], line["offset"], line["end"]) == (ID.format(number), page_size, 8)
+        assert (line["took_ms"], line["log_level"]) == (10, "info")
+        assert line["state_age_ms"] in (0, 10)
+        assert service.lookups_by_evidence == {(outcome, evidence): 1}
+
+    run_virtual(run())
+
+
+def test_lookup_of_a_known_job_logs_nothing():
+    async def run():
+        _, follower, service = lookup_parts(8, 8)
+        await follower.reload()
+        await follower.read_to_end()
+        with capture_logs() as lines:
+            await service.state(ID.format(1), 1_000)
+        assert lines == []
+        assert not service.lookups_by_evidence
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize("evidence", ["not_loaded", "read_failed"])
+def test_lookup_without_an_answer_logs_unknown(evidence):
+    async def run():
+        paged, follower, service = lookup_parts(8, 8)
+        if evidence == "read_failed":
+            await follower.reload()
+        paged.failing = True
+        with capture_logs() as lines, pytest.raises(StateUnknownError):
+            await service.state(ID.format(1), 1_000)
+        assert [(line["outcome"], line["evidence"]) for line in lines] == [("unknown", evidence)]
+        assert service.lookups_by_evidence == {("unknown", evidence): 1}
+
+    run_virtual(run())
+
+
+def test_follower_that_falls_behind_and_catches_up_logs_each_once():
+    async def run():
+        paged, follower, _ = lookup_parts(200, 1)
+        with capture_logs() as lines:
+            following = asyncio.create_task(follower.run())
+            await asyncio.sleep(5)
+            assert [line["event"] for line in lines] == ["topic_loaded", "topic_behind"]
+            behind = lines[1]
+            assert 0 < behind["offset"] < behind["end"] == 200
+            assert behind["state_age_ms"] > 1_000
+            assert follower.behind_records == 200 - follower.offset > 0
+            paged.failing = True
+            await asyncio.sleep(5)
+            paged.failing = False
+            paged.page_size = 200
+            await asyncio.sleep(5)
+            events = [line["event"] for line in lines]
+            assert (events.count("topic_behind"), events.count("topic_caught_up")) == (1, 1)
+            caught_up = lines[events.index("topic_caught_up")]
+            assert (caught_up["offset"], caught_up["end"], follower.behind_records) == (200, 200, 0)
+            following.cancel()
+
+    run_virtual(run())
+
+
+def test_single_full_page_logs_no_falling_behind():
+    async def run():
+        _, follower, _ = lookup_parts(2, 1)
+        with capture_logs() as lines:
+            following = asyncio.create_task(follower.run())
+            await asyncio.sleep(5)
+            following.cancel()
+        assert [line["event"] for line in lines] == ["topic_loaded"]
+
+    run_virtual(run())
+
+
 def test_steps_of_gangs_run_in_dependency_order():
     async def scenario(fleet):
         steps = [step(4, 8, gang=True, same_rack=True), step(4, 8, gang=True, depends_on=[0])]
