Give the fleet's stand-ins pages, links with bandwidth, and a check of denied jobs

A read is now limited to max_kb (96 KB, as the program's client asks), newest records come in pages of 500 records or 1 MB in the order of their keys, with appends possible in between, and the HTTP front does the same. Links of an instance or of a region may have a bandwidth, shared packet by packet; an answer that comes after the client's time limit is lost though the link carried it. Messages between peers of different regions cross the same links, and a peer that does not answer in time raises PeerError. Bandwidth is unlimited by default.

The judge finds accepted jobs that an instance calls unknown more than 3 s after the acceptance; the world journals what callers are told. The soak checked this for GET only; now it does for DELETE, too.

--- a/packages/standins/carawayroute_standins/fleet/http.py
+++ b/packages/standins/carawayroute_standins/fleet/http.py
@@ -19,7 +19,7 @@
 from carawayroute_standins.fleet.taskrunner import TaskRunner
 from carawayroute_standins.fleet.topics import StoreClient
 
-PAGE_ITEMS = 500
+DEFAULT_READ_KB = 1_024
 
 
 def split_records(body: bytes) -> list[tuple[str, bytes]]:
@@ -78,7 +78,12 @@
         query = request.query
         offset = int(query["from"])
         try:
-            found = await self._store.read(query["topic"], offset, int(query.get("wait_ms", 0)))
+            found = await self._store.read(
+                query["topic"],
+                offset,
+                int(query.get("wait_ms", 0)),
+                int(query.get("max_kb", DEFAULT_READ_KB)),
+            )
         except StoreTrimmedError as error:
             return web.json_response({"first": error.first}, status=410)
         except StoreRefusedError:
@@ -94,24 +99,22 @@
 
     async def _newest(self, request: web.Request) -> web.Response:
         try:
-            found = await self._store.newest(request.query["topic"])
+            found = await self._store.newest_page(
+                request.query["topic"], request.query.get("depends_on", "")
+            )
         except StoreRefusedError:
             return web.Response(status=503)
         except StoreUnansweredError:
             return _abort_connection(request)
-        after_key = request.query.get("depends_on", "")
-        records = sorted(found.records, key=lambda record: record.key)
-        remaining = [record for record in records if record.key > after_key]
-        page = remaining[:PAGE_ITEMS]
         items = [
             {
                 "key": record.key,
                 "value": base64.b64encode(record.value).decode(),
                 "offset": record.offset,
             }
-            for record in page
+            for record in found.records
         ]
-        fields = {"items": items, "has_more": len(remaining) > len(page), "end": found.end}
+        fields = {"items": items, "has_more": found.has_more, "end": found.end}
         return web.json_response(fields)
 
 
--- a/packages/standins/carawayroute_standins/fleet/judge.py
+++ b/packages/standins/carawayroute_standins/fleet/judge.py
@@ -1,7 +1,13 @@
-"""Checks the runners' journal for violations, independently of the state that the fleet reports."""
+"""Checks the journal of runners and callers for violations.
+
+What callers were told is compared with what they were told before, not with the fleet's own state.
+"""
 
 from carawayroute_standins.journal import Journal
 
+# An accepted job is known to every instance after this time.
+VISIBLE_MS = 3_000
+
 
 def _acknowledged_ends(journal: Journal) -> set[tuple[str, object, str]]:
     """Return task, run and runner of the ends as done that are acknowledged at some time."""
@@ -13,12 +19,15 @@
 
 
 def find_violations(journal: Journal) -> list[str]:
-    """Return all violations: tasks that ran twice or again once done, and partial gangs.
+    """Return all violations.
+
+    These are tasks that ran twice or again once done, partial gangs, and accepted jobs that an
+    instance denied.
 
     A start after an end as done is a violation if that end is acknowledged before or after it,
     whether or not the runner's lease expired in between.
     """
-    found: list[str] = []
+    found = find_denied_jobs(journal)
     acknowledged_ends = _acknowledged_ends(journal)
     done: set[str] = set()
     running: dict[str, tuple[int, str]] = {}
@@ -47,6 +56,24 @@
     return found
 
 
+def find_denied_jobs(journal: Journal) -> list[str]:
+    """Return the accepted jobs that an instance called unknown once every instance knows them."""
+    found = []
+    accepted_ms_by_job: dict[str, float] = {}
+    for entry in journal.entries:
+        job = str(entry.fields.get("job", ""))
+        if entry.what == "job_accepted":
+            accepted_ms_by_job.setdefault(job, entry.at_ms)
+        elif entry.what == "job_denied" and job in accepted_ms_by_job:
+            age_ms = entry.at_ms - accepted_ms_by_job[job]
+            if age_ms > VISIBLE_MS:
+                found.append(
+                    f"{job} was called unknown by {entry.fields['entry']} (call: "
+                    f"{entry.fields['call']}) {age_ms:.0f} ms after its acceptance"
+                )
+    return found
+
+
 def starts(journal: Journal, job_id: str) -> list[str]:
     """Return the tasks of a job that were started, in order of their starts."""
     return [
--- a/packages/standins/carawayroute_standins/fleet/topics.py
+++ b/packages/standins/carawayroute_standins/fleet/topics.py
@@ -1,7 +1,9 @@
 """In-memory store with keyed topics, conditional appends, producer fencing and faults."""
 
 import asyncio
+import itertools
 import random
+from collections.abc import Iterable
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.exceptions import (
@@ -14,11 +16,60 @@
 )
 from carawayroute.fleet.ports import AppendResult, KeyedRecord, RecordPage
 from carawayroute.misc import wait_event
+from carawayroute_standins.fleet.bandwidth import Network, carry_over
 
 ANSWER_LATENCY_MS = 4
 # How long a client waits for an answer before it gives up.
 NO_ANSWER_TIMEOUT_MS = 900
 REMEMBERED_APPENDS = 5
+# Limits of a page of a read as the program's client asks for it, and of one of the newest records.
+READ_PAGE_KB = 96
+NEWEST_PAGE_RECORDS = 500
+NEWEST_PAGE_BYTES = 1_000_000
+# Time limit of the program's client for a page of the newest records.
+NEWEST_PAGE_TIMEOUT_MS = 20_000
+# Length of the record, length of its key.
+RECORD_HEADER_BYTES = 5
+ANSWER_HEADER_BYTES = 200
+
+
+def record_size(record: KeyedRecord) -> int:
+    """Return the number of bytes that a record takes up in an answer."""
+    return RECORD_HEADER_BYTES + len(record.key.encode()) + len(record.value)
+
+
+def encoded_size(record: KeyedRecord) -> int:
+    """Return the number of bytes that a record takes up in a page of newest records, as base64."""
+    return (record_size(record) * 4 + 2) // 3
+
+
+def take_page(
+    records: Iterable[KeyedRecord], most_bytes: int, most_records: int | None = None
+) -> list[KeyedRecord]:
+    """Return as many records as fit on a page, at least the first one."""
+    page: list[KeyedRecord] = []
+    size = 0
+    for record in itertools.islice(records, most_records):
+        size += record_size(record)
+        if page and size > most_bytes:
+            break
+        page.append(record)
+    return page
+
+
+class NewestPage:
+    """A page of the newest records in the order of their keys.
+
+    :param has_more: whether keys follow.
+    :param end: offset at which the topic ended when the page was read.
+    """
+
+    __slots__ = ("end", "has_more", "records")
+
+    def __init__(self, records: list[KeyedRecord], has_more: bool, end: int) -> None:
+        self.records = records
+        self.has_more = has_more
+        self.end = end
 
 
 class _Producer:
@@ -40,6 +91,11 @@
         self.producers_by_name: dict[str, _Producer] = {}
         self.append_event = asyncio.Event()
 
+    @property
+    def end(self) -> int:
+        """Return the offset of the next record."""
+        return self.first + len(self.records)
+
 
 class TopicStore:
     """Keeps topics in memory, with fault injection.
@@ -49,10 +105,12 @@
     :ivar lost_answer_ratio: fraction of the appends that take effect without an answer.
     :ivar late_ms: delay in ms before an append whose answer is lost takes effect.
     :ivar refused_instances: instances whose calls are refused.
+    :ivar network: links that carry the answers; unlimited by default.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, network: Network | None = None) -> None:
         self.clock = clock
+        self.network = network or Network(clock, "")
         self.mode = "up"
         self.answer_ms = ANSWER_LATENCY_MS
         self.lost_answer_ratio = 0.0
@@ -89,8 +147,25 @@
         if self.mode == "refusing" or instance in self.refused_instances:
             raise StoreRefusedError("turned away")
 
+    async def send(self, instance: str, size: int, sent_ms: float, timeout_ms: float) -> None:
+        """Carry an answer of ``size`` bytes to an instance.
+
+        :param sent_ms: clock time at which the instance made the call.
+        :param timeout_ms: the instance's time limit for the whole call.
+        :raises StoreUnansweredError: the answer has not arrived in time.
+        """
+        links = self.network.links_from_store(instance)
+        if not links:
+            return
+        left_ms = timeout_ms - (self.clock.now_ms() - sent_ms)
+        transfer = carry_over(links, ANSWER_HEADER_BYTES + size)
+        try:
+            await self.network.wait_within(transfer, left_ms)
+        except TimeoutError as error:
+            raise StoreUnansweredError("the answer did not arrive in time") from error
+
     def _add(self, topic: _Topic, records: list[tuple[str, bytes]]) -> AppendResult:
-        offset = topic.first + len(topic.records)
+        offset = topic.end
         for number, (key, value) in enumerate(records):
             record = KeyedRecord(offset + number, key, value)
             topic.records.append(record)
@@ -113,7 +188,7 @@
     ) -> AppendResult:
         """Append records if the offset, epoch and sequence conditions hold."""
         topic = self.topic(name)
-        end = topic.first + len(topic.records)
+        end = topic.end
         if at is not None and at != end:
             raise StoreConflictError(end)
         known = None
@@ -158,13 +233,16 @@
         """Append all records or none."""
         store = self._store
         store.appends += 1
+        sent_ms = store.clock.now_ms()
         await store.simulate_call(self._instance)
         arguments = (topic, records, at, producer, epoch, sequence)
         if records and random.random() < store.lost_answer_ratio:
             asyncio.get_running_loop().call_later(store.late_ms / 1000, self._apply_late, arguments)
             await store.clock.sleep_ms(NO_ANSWER_TIMEOUT_MS)
             raise StoreUnansweredError("the answer was lost")
-        return store.append(*arguments)
+        appended = store.append(*arguments)
+        await store.send(self._instance, 0, sent_ms, NO_ANSWER_TIMEOUT_MS)
+        return appended
 
     def _apply_late(self, arguments: tuple) -> None:
         """Apply an append whose answer was lost, unless its conditions no longer hold."""
@@ -173,27 +251,51 @@
         except (StoreConflictError, StoreFencedError, StoreSequenceError):
             return
 
-    async def read(self, topic: str, offset: int, wait_ms: int) -> RecordPage:
-        """Return records from an offset on, waiting up to `wait_ms` for the first."""
+    async def read(
+        self, topic: str, offset: int, wait_ms: int, max_kb: int = READ_PAGE_KB
+    ) -> RecordPage:
+        """Return a page of records from an offset on, waiting up to `wait_ms` for the first."""
         store = self._store
         store.reads += 1
+        sent_ms = store.clock.now_ms()
         await store.simulate_call(self._instance)
         found = store.topic(topic)
         if offset < found.first:
             raise StoreTrimmedError(found.first)
-        if offset >= found.first + len(found.records) and wait_ms > 0:
+        if offset >= found.end and wait_ms > 0:
             await wait_event(found.append_event, wait_ms)
             await store.simulate_call(self._instance)
         if offset < found.first:
             raise StoreTrimmedError(found.first)
-        records = found.records[offset - found.first :]
-        return RecordPage(list(records), offset + len(records), found.first + len(found.records))
+        records = take_page(
+            itertools.islice(found.records, offset - found.first, None), max_kb * 1_024
+        )
+        page = RecordPage(records, offset + len(records), found.end)
+        size = sum(record_size(record) for record in records)
+        await store.send(self._instance, size, sent_ms, NO_ANSWER_TIMEOUT_MS + wait_ms)
+        return page
 
-    async def newest(self, topic: str) -> RecordPage:
-        """Return the newest record of each key."""
+    async def newest_page(self, topic: str, after_key: str = "") -> NewestPage:
+        """Return a page of the newest record of each key, from the key after ``after_key`` on."""
         store = self._store
         store.reads += 1
+        sent_ms = store.clock.now_ms()
         await store.simulate_call(self._instance)
         found = store.topic(topic)
-        end = found.first + len(found.records)
-        return RecordPage(list(found.newest_by_key.values()), end, end)
+        keys = sorted(key for key in found.newest_by_key if key > after_key)
+        records = take_page(
+            (found.newest_by_key[key] for key in keys), NEWEST_PAGE_BYTES, NEWEST_PAGE_RECORDS
+        )
+        page = NewestPage(records, len(records) < len(keys), found.end)
+        size = sum(encoded_size(record) for record in records)
+        await store.send(self._instance, size, sent_ms, NEWEST_PAGE_TIMEOUT_MS)
+        return page
+
+    async def newest(self, topic: str) -> RecordPage:
+        """Return the newest record of each key and the end as of the first page."""
+        page = await self.newest_page(topic)
+        records, end = page.records, page.end
+        while page.has_more:
+            page = await self.newest_page(topic, records[-1].key)
+            records.extend(page.records)
+        return RecordPage(records, end, end)
--- a/packages/standins/carawayroute_standins/fleet/world.py
+++ b/packages/standins/carawayroute_standins/fleet/world.py
@@ -3,12 +3,14 @@
 import asyncio
 
 from carawayroute.clock import Clock
+from carawayroute.fleet.entry import NoSuchJobError
 from carawayroute.fleet.node import FleetNode, FleetSettings
 from carawayroute.fleet.ports import PlatformFormat
 from carawayroute.fleet.relay import PeerError
 from carawayroute.fleet.types import Queue, Team
 from carawayroute.misc import TaskGroup
 from carawayroute_schema import records_pb2 as pb
+from carawayroute_standins.fleet.bandwidth import Network, carry_over
 from carawayroute_standins.fleet.taskrunner import (
     GangRegistry,
     InMemoryRunnerClient,
@@ -22,6 +24,8 @@
 MAX_LEASE_MS = 10_000
 PEER_LATENCY_MS = 2
 POLL_INTERVAL_MS = 20
+CALLER_DEADLINE_MS = 3_000
+STORE_REGION = "south"
 
 
 class WorldPeers:
@@ -34,15 +38,28 @@
     async def ask(self, address: str, message: bytes, timeout_ms: float) -> bytes:
         """Send a message to a peer and return its reply.
 
-        :raises PeerError: the peer is stopped or unreachable.
+        :raises PeerError: the peer is stopped or unreachable, or no reply arrived in time.
         """
         world = self._world
         peer = world.nodes_by_name.get(address)
         if peer is None or {address, self._instance} & world.unreachable_peers:
             await world.clock.sleep_ms(timeout_ms)
             raise PeerError(address)
-        await world.clock.sleep_ms(PEER_LATENCY_MS)
-        return await peer.store.serve(message)
+        network = world.network
+        request_links = network.links_from_peer(address, self._instance)
+        reply_links = network.links_from_peer(self._instance, address)
+
+        async def exchange() -> bytes:
+            await world.clock.sleep_ms(PEER_LATENCY_MS)
+            await carry_over(request_links, len(message))
+            reply = await peer.store.serve(message)
+            await carry_over(reply_links, len(reply))
+            return reply
+
+        try:
+            return await network.wait_within(exchange(), timeout_ms)
+        except TimeoutError as error:
+            raise PeerError(address) from error
 
 
 class FleetWorld:
@@ -50,6 +67,8 @@
 
     :param formats: format of the configuration and the runners in the store.
     :param list_runner: encodes a runner's listing in that format.
+    :param region_by_instance: regions of the instances that are not in the store's region.
+    :ivar network: links to the instances, unlimited by default.
     :ivar unreachable_peers: instances without connections to their peers.
     """
 
@@ -61,10 +80,13 @@
         instances: int = 3,
         racks: int = 2,
         runners_per_rack: int = 4,
+        region_by_instance: dict[str, str] | None = None,
     ) -> None:
         self.clock = Clock(wall_offset_ms=1_000_000.0)
         self.journal = Journal(self.clock)
-        self.store = TopicStore(self.clock)
+        self.network = Network(self.clock, STORE_REGION)
+        self.network.region_by_instance.update(region_by_instance or {})
+        self.store = TopicStore(self.clock, self.network)
         self.formats = formats
         self._list_runner = list_runner
         self.gangs = GangRegistry()
@@ -116,8 +138,8 @@
             FleetSettings(
                 name,
                 name,
-                "south",
-                "south-a",
+                self.network.region(name),
+                f"{self.network.region(name)}-a",
                 MAX_LEASE_MS,
                 STOP_MS,
                 seeds=("n1", "n2", "n3"),
@@ -168,13 +190,29 @@
     async def submit(self, job: pb.Job, queue: Queue, team: Team, at: str = "") -> None:
         """Submit a job to an instance, by default the first by name."""
         name = at or sorted(self.nodes_by_name)[0]
-        await self.nodes_by_name[name].service.submit(queue, team, job, 3_000)
+        await self.nodes_by_name[name].service.submit(queue, team, job, CALLER_DEADLINE_MS)
         self.journal.record("job_accepted", job=job.id, entry=name)
 
     async def state(self, job_id: str, at: str = "") -> str:
         """Return a job's state as reported by an instance, by default the first by name."""
         name = at or sorted(self.nodes_by_name)[0]
-        return await self.nodes_by_name[name].service.state(job_id, 3_000)
+        try:
+            state = await self.nodes_by_name[name].service.state(job_id, CALLER_DEADLINE_MS)
+        except NoSuchJobError:
+            self.journal.record("job_denied", job=job_id, entry=name, call="state")
+            raise
+        self.journal.record("state_told", job=job_id, entry=name, state=state)
+        return state
+
+    async def cancel(self, job_id: str, at: str = "") -> None:
+        """Cancel a job at an instance, by default the first by name."""
+        name = at or sorted(self.nodes_by_name)[0]
+        try:
+            await self.nodes_by_name[name].service.cancel(job_id, CALLER_DEADLINE_MS)
+        except NoSuchJobError:
+            self.journal.record("job_denied", job=job_id, entry=name, call="cancel")
+            raise
+        self.journal.record("job_cancelled", job=job_id, entry=name)
 
     async def wait_state(self, job_id: str, state: str, most_ms: float) -> None:
         """Wait until a job is in a state.
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -168,3 +168,15 @@
             fields["outcome"] = "done"
         journal.entries.append(JournalEntry(0.0, what, fields))
     return journal
+
+
+def journal_of_calls(*calls: tuple[str, float]) -> Journal:
+    """Return a journal of calls for one job.
+
+    :param calls: event type and wall-clock time in ms.
+    """
+    journal = Journal(Clock())
+    for what, at_ms in calls:
+        fields: dict[str, object] = {"job": "0000000000000001", "entry": "n1", "call": "state"}
+        journal.entries.append(JournalEntry(at_ms, what, fields))
+    return journal
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -100,7 +100,9 @@
                     await self._check_job(session, job_id, self._random_instance())
                 if self.rng.random() < 0.1 and self.accepted:
                     job_id = self.rng.choice(list(self.accepted))
-                    status, _ = await self._call(session, "DELETE", job_id, self._random_instance())
+                    name = self._random_instance()
+                    status, _ = await self._call(session, "DELETE", job_id, name)
+                    self._check_known(status, job_id, name)
                     if status not in (410, 429, 503):
                         # Without an answer the cancellation may still take effect.
                         self.accepted[job_id] = True
@@ -139,8 +141,7 @@
 
     async def _check_job(self, session, job_id: str, name: str) -> str:
         status, answer = await self._call(session, "GET", job_id, name)
-        if status == 410:
-            self._record_violation(f"job {job_id} was accepted but is unknown at instance {name}")
+        self._check_known(status, job_id, name)
         if status != 200:
             return ""
         state = answer["state"]
@@ -157,6 +158,11 @@
                 )
         return state
 
+    def _check_known(self, status: int, job_id: str, name: str) -> None:
+        """Record a violation if an instance answered that an accepted job does not exist."""
+        if status == 410:
+            self._record_violation(f"job {job_id} was accepted but is unknown at instance {name}")
+
     def _check_runners(self) -> None:
         journal = self.cluster.journal
         for text in find_violations(journal):
