--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -170,6 +170,21 @@
     return journal
 
 
+def runner_speeds_bytes(size: int) -> bytes:
+    """Return an encoded record of learnt runner speeds of about ``size`` bytes."""
+    names = [f"runner-{number:09}" for number in range(size // 20)]
+    return pb.RunnerSpeeds(
+        runners=names, runs=[1] * len(names), log_percents=[0] * len(names)
+    ).SerializeToString()
+
+
+def large_job(job_id: str, spec_bytes: int = 4_000) -> pb.Job:
+    """Return a short job whose spec has about ``spec_bytes`` bytes."""
+    large = job(job_id, [step(estimate_ms=10)], run_ms=10)
+    large.spec = large.spec[:-1] + ', "unused": "' + "x" * spec_bytes + '"}'
+    return large
+
+
 def journal_of_calls(*calls: tuple[str, float]) -> Journal:
     """Return a journal of calls for one job.
 
--- /dev/null
+++ b/tests/test_fleet_lookup.py
@@ -0,0 +1,198 @@
+"""Tests of lookups at an instance whose state is behind or not loaded."""
+
+import asyncio
+
+import pytest
+from fleet_builders import NORMAL, OWNER, job, large_job, runner_speeds_bytes, step, world
+
+from carawayroute.fleet.entry import NoSuchJobError, StateUnknownError
+from carawayroute.fleet.jobs import SPEEDS_KEY
+from carawayroute.fleet.node import JOBS_TOPIC
+from carawayroute_standins.fleet.judge import VISIBLE_MS, find_violations
+from carawayroute_standins.fleet.topics import READ_PAGE_KB
+from carawayroute_standins.fleet.world import CALLER_DEADLINE_MS, FleetWorld
+from carawayroute_standins.virtual import run_virtual
+
+ID = "00000000000000{:02x}"
+NEVER_ACCEPTED = ID.format(99)
+FAR = {"n3": "north"}
+# A page takes 0.4 s over the slow link, within the store client's time limit, or 1.6 s over the
+# congested one, beyond it.
+SLOW_BYTES_PER_MS = 250
+CONGESTED_BYTES_PER_MS = 60
+
+
+def run_scenario(scenario, **options):
+    """Run a scenario on a ready fleet and check the journal for violations."""
+
+    async def run():
+        fleet = world(**options)
+        try:
+            await fleet.wait_ready()
+            await scenario(fleet)
+        finally:
+            await fleet.close()
+        assert find_violations(fleet.journal) == []
+
+    run_virtual(run())
+
+
+def long_job(number: int = 1):
+    """Return a job that runs for the whole test."""
+    return job(ID.format(number), [step(estimate_ms=60_000)], run_ms=60_000)
+
+
+def append_pages(fleet: FleetWorld, pages: float) -> None:
+    """Append records to the jobs topic that take up so many pages of a read."""
+    for _ in range(int(pages * 4)):
+        fleet.store.put(JOBS_TOPIC, SPEEDS_KEY, runner_speeds_bytes(READ_PAGE_KB * 1_024 // 4))
+
+
+async def submit_while_cut_off(fleet: FleetWorld, name: str) -> None:
+    """Accept a job behind several pages of records while an instance reaches nobody."""
+    fleet.store.refused_instances.add(name)
+    fleet.unreachable_peers.add(name)
+    append_pages(fleet, 3)
+    await fleet.submit(long_job(), NORMAL, OWNER)
+    await fleet.clock.sleep_ms(VISIBLE_MS + 1_000)
+    fleet.store.refused_instances.discard(name)
+    fleet.unreachable_peers.discard(name)
+
+
+async def call_within_deadline(fleet: FleetWorld, call):
+    """Return the result of a call and check that it was answered within the caller's deadline."""
+    started_ms = fleet.clock.now_ms()
+    try:
+        return await call
+    finally:
+        assert fleet.clock.now_ms() - started_ms <= CALLER_DEADLINE_MS
+
+
+def is_behind(fleet: FleetWorld, name: str) -> bool:
+    """Return whether an instance has not read the jobs topic to its end."""
+    return fleet.nodes_by_name[name].jobs_follower.offset < fleet.store.topic(JOBS_TOPIC).end
+
+
+def test_instance_pages_behind_does_not_deny_an_accepted_job():
+    async def scenario(fleet):
+        await submit_while_cut_off(fleet, "n3")
+        assert is_behind(fleet, "n3")
+        state = await call_within_deadline(fleet, fleet.state(ID.format(1), at="n3"))
+        assert state == "running"
+
+    run_scenario(scenario)
+
+
+def test_instance_pages_behind_cancels_an_accepted_job():
+    async def scenario(fleet):
+        await submit_while_cut_off(fleet, "n3")
+        assert is_behind(fleet, "n3")
+        await call_within_deadline(fleet, fleet.cancel(ID.format(1), at="n3"))
+        await fleet.wait_state(ID.format(1), "cancelled", 2_000)
+
+    run_scenario(scenario)
+
+
+def test_instance_behind_does_not_deny_a_job_that_it_accepted():
+    async def scenario(fleet):
+        fleet.network.limit_instance("n3", SLOW_BYTES_PER_MS)
+        append_pages(fleet, 25)
+        await fleet.submit(long_job(), NORMAL, OWNER, at="n3")
+        await fleet.clock.sleep_ms(VISIBLE_MS + 500)
+        assert is_behind(fleet, "n3")
+        state = await call_within_deadline(fleet, fleet.state(ID.format(1), at="n3"))
+        assert state in ("queued", "running")
+
+    run_scenario(scenario)
+
+
+def test_instance_behind_that_reaches_no_peer_does_not_deny_an_accepted_job():
+    async def scenario(fleet):
+        fleet.network.limit_instance("n3", SLOW_BYTES_PER_MS)
+        append_pages(fleet, 40)
+        await fleet.submit(long_job(), NORMAL, OWNER)
+        fleet.unreachable_peers.add("n3")
+        await fleet.clock.sleep_ms(VISIBLE_MS + 500)
+        assert is_behind(fleet, "n3")
+        try:
+            state = await call_within_deadline(fleet, fleet.state(ID.format(1), at="n3"))
+        except StateUnknownError:
+            return
+        assert state == "running"
+
+    run_scenario(scenario)
+
+
+def test_instance_behind_a_congested_region_link_tells_the_state():
+    async def scenario(fleet):
+        fleet.network.limit_region("north", CONGESTED_BYTES_PER_MS)
+        append_pages(fleet, 12)
+        await fleet.submit(long_job(), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(VISIBLE_MS + 500)
+        assert is_behind(fleet, "n3")
+        state = await call_within_deadline(fleet, fleet.state(ID.format(1), at="n3"))
+        assert state == "running"
+
+    run_scenario(scenario, region_by_instance=FAR)
+
+
+def test_starting_instance_behind_a_congested_region_link_tells_the_state():
+    async def scenario(fleet):
+        jobs = [large_job(ID.format(number)) for number in range(2, 82)]
+        await asyncio.gather(*(fleet.submit(one, NORMAL, OWNER) for one in jobs))
+        await fleet.submit(long_job(), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(VISIBLE_MS + 500)
+        fleet.network.limit_region("north", CONGESTED_BYTES_PER_MS)
+        starting = fleet.start_instance("n4")
+        await fleet.clock.sleep_ms(1_000)
+        state = await call_within_deadline(fleet, fleet.state(ID.format(1), at="n4"))
+        assert not starting.jobs_follower.loaded.is_set()
+        assert state == "running"
+
+    run_scenario(scenario, region_by_instance={"n4": "north"})
+
+
+def test_job_is_not_denied_while_the_store_is_silent():
+    async def scenario(fleet):
+        await fleet.submit(long_job(), NORMAL, OWNER)
+        fleet.store.mode = "silent"
+        for name in fleet.nodes_by_name:
+            with pytest.raises(StateUnknownError):
+                await call_within_deadline(fleet, fleet.state(NEVER_ACCEPTED, at=name))
+        fleet.store.mode = "up"
+
+    run_scenario(scenario)
+
+
+def test_instance_that_never_read_the_state_answers_unknown_while_the_store_is_silent():
+    async def scenario(fleet):
+        fleet.store.mode = "silent"
+        fleet.start_instance("n4")
+        fleet.unreachable_peers.add("n4")
+        with pytest.raises(StateUnknownError):
+            await call_within_deadline(fleet, fleet.state(NEVER_ACCEPTED, at="n4"))
+        fleet.store.mode = "up"
+
+    run_scenario(scenario)
+
+
+def test_job_that_was_never_accepted_is_denied_by_an_instance_pages_behind():
+    async def scenario(fleet):
+        await submit_while_cut_off(fleet, "n3")
+        assert is_behind(fleet, "n3")
+        with pytest.raises(NoSuchJobError):
+            await call_within_deadline(fleet, fleet.state(NEVER_ACCEPTED, at="n3"))
+
+    run_scenario(scenario)
+
+
+def test_job_that_was_never_accepted_is_denied_behind_a_congested_region_link():
+    async def scenario(fleet):
+        fleet.network.limit_region("north", CONGESTED_BYTES_PER_MS)
+        append_pages(fleet, 12)
+        await fleet.clock.sleep_ms(VISIBLE_MS + 500)
+        assert is_behind(fleet, "n3")
+        with pytest.raises(NoSuchJobError):
+            await call_within_deadline(fleet, fleet.state(NEVER_ACCEPTED, at="n3"))
+
+    run_scenario(scenario, region_by_instance=FAR)
