--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -1,6 +1,7 @@
 """Callers' operations on jobs: submit, read the state, cancel, and count pending jobs."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import TypeVar
 
@@ -42,6 +43,17 @@
 MAX_PENDING_AGE_MS = 2_000
 # Part of the caller's deadline that is reserved for sending the response.
 RESPONSE_MARGIN_MS = 250
+# Outcomes of looking up a job that was not known at first, and the evidence that decided them.
+FOUND = "found"
+ABSENT = "absent"
+UNKNOWN = "unknown"
+RECORD = "record"
+PEER = "peer"
+STORE = "store"
+END_REACHED = "end_reached"
+BEHIND = "behind"
+NOT_LOADED = "not_loaded"
+READ_FAILED = "read_failed"
 
 log = structlog.get_logger()
 
@@ -79,6 +91,8 @@
     :param name: name of this instance, recorded as the entry of its jobs.
     :param on_stored: called after a job or a cancellation has been stored.
     :param peer_lookup: finds jobs that this instance does not know.
+    :ivar lookups_by_evidence: number of lookups of jobs that were not known at first, by outcome
+        and evidence.
     """
 
     def __init__(
@@ -100,6 +114,7 @@
         self.admission = admission
         self._on_stored = on_stored
         self._peer_lookup = peer_lookup
+        self.lookups_by_evidence: Counter[tuple[str, str]] = Counter()
 
     async def submit(self, queue: Queue, team: Team | None, job: pb.Job, wait_ms: float) -> None:
         """Accept a job; submitting a known id again has no effect.
@@ -223,35 +238,33 @@
         job = self._known_job(job_id)
         if job is not None:
             return JobStatus(job.reported_state, bool(job.stored_end))
-        asked_ms = self._clock.now_ms()
+        started_ms = self._clock.now_ms()
         status, evidence = await self._look_up(job_id, max(0.0, wait_ms - RESPONSE_MARGIN_MS))
-        outcome = "unknown" if not evidence else "found" if status is not None else "absent"
-        log.info(
-            "job_lookup",
-            job=job_id,
-            outcome=outcome,
-            evidence=evidence,
-            state_age_ms=round(min(self._follower.lag_ms(), 1e9)),
-            offset=self._follower.offset,
-            known_end=self._follower.known_end,
-            took_ms=round(self._clock.now_ms() - asked_ms),
-        )
         if not evidence:
+            evidence = BEHIND if self._follower.behind_records else READ_FAILED
+            if not self._follower.loaded.is_set():
+                evidence = NOT_LOADED
+            self._note_lookup(job_id, UNKNOWN, evidence, started_ms)
             raise StateUnknownError("neither the store nor another instance can tell")
         if status is None:
+            self._note_lookup(job_id, ABSENT, evidence, started_ms)
             raise NoSuchJobError(job_id)
+        self._note_lookup(job_id, FOUND, evidence, started_ms)
         return status
 
     async def _look_up(self, job_id: str, wait_ms: float) -> tuple[JobStatus | None, str]:
-        """Return a job's status, ``None`` if it is absent, and where the proof comes from.
+        """Return a job's status, ``None`` if it is absent, and the evidence.
 
-        The second value is an empty string if there is no proof.
+        The evidence is an empty string if there is no proof.
         """
-        return await self._first_proof(
+        status, source = await self._first_proof(
             self.find_in_store(job_id, wait_ms),
             lambda: self._peer_lookup.find_job(job_id, wait_ms),
             wait_ms,
         )
+        if source == STORE:
+            return status, RECORD if status is not None else END_REACHED
+        return status, source
 
     async def _first_proof(
         self,
@@ -265,8 +278,8 @@
         """
         store_failed = asyncio.Event()
         evidence_by_task = {
-            asyncio.ensure_future(from_store): "store",
-            asyncio.ensure_future(self._ask_peers(from_peers, wait_ms, store_failed)): "peer",
+            asyncio.ensure_future(from_store): STORE,
+            asyncio.ensure_future(self._ask_peers(from_peers, wait_ms, store_failed)): PEER,
         }
         pending = set(evidence_by_task)
         try:
@@ -294,10 +307,24 @@
         store_failed: asyncio.Event,
     ) -> Found:
         """Ask other instances, at once if this instance knows that it is behind."""
-        if self._follower.loaded.is_set() and not self._follower.behind:
+        if self._follower.loaded.is_set() and not self._follower.behind_records:
             await wait_event(store_failed, min(wait_ms, PEER_LOOKUP_DELAY_MS))
         return await from_peers()
 
+    def _note_lookup(self, job_id: str, outcome: str, evidence: str, started_ms: float) -> None:
+        """Log and count a lookup."""
+        self.lookups_by_evidence[outcome, evidence] += 1
+        log.info(
+            "job_lookup",
+            job=job_id,
+            outcome=outcome,
+            evidence=evidence,
+            state_age_ms=self._follower.state_age_ms(),
+            offset=self._follower.offset,
+            end=self._follower.known_end,
+            took_ms=round(self._clock.now_ms() - started_ms),
+        )
+
     async def state(self, job_id: str, wait_ms: float) -> str:
         """Return a job's state.
 
@@ -378,9 +405,7 @@
         )
         if count is None:
             log.info(
-                "pending_unknown",
-                queue=queue.name,
-                state_age_ms=round(min(self._follower.lag_ms(), 1e9)),
+                "pending_unknown", queue=queue.name, state_age_ms=self._follower.state_age_ms()
             )
             raise StateUnknownError("the state of jobs is too old or has not been read yet")
         log.info("pending_looked_up", queue=queue.name, evidence=evidence)
--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -1,6 +1,7 @@
 """Follows a keyed topic of the store and passes each record to a handler."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import structlog
@@ -15,6 +16,10 @@
 READ_WAIT_MS = 800
 FIRST_RETRY_MS = 30
 MAX_RETRY_MS = 300
+# A follower that has not reached the end of the topic for longer than this logs that it is behind.
+BEHIND_LOG_MS = 1_000
+# Longest age that is logged; it stands for a topic that was never read to its end.
+MAX_LOGGED_AGE_MS = 1_000_000_000
 
 log = structlog.get_logger()
 
@@ -27,10 +32,10 @@
         in the meantime can be dropped.
     :param read_interval_ms: minimum time between two reads, to limit calls to the store.
     :ivar offset: offset of the next record to read.
+    :ivar known_end: offset at which the topic ends, as last told by the store.
     :ivar loaded: set while the topic has been loaded.
     :ivar changed: set after each load and read.
     :ivar recovered_ms: clock time at which reads last succeeded again after failing.
-    :ivar known_end: end of the topic as last told by the store.
     """
 
     def __init__(
@@ -49,26 +54,33 @@
         self._on_reloaded = on_reloaded
         self._read_interval_ms = read_interval_ms
         self.offset = 0
+        self.known_end = 0
         self.loaded = asyncio.Event()
         self.changed = asyncio.Event()
-        self.known_end = 0
-        self._current_as_of_ms: float | None = None
+        self._current_as_of_ms = -math.inf
+        self._reads_sent = 0
+        # Number of the newest read that ended where the topic ended.
+        self._last_complete_read = 0
+        self._behind_since_ms: float | None = None
+        self._behind_logged = False
         self.recovered_ms = 0.0
         self._read_requested = asyncio.Event()
         self._shared_read: asyncio.Task | None = None
         self._shared_load: asyncio.Task | None = None
 
-    @property
-    def behind(self) -> bool:
-        """Return whether the store told of records that have not been read yet."""
-        return self.offset < self.known_end
-
     def lag_ms(self) -> float:
         """Return the time in ms since the topic was last read to its end, infinite if never."""
-        if self._current_as_of_ms is None:
-            return float("inf")
         return self._clock.now_ms() - self._current_as_of_ms
 
+    @property
+    def behind_records(self) -> int:
+        """Return the number of records before the known end that have not been read."""
+        return max(0, self.known_end - self.offset)
+
+    def state_age_ms(self) -> int:
+        """Return ``lag_ms`` as a finite integer for log lines."""
+        return round(min(self.lag_ms(), MAX_LOGGED_AGE_MS))
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         backoff = Backoff(FIRST_RETRY_MS, MAX_RETRY_MS)
@@ -78,7 +90,7 @@
             try:
                 if not self.loaded.is_set():
                     await self._join_load()
-                elif self.behind:
+                elif self.behind_records:
                     await self._join_read()
                 else:
                     await self._read(READ_WAIT_MS)
@@ -90,6 +102,7 @@
                 if not failing:
                     log.warning("store_read_failing", topic=self.topic, error=str(error))
                 failing = True
+                self._log_if_behind()
                 await self._clock.sleep_ms(backoff.next_ms())
                 continue
             if failing:
@@ -101,7 +114,7 @@
 
     async def _wait_interval(self, sent_ms: float) -> None:
         left_ms = self._read_interval_ms - (self._clock.now_ms() - sent_ms)
-        if left_ms <= 0 or self.behind:
+        if left_ms <= 0 or self.behind_records:
             return
         if await wait_event(self._read_requested, left_ms):
             self._read_requested.clear()
@@ -141,7 +154,8 @@
         :raises StoreError: the store did not answer.
         """
         asked_ms = self._clock.now_ms()
-        while self._current_as_of_ms is None or self._current_as_of_ms < asked_ms:
+        first_read = self._reads_sent + 1
+        while self._last_complete_read < first_read or self._current_as_of_ms < asked_ms:
             try:
                 await self._join_read()
             except StoreTrimmedError:
@@ -163,6 +177,8 @@
 
     async def _load(self) -> None:
         sent_ms = self._clock.now_ms()
+        self._reads_sent += 1
+        number = self._reads_sent
         found = await self._store.newest(self.topic)
         for record in found.records:
             self._apply(record)
@@ -170,10 +186,12 @@
             self._on_reloaded({record.key for record in found.records})
         self.offset = found.next_offset
         self.known_end = max(self.known_end, found.end)
+        self._last_complete_read = max(self._last_complete_read, number)
         self._current_as_of_ms = sent_ms
         self.loaded.set()
         self.changed.set()
         log.info("topic_loaded", topic=self.topic, keys=len(found.records), offset=self.offset)
+        self._log_if_behind()
 
     async def _join_read(self) -> None:
         """Read the available records, or wait for the read in progress."""
@@ -188,6 +206,8 @@
 
     async def _read(self, wait_ms: int) -> None:
         sent_ms = self._clock.now_ms()
+        self._reads_sent += 1
+        number = self._reads_sent
         found = await self._store.read(self.topic, self.offset, wait_ms)
         for record in found.records:
             if record.offset >= self.offset:
@@ -195,8 +215,38 @@
         self.offset = max(self.offset, found.next_offset)
         self.known_end = max(self.known_end, found.end)
         if self.offset >= found.end:
-            self._current_as_of_ms = max(self._current_as_of_ms or 0.0, sent_ms - found.age_ms)
+            self._last_complete_read = max(self._last_complete_read, number)
+            self._current_as_of_ms = max(self._current_as_of_ms, sent_ms - found.age_ms)
         self.changed.set()
+        self._log_if_behind()
+
+    def _log_if_behind(self) -> None:
+        """Log once that the end has not been reached for long, and once that it has been."""
+        now_ms = self._clock.now_ms()
+        if not self.behind_records:
+            if self._behind_logged and self._behind_since_ms is not None:
+                log.info(
+                    "topic_caught_up",
+                    topic=self.topic,
+                    offset=self.offset,
+                    end=self.known_end,
+                    state_age_ms=self.state_age_ms(),
+                    took_ms=round(now_ms - self._behind_since_ms),
+                )
+            self._behind_since_ms = None
+            self._behind_logged = False
+            return
+        if self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+        if not self._behind_logged and now_ms - self._behind_since_ms > BEHIND_LOG_MS:
+            self._behind_logged = True
+            log.warning(
+                "topic_behind",
+                topic=self.topic,
+                offset=self.offset,
+                end=self.known_end,
+                state_age_ms=self.state_age_ms(),
+            )
 
 
 def _retrieve_exception(task: asyncio.Task) -> None:
