--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import TypeVar
 
 import structlog
 
@@ -12,7 +13,9 @@
 from carawayroute.fleet.exceptions import StoreError, StoreRefusedError
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, Job, JobTable
+from carawayroute.fleet.lookup import JobStatus, PeerLookup
 from carawayroute.fleet.ranking import LATE_FACTOR
+from carawayroute.fleet.relay import PeerError
 from carawayroute.fleet.types import Queue, Team
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import wait_event
@@ -30,6 +33,10 @@
 MAX_STATE_AGE_MS = 60
 # A read takes about 5 ms, or 20 ms from another region.
 STATE_READ_TIMEOUT_MS = 150
+# How long a lookup waits for the store before it asks other instances as well.
+PEER_LOOKUP_DELAY_MS = 150
+# How long a job's rejection is delayed to find out whether an earlier attempt was accepted.
+MAX_REPEAT_CHECK_MS = 400
 # Requests do not refresh the state while the store has been unresponsive for longer than this.
 STORE_UNRESPONSIVE_MS = 1_500
 # The platform allows a count of pending jobs to be 2 s old.
@@ -41,6 +48,8 @@
 ABSENT = "absent"
 UNKNOWN = "unknown"
 RECORD = "record"
+PEER = "peer"
+STORE = "store"
 END_REACHED = "end_reached"
 BEHIND = "behind"
 NOT_LOADED = "not_loaded"
@@ -48,6 +57,8 @@
 
 log = structlog.get_logger()
 
+Found = TypeVar("Found")
+
 
 class NotAcceptedError(CarawayrouteError):
     """The request was not recorded: a submitted job never runs, a cancellation has no effect.
@@ -79,6 +90,7 @@
 
     :param name: name of this instance, recorded as the entry of its jobs.
     :param on_stored: called after a job or a cancellation has been stored.
+    :param peer_lookup: finds jobs that this instance does not know.
     :ivar lookups_by_evidence: number of lookups of jobs that were not known at first, by outcome
         and evidence.
     """
@@ -92,6 +104,7 @@
         writer: LogWriter,
         admission: AdmissionController,
         on_stored: Callable[[], None],
+        peer_lookup: PeerLookup,
     ) -> None:
         self._name = name
         self._clock = clock
@@ -100,6 +113,7 @@
         self._writer = writer
         self.admission = admission
         self._on_stored = on_stored
+        self._peer_lookup = peer_lookup
         self.lookups_by_evidence: Counter[tuple[str, str]] = Counter()
 
     async def submit(self, queue: Queue, team: Team | None, job: pb.Job, wait_ms: float) -> None:
@@ -129,6 +143,9 @@
         job_critical_path_ms = Job(job).critical_path_ms()
         decision = self.admission.decide(job, job_critical_path_ms)
         if not decision.accepted:
+            if await self._accepted_before(job.id, wait_ms):
+                log.info("job_repeated", job=job.id)
+                return
             log.info(
                 "job_rejected",
                 job=job.id,
@@ -156,6 +173,14 @@
         )
         self._on_stored()
 
+    async def _accepted_before(self, job_id: str, wait_ms: float) -> bool:
+        """Return whether an earlier attempt is known to have stored a job.
+
+        A caller whose earlier attempt was not answered must not be told that its job never runs.
+        """
+        status, _ = await self._look_up(job_id, min(wait_ms, MAX_REPEAT_CHECK_MS))
+        return status is not None
+
     async def _write(
         self, key: str, value: bytes, job_id: str, wait_ms: float, late_limit_ms: float = 0.0
     ) -> None:
@@ -167,7 +192,7 @@
         """
         try:
             async with asyncio.timeout(max(0.0, wait_ms - RESPONSE_MARGIN_MS) / 1000):
-                await self._writer.write([(key, value)])
+                offset_by_key = await self._writer.write([(key, value)])
         except StoreRefusedError as error:
             log.info("request_not_stored", job=job_id, key=key[:1], error=str(error))
             most_ms = min(MAX_RETRY_AFTER_MS, RETRY_AFTER_SHARE * late_limit_ms)
@@ -176,32 +201,115 @@
         except TimeoutError as error:
             log.warning("request_outcome_unknown", job=job_id, key=key[:1])
             raise OutcomeUnknownError("the store did not answer in time") from error
+        if key in offset_by_key:
+            # This instance may read its own record seconds later.
+            self._job_table.apply(offset_by_key[key], key, value, self._clock.now_ms())
+
+    def _known_job(self, job_id: str) -> Job | None:
+        """Return a job if this instance can tell its state."""
+        job = self._job_table.jobs_by_id.get(job_id)
+        # A load of the state begins by discarding the progress of jobs, except stored ends.
+        if job is None or not (job.stored_end or self._follower.loaded.is_set()):
+            return None
+        return job
+
+    async def find_in_store(self, job_id: str, wait_ms: float) -> JobStatus | None:
+        """Return a job's status, reading the store first if the job is not known here.
+
+        :return: ``None`` if no such job has been accepted.
+        :raises TimeoutError: the job is not known and the store was not read to its end in time.
+        :raises StoreError: the job is not known and the store cannot be read.
+        """
+        job = self._known_job(job_id)
+        if job is None:
+            async with asyncio.timeout(wait_ms / 1000):
+                await self._follower.loaded.wait()
+                if self._known_job(job_id) is None:
+                    await self._follower.read_to_end(lambda: self._known_job(job_id) is not None)
+            job = self._known_job(job_id)
+        return JobStatus(job.reported_state, bool(job.stored_end)) if job is not None else None
 
-    async def _find(self, job_id: str, wait_ms: float) -> Job:
-        """Return a job, reading the store first if the job is not known here.
+    async def _find(self, job_id: str, wait_ms: float) -> JobStatus:
+        """Return the status of a job from this instance's state, the store, or another instance.
 
         :raises NoSuchJobError: no such job has been accepted.
-        :raises StateUnknownError: the state cannot be read.
+        :raises StateUnknownError: neither the store nor another instance could tell in time.
         """
+        job = self._known_job(job_id)
+        if job is not None:
+            return JobStatus(job.reported_state, bool(job.stored_end))
         started_ms = self._clock.now_ms()
-        known_at_first = job_id in self._job_table.jobs_by_id
-        try:
-            async with asyncio.timeout(max(0.0, wait_ms - RESPONSE_MARGIN_MS) / 1000):
-                await self._follower.loaded.wait()
-                if job_id not in self._job_table.jobs_by_id:
-                    await self._follower.read_to_end()
-        except (TimeoutError, StoreError) as error:
-            evidence = READ_FAILED if self._follower.loaded.is_set() else NOT_LOADED
+        status, evidence = await self._look_up(job_id, max(0.0, wait_ms - RESPONSE_MARGIN_MS))
+        if not evidence:
+            evidence = BEHIND if self._follower.behind_records else READ_FAILED
+            if not self._follower.loaded.is_set():
+                evidence = NOT_LOADED
             self._note_lookup(job_id, UNKNOWN, evidence, started_ms)
-            raise StateUnknownError("the state of jobs cannot be read") from error
-        job = self._job_table.jobs_by_id.get(job_id)
-        if job is None:
-            evidence = BEHIND if self._follower.behind_records else END_REACHED
+            raise StateUnknownError("neither the store nor another instance can tell")
+        if status is None:
             self._note_lookup(job_id, ABSENT, evidence, started_ms)
             raise NoSuchJobError(job_id)
-        if not known_at_first:
-            self._note_lookup(job_id, FOUND, RECORD, started_ms)
-        return job
+        self._note_lookup(job_id, FOUND, evidence, started_ms)
+        return status
+
+    async def _look_up(self, job_id: str, wait_ms: float) -> tuple[JobStatus | None, str]:
+        """Return a job's status, ``None`` if it is absent, and the evidence.
+
+        The evidence is an empty string if there is no proof.
+        """
+        status, source = await self._first_proof(
+            self.find_in_store(job_id, wait_ms),
+            lambda: self._peer_lookup.find_job(job_id, wait_ms),
+            wait_ms,
+        )
+        if source == STORE:
+            return status, RECORD if status is not None else END_REACHED
+        return status, source
+
+    async def _first_proof(
+        self,
+        from_store: Coroutine[None, None, Found],
+        from_peers: Callable[[], Coroutine[None, None, Found]],
+        wait_ms: float,
+    ) -> tuple[Found | None, str]:
+        """Read the store and, unless it answers soon, ask other instances.
+
+        :return: the first result and where it comes from, an empty string if there is none.
+        """
+        store_failed = asyncio.Event()
+        evidence_by_task = {
+            asyncio.ensure_future(from_store): STORE,
+            asyncio.ensure_future(self._ask_peers(from_peers, wait_ms, store_failed)): PEER,
+        }
+        pending = set(evidence_by_task)
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                while pending:
+                    done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                    for task in done:
+                        error = task.exception()
+                        if error is None:
+                            return task.result(), evidence_by_task[task]
+                        if not isinstance(error, StoreError | PeerError | TimeoutError):
+                            raise error
+                        store_failed.set()
+        except TimeoutError:
+            pass
+        finally:
+            for task in pending:
+                task.cancel()
+        return None, ""
+
+    async def _ask_peers(
+        self,
+        from_peers: Callable[[], Coroutine[None, None, Found]],
+        wait_ms: float,
+        store_failed: asyncio.Event,
+    ) -> Found:
+        """Ask other instances, at once if this instance knows that it is behind."""
+        if self._follower.loaded.is_set() and not self._follower.behind_records:
+            await wait_event(store_failed, min(wait_ms, PEER_LOOKUP_DELAY_MS))
+        return await from_peers()
 
     def _note_lookup(self, job_id: str, outcome: str, evidence: str, started_ms: float) -> None:
         """Log and count a lookup."""
@@ -222,14 +330,17 @@
 
         :param wait_ms: time until the caller's deadline.
         :raises NoSuchJobError: no such job has been accepted.
-        :raises StateUnknownError: this instance cannot read the state now.
+        :raises StateUnknownError: the state cannot be read now.
         """
-        job = await self._find(job_id, wait_ms)
+        job = self._known_job(job_id)
+        if job is None:
+            return (await self._find(job_id, wait_ms)).state
+        state = job.reported_state
         if not job.stored_end:
             await self._refresh(job_id)
-            # A refresh may replace the job's object.
-            job = self._job_table.jobs_by_id.get(job_id, job)
-        return job.reported_state
+            # The progress of jobs may have been discarded meanwhile, to be loaded again.
+            job = self._known_job(job_id)
+        return job.reported_state if job is not None else state
 
     async def _refresh(self, job_id: str) -> None:
         """Read the latest records if the state is stale; keep the known state if that fails."""
@@ -249,27 +360,53 @@
 
         :param wait_ms: time until the caller's deadline.
         :raises NoSuchJobError: no such job has been accepted.
-        :raises StateUnknownError: this instance cannot read the state now.
+        :raises StateUnknownError: whether the job exists cannot be read now.
         :raises NotAcceptedError: the cancellation was not stored.
         :raises OutcomeUnknownError: the cancellation may have been stored.
         """
-        job = await self._find(job_id, wait_ms)
-        if job.stored_end:
+        until_ms = self._clock.now_ms() + wait_ms
+        status = await self._find(job_id, wait_ms)
+        if status.ended:
             return
+        left_ms = until_ms - self._clock.now_ms()
         cancel = pb.Cancel(entry=self._name, at_ms=self._clock.wall_ms())
-        await self._write(CANCEL_KEY + job_id, cancel.SerializeToString(), job_id, wait_ms)
-        log.info("job_cancelled", job=job_id, was=job.reported_state)
+        await self._write(CANCEL_KEY + job_id, cancel.SerializeToString(), job_id, left_ms)
+        log.info("job_cancelled", job=job_id, was=status.state)
         self._on_stored()
 
-    def pending(self, queue: Queue) -> int:
+    def _can_count_pending(self) -> bool:
+        return self._follower.loaded.is_set() and self._follower.lag_ms() <= MAX_PENDING_AGE_MS
+
+    async def pending_in_store(self, queue: str, wait_ms: float) -> int:
+        """Return a queue's number of pending jobs, reading the store first if the state is old.
+
+        :raises TimeoutError: the store was not read to its end in time.
+        :raises StoreError: the store cannot be read.
+        """
+        if not self._can_count_pending():
+            async with asyncio.timeout(wait_ms / 1000):
+                await self._follower.loaded.wait()
+                await self._follower.read_to_end()
+        return self._job_table.count_pending(queue)
+
+    async def pending(self, queue: Queue, wait_ms: float) -> int:
         """Return the number of a queue's accepted jobs that wait for their first task to start.
 
-        :raises StateUnknownError: the state is not loaded or too old.
+        :param wait_ms: time until the caller's deadline.
+        :raises StateUnknownError: neither the store nor another instance could tell in time.
         """
-        age_ms = self._follower.lag_ms()
-        if not self._follower.loaded.is_set() or age_ms > MAX_PENDING_AGE_MS:
+        if self._can_count_pending():
+            return self._job_table.count_pending(queue.name)
+        wait_ms = max(0.0, wait_ms - RESPONSE_MARGIN_MS)
+        count, evidence = await self._first_proof(
+            self.pending_in_store(queue.name, wait_ms),
+            lambda: self._peer_lookup.count_pending(queue.name, wait_ms),
+            wait_ms,
+        )
+        if count is None:
             log.info(
                 "pending_unknown", queue=queue.name, state_age_ms=self._follower.state_age_ms()
             )
             raise StateUnknownError("the state of jobs is too old or has not been read yet")
-        return self._job_table.count_pending(queue.name)
+        log.info("pending_looked_up", queue=queue.name, evidence=evidence)
+        return count
--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -1,6 +1,7 @@
 """Follows a keyed topic of the store and passes each record to a handler."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import structlog
@@ -56,17 +57,19 @@
         self.known_end = 0
         self.loaded = asyncio.Event()
         self.changed = asyncio.Event()
-        self._current_as_of_ms: float | None = None
-        self._behind = False
+        self._current_as_of_ms = -math.inf
+        self._reads_sent = 0
+        # Number of the newest read that ended where the topic ended.
+        self._last_complete_read = 0
         self._behind_since_ms: float | None = None
         self._behind_logged = False
         self.recovered_ms = 0.0
         self._read_requested = asyncio.Event()
+        self._shared_read: asyncio.Task | None = None
+        self._shared_load: asyncio.Task | None = None
 
     def lag_ms(self) -> float:
         """Return the time in ms since the topic was last read to its end, infinite if never."""
-        if self._current_as_of_ms is None:
-            return float("inf")
         return self._clock.now_ms() - self._current_as_of_ms
 
     @property
@@ -86,9 +89,11 @@
             sent_ms = self._clock.now_ms()
             try:
                 if not self.loaded.is_set():
-                    await self._load()
+                    await self._join_load()
+                elif self.behind_records:
+                    await self._join_read()
                 else:
-                    await self._read(sent_ms)
+                    await self._read(READ_WAIT_MS)
             except StoreTrimmedError as error:
                 log.info("topic_trimmed", topic=self.topic, first=error.first, at=self.offset)
                 self.loaded.clear()
@@ -109,7 +114,7 @@
 
     async def _wait_interval(self, sent_ms: float) -> None:
         left_ms = self._read_interval_ms - (self._clock.now_ms() - sent_ms)
-        if left_ms <= 0 or self._behind:
+        if left_ms <= 0 or self.behind_records:
             return
         if await wait_event(self._read_requested, left_ms):
             self._read_requested.clear()
@@ -127,7 +132,7 @@
         """Load the newest records again, concurrently with the long-polling read."""
         self.loaded.clear()
         try:
-            await self._load()
+            await self._join_load()
         except StoreError as error:
             # `run` loads them once the store answers.
             log.warning("reload_failed", topic=self.topic, error=str(error))
@@ -140,8 +145,40 @@
             self.changed.clear()
             await self.changed.wait()
 
+    async def read_to_end(self, until: Callable[[], bool] | None = None) -> None:
+        """Read up to an end of the topic that the store told after this call.
+
+        Concurrent calls share their reads, as each transfers the same records.
+
+        :param until: checked after each read; stops early once it is true.
+        :raises StoreError: the store did not answer.
+        """
+        asked_ms = self._clock.now_ms()
+        first_read = self._reads_sent + 1
+        while self._last_complete_read < first_read or self._current_as_of_ms < asked_ms:
+            try:
+                await self._join_read()
+            except StoreTrimmedError:
+                await self.reload()
+                await self.loaded.wait()
+            if until is not None and until():
+                return
+
+    async def _join_load(self) -> None:
+        """Load the topic, or wait for the load in progress."""
+        if self._shared_load is None:
+            self._shared_load = asyncio.create_task(self._load(), name=f"load {self.topic}")
+            self._shared_load.add_done_callback(self._end_load)
+        await asyncio.shield(self._shared_load)
+
+    def _end_load(self, task: asyncio.Task) -> None:
+        self._shared_load = None
+        _retrieve_exception(task)
+
     async def _load(self) -> None:
         sent_ms = self._clock.now_ms()
+        self._reads_sent += 1
+        number = self._reads_sent
         found = await self._store.newest(self.topic)
         for record in found.records:
             self._apply(record)
@@ -149,33 +186,37 @@
             self._on_reloaded({record.key for record in found.records})
         self.offset = found.next_offset
         self.known_end = max(self.known_end, found.end)
+        self._last_complete_read = max(self._last_complete_read, number)
         self._current_as_of_ms = sent_ms
         self.loaded.set()
         self.changed.set()
         log.info("topic_loaded", topic=self.topic, keys=len(found.records), offset=self.offset)
         self._log_if_behind()
 
-    async def read_to_end(self) -> None:
-        """Read the available records at once, concurrently with the long-polling read.
+    async def _join_read(self) -> None:
+        """Read the available records, or wait for the read in progress."""
+        if self._shared_read is None:
+            self._shared_read = asyncio.create_task(self._read(0), name=f"read {self.topic}")
+            self._shared_read.add_done_callback(self._end_read)
+        await asyncio.shield(self._shared_read)
 
-        :raises StoreError: the store did not answer.
-        """
-        try:
-            await self._read(self._clock.now_ms(), 0)
-        except StoreTrimmedError:
-            await self.reload()
-            await self.loaded.wait()
+    def _end_read(self, task: asyncio.Task) -> None:
+        self._shared_read = None
+        _retrieve_exception(task)
 
-    async def _read(self, sent_ms: float, wait_ms: int = READ_WAIT_MS) -> None:
+    async def _read(self, wait_ms: int) -> None:
+        sent_ms = self._clock.now_ms()
+        self._reads_sent += 1
+        number = self._reads_sent
         found = await self._store.read(self.topic, self.offset, wait_ms)
         for record in found.records:
             if record.offset >= self.offset:
                 self._apply(record)
         self.offset = max(self.offset, found.next_offset)
         self.known_end = max(self.known_end, found.end)
-        self._behind = self.offset < found.end
         if self.offset >= found.end:
-            self._current_as_of_ms = self._clock.now_ms() if found.records else sent_ms
+            self._last_complete_read = max(self._last_complete_read, number)
+            self._current_as_of_ms = max(self._current_as_of_ms, sent_ms - found.age_ms)
         self.changed.set()
         self._log_if_behind()
 
@@ -206,3 +247,9 @@
                 end=self.known_end,
                 state_age_ms=self.state_age_ms(),
             )
+
+
+def _retrieve_exception(task: asyncio.Task) -> None:
+    """Mark a task's exception as retrieved: all that waited for the task may have left."""
+    if not task.cancelled():
+        task.exception()
--- a/packages/standins/carawayroute_standins/fleet/world.py
+++ b/packages/standins/carawayroute_standins/fleet/world.py
@@ -52,7 +52,7 @@
         async def exchange() -> bytes:
             await world.clock.sleep_ms(PEER_LATENCY_MS)
             await carry_over(request_links, len(message))
-            reply = await peer.store.serve(message)
+            reply = await peer.serve_peer(message)
             await carry_over(reply_links, len(reply))
             return reply
 
