Load a topic again when an answer begins after the asked offset

What callers could see: a job accepted in the skipped records is not known to the instance (410), for as long as the instance runs. Cause: _decode_records went on at the first kept offset. It raises StoreTrimmedError now, at which the follower loads the newest record of each key.

--- a/packages/daemon/carawayrouted/platform/store.py
+++ b/packages/daemon/carawayrouted/platform/store.py
@@ -178,13 +178,19 @@
 
 
 def _decode_records(body: bytes, offset: int) -> RecordPage:
-    """Decode the records of a read; a record whose key is malformed still takes up an offset."""
+    """Decode the records of a read; a record whose key is malformed still takes up an offset.
+
+    :param offset: the offset that was asked for.
+    :raises StoreTrimmedError: the answer begins after that offset.
+    """
     if len(body) < 16:
         raise StoreUnansweredError("the store sent part of an answer")
     end, first = struct.unpack_from(">QQ", body)
+    if first > offset:
+        raise StoreTrimmedError(first)
     position = 16
     records = []
-    next_offset = max(offset, first)
+    next_offset = offset
     while position + 4 <= len(body):
         (size,) = struct.unpack_from(">I", body, position)
         content = body[position + 4 : position + 4 + size]
