Test a job that is purged while an instance is cut off

The follower of the jobs topic drops no jobs after a load, so a job whose end and removal an instance missed stays open there: it counts as pending and as backlog, and as planner the instance would run it again.

--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -6,6 +6,7 @@
 from fleet_builders import NORMAL, OWNER, job, world
 
 from carawayroute.fleet.exceptions import StoreTrimmedError
+from carawayroute.fleet.node import JOBS_TOPIC
 from carawayroute_standins.fleet.judge import find_violations
 from carawayroute_standins.virtual import run_virtual
 from carawayrouted.platform.store import _decode_records, _encode_record
@@ -28,6 +29,18 @@
     run_virtual(run())
 
 
+def cut_off(fleet, name):
+    """Cut an instance off from the store and from its peers."""
+    fleet.store.refused_instances.add(name)
+    fleet.unreachable_peers.add(name)
+
+
+def reconnect(fleet, name):
+    """End a cut of an instance."""
+    fleet.store.refused_instances.discard(name)
+    fleet.unreachable_peers.discard(name)
+
+
 def test_instance_plans_again_after_its_planner_failed():
     """A planner that ends with an error is followed by another one in the next term."""
 
@@ -44,6 +57,31 @@
     run_scenario(scenario, instances=1)
 
 
+def test_job_removed_while_an_instance_was_cut_off_is_not_open_there_afterwards():
+    """A job that had been purged stayed open, and that instance would have run it again."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=1_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(600)
+        name = next(one for one in ("n1", "n2") if one != fleet.planner_name())
+        table = fleet.nodes_by_name[name].job_table
+        assert ID.format(1) in table.open_by_id
+        cut_off(fleet, name)
+        planner = fleet.nodes_by_name[fleet.planner_name()]
+        planner.planner._settings.retention_ms = 0
+        await fleet.wait_until(
+            lambda: ID.format(1) not in planner.job_table.jobs_by_id, 10_000, "the job is purged"
+        )
+        await fleet.clock.sleep_ms(200)
+        fleet.store.compact(JOBS_TOPIC)
+        reconnect(fleet, name)
+        await fleet.clock.sleep_ms(3_000)
+        assert fleet.nodes_by_name[name].not_ready() == ""
+        assert ID.format(1) not in table.jobs_by_id
+
+    run_scenario(scenario)
+
+
 def test_answer_that_begins_after_the_asked_offset_counts_as_trimmed():
     """The records between the asked offset and the first one kept were skipped."""
     body = struct.pack(">QQ", 20, 12) + _encode_record("a/1", b"x")
