Forget jobs that were removed while an instance did not read

Cause: the newest records of a load were added to the jobs known before. A load now drops the jobs whose record lies below the offset as of which the pages are complete and is not on them.

--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -23,8 +23,8 @@
     """Load the newest record of each key of a topic, then read the records that follow.
 
     :param apply: called with each record.
-    :param on_reloaded: called with all existing keys after a load, so that keys that were removed
-        in the meantime can be dropped.
+    :param on_reloaded: called after a load with all existing keys and the offset as of which they
+        are complete, so that keys that were removed in the meantime can be dropped.
     :param read_interval_ms: minimum time between two reads, to limit calls to the store.
     :ivar offset: offset of the next record to read.
     :ivar loaded: set while the topic has been loaded.
@@ -38,7 +38,7 @@
         clock: Clock,
         topic: str,
         apply: Callable[[KeyedRecord], None],
-        on_reloaded: Callable[[set[str]], None] | None = None,
+        on_reloaded: Callable[[set[str], int], None] | None = None,
         read_interval_ms: float = 0.0,
     ) -> None:
         self._store = store
@@ -128,7 +128,7 @@
         for record in found.records:
             self._apply(record)
         if self._on_reloaded is not None:
-            self._on_reloaded({record.key for record in found.records})
+            self._on_reloaded({record.key for record in found.records}, found.next_offset)
         self.offset = found.next_offset
         self._current_as_of_ms = sent_ms
         self.loaded.set()
--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -449,7 +449,9 @@
 
     def reset(self) -> None:
         """Discard the progress of all jobs, so that the newest records can be applied again."""
-        self._offset_by_key.clear()
+        self._offset_by_key = {
+            key: offset for key, offset in self._offset_by_key.items() if key.startswith(JOB_KEY)
+        }
         for job in self.jobs_by_id.values():
             job.stages_by_key.clear()
             job.abandoned.clear()
@@ -464,6 +466,17 @@
         if kind == JOB_KEY:
             self.forget(job_id)
 
+    def forget_removed(self, keys: set[str], end: int) -> None:
+        """Remove the jobs whose records were removed from the store.
+
+        :param keys: all keys in the store.
+        :param end: offset as of which ``keys`` is complete; jobs accepted later may be missing.
+        """
+        for job_id in list(self.jobs_by_id):
+            key = JOB_KEY + job_id
+            if key not in keys and self._offset_by_key.get(key, end) < end:
+                self.forget(job_id)
+
     def forget(self, job_id: str) -> list[str]:
         """Remove a job and return the keys of its records."""
         self.jobs_by_id.pop(job_id, None)
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -154,6 +154,7 @@
             clock,
             JOBS_TOPIC,
             self._apply_job,
+            self.job_table.forget_removed,
             read_interval_ms=STANDBY_READ_INTERVAL_MS,
         )
         self.config_follower = TopicFollower(
@@ -319,7 +320,7 @@
             self.clock,
             self._formats.runners_topic,
             apply,
-            planner.remove_unlisted,
+            lambda listed, end: planner.remove_unlisted(listed),
             read_interval_ms=RUNNERS_READ_INTERVAL_MS,
         )
 
--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -3,9 +3,10 @@
 import struct
 
 import pytest
-from fleet_builders import NORMAL, OWNER, job, world
+from fleet_builders import NORMAL, OWNER, job, job_table_of, world
 
 from carawayroute.fleet.exceptions import StoreTrimmedError
+from carawayroute.fleet.jobs import JOB_KEY
 from carawayroute.fleet.node import JOBS_TOPIC
 from carawayroute_standins.fleet.judge import find_violations
 from carawayroute_standins.virtual import run_virtual
@@ -87,3 +88,13 @@
     body = struct.pack(">QQ", 20, 12) + _encode_record("a/1", b"x")
     with pytest.raises(StoreTrimmedError):
         _decode_records(body, 10)
+
+
+def test_job_accepted_during_a_load_is_kept():
+    """The pages of a load are no snapshot: a job accepted meanwhile may be missing from them."""
+    job_table = job_table_of(job(ID.format(1)), job(ID.format(2)), job(ID.format(3)))
+    job_table.forget_removed({JOB_KEY + ID.format(1)}, 2)
+    assert sorted(job_table.jobs_by_id) == [ID.format(1), ID.format(3)]
+    job_table.reset()
+    job_table.forget_removed({JOB_KEY + ID.format(1)}, 3)
+    assert sorted(job_table.jobs_by_id) == [ID.format(1)]
