Test a term gained by an instance that is behind on the jobs topic

The election asks for a current view of the leader topic only, and the take-over waits without limit for the jobs topic.

--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -5,10 +5,10 @@
 import pytest
 from fleet_builders import NORMAL, OWNER, job, job_table_of, world
 
-from carawayroute.fleet.exceptions import StoreTrimmedError
+from carawayroute.fleet.exceptions import StoreTrimmedError, StoreUnansweredError
 from carawayroute.fleet.jobs import JOB_KEY
 from carawayroute.fleet.node import JOBS_TOPIC
-from carawayroute_standins.fleet.judge import find_violations
+from carawayroute_standins.fleet.judge import find_violations, starts
 from carawayroute_standins.virtual import run_virtual
 from carawayrouted.platform.store import _decode_records, _encode_record
 
@@ -58,6 +58,36 @@
     run_scenario(scenario, instances=1)
 
 
+def test_term_is_given_up_by_an_instance_that_cannot_read_the_jobs():
+    """An instance behind on the jobs topic held the term while it read, and nothing was started."""
+
+    async def scenario(fleet):
+        slow = fleet.nodes_by_name["n1"]
+        read = slow.store._direct.read
+
+        async def read_no_jobs(topic, offset, wait_ms):
+            if topic == JOBS_TOPIC:
+                await fleet.clock.sleep_ms(900)
+                raise StoreUnansweredError("silent")
+            return await read(topic, offset, wait_ms)
+
+        slow.store._direct.read = read_no_jobs
+        fleet.unreachable_peers.add("n1")
+        await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at="n2")
+        await fleet.wait_until(lambda: starts(fleet.journal, ID.format(1)), 1_000, "a start")
+        others = [node.leadership for name, node in fleet.nodes_by_name.items() if name != "n1"]
+        for leadership in others:
+            leadership.candidate = False
+            leadership.step_down(leadership.term)
+        await fleet.wait_until(lambda: fleet.nodes_by_name["n1"].planner_term(), 5_000, "a term")
+        for leadership in others:
+            leadership.candidate = True
+        await fleet.submit(job(ID.format(2)), NORMAL, OWNER, at="n2")
+        await fleet.wait_until(lambda: starts(fleet.journal, ID.format(2)), 15_000, "a start")
+
+    run_scenario(scenario)
+
+
 def test_job_removed_while_an_instance_was_cut_off_is_not_open_there_afterwards():
     """A job that had been purged stayed open, and that instance would have run it again."""
 
