Leave the term to an instance that can read the jobs topic

Cause: the election looks at the leader topic alone, and the take-over waits for the jobs topic without limit, while heartbeats go on. An instance that is not ready now claims a vacant term later than those that are, and a planner that has not read the jobs up to the fence within 3 s gives its term up.

--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import structlog
 
@@ -37,7 +38,7 @@
 
     :param holder: identity of this process, different after each restart.
     :param address: address at which peers reach this instance.
-    :param election_delay_ms: extra wait before this instance claims a vacant term.
+    :param election_delay_ms: returns the extra wait before this instance claims a vacant term.
     :ivar term: the term that this process holds, 0 if none.
     :ivar accelerators: accelerators that this instance reaches as planner, sent with each
         heartbeat.
@@ -46,7 +47,12 @@
     """
 
     def __init__(
-        self, store: Store, clock: Clock, holder: str, address: str, election_delay_ms: float = 0.0
+        self,
+        store: Store,
+        clock: Clock,
+        holder: str,
+        address: str,
+        election_delay_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -130,7 +136,7 @@
             return False
         now_ms = self._clock.now_ms()
         since_ms = max(self._newest_seen_ms, self.follower.recovered_ms)
-        wait_ms = self._claim_jitter_ms + self._election_delay_ms
+        wait_ms = self._claim_jitter_ms + self._election_delay_ms()
         if self._newest is not None and not self._newest.resigned:
             wait_ms += TERM_TIMEOUT_MS
         return now_ms - since_ms > wait_ms
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -42,6 +42,8 @@
 PLANNER_LINK_MBPS = 100.0
 # Election delay of the slowest instance: as long as two claim attempts of the others.
 MAX_ELECTION_DELAY_MS = 600.0
+# Extra election delay of an instance that is not ready: above those of all others.
+NOT_READY_ELECTION_DELAY_MS = 1_000.0
 
 log = structlog.get_logger()
 
@@ -147,7 +149,7 @@
             clock,
             process_name,
             settings.address,
-            election_delay_ms(settings.cores, settings.link_mbps),
+            self._election_delay_ms,
         )
         self.jobs_follower = TopicFollower(
             self.store,
@@ -206,6 +208,10 @@
             return "the store does not answer"
         return ""
 
+    def _election_delay_ms(self) -> float:
+        delay_ms = election_delay_ms(self.settings.cores, self.settings.link_mbps)
+        return delay_ms + (NOT_READY_ELECTION_DELAY_MS if self.not_ready() else 0.0)
+
     def planner_term(self) -> int:
         """Return the term in which this instance is the planner, 0 if it is not."""
         return self.planner.term if self.planner else 0
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -9,6 +9,7 @@
 
 from carawayroute.clock import Clock
 from carawayroute.estimates import RunTimeEstimator
+from carawayroute.exceptions import CarawayrouteError
 from carawayroute.fleet import ranking
 from carawayroute.fleet.exceptions import (
     RunnerError,
@@ -40,6 +41,8 @@
 PRODUCER = "planner"
 # After a take-over, work is placed once all runners have reported or this time has passed.
 INITIAL_REPORTS_TIMEOUT_MS = 400
+# An instance that needs longer to read the jobs leaves the term to another one.
+MAX_CATCH_UP_MS = 3_000
 PASS_INTERVAL_MS = 250
 # Changes within this time are handled by the same pass.
 PASS_DELAY_MS = 4
@@ -82,6 +85,10 @@
 RunKey = tuple[str, int]
 
 
+class PlannerBehindError(CarawayrouteError):
+    """The planner could not read the jobs topic in time."""
+
+
 class Run:
     """The planner's state of one run of a task.
 
@@ -221,15 +228,17 @@
                     await self._pass()
         except StoreFencedError:
             log.warning("planner_fenced", term=self.term, by="store")
+        except PlannerBehindError as error:
+            log.warning("planner_behind", term=self.term, error=str(error))
         finally:
             # Whatever the reason for ending, the term must be given up.
             self._on_term_lost(self.term)
             await self._tasks.cancel()
 
     async def _take_over(self) -> None:
-        await self._jobs_follower.loaded.wait()
+        await self._catch_up(0)
         end = await self._fence()
-        await self._jobs_follower.wait_for_offset(end)
+        await self._catch_up(end)
         for job in self.job_table.open_by_id.values():
             for stage in job.stages_by_key.values():
                 for index in stage.placed():
@@ -250,6 +259,19 @@
             took_ms=round(self._clock.now_ms() - self._term_start_ms),
         )
 
+    async def _catch_up(self, end: int) -> None:
+        """Wait until the jobs topic is loaded and has been read up to an offset.
+
+        :raises PlannerBehindError: it was not read in time.
+        """
+        try:
+            async with asyncio.timeout(MAX_CATCH_UP_MS / 1000):
+                await self._jobs_follower.wait_for_offset(end)
+        except TimeoutError:
+            raise PlannerBehindError(
+                f"the jobs were read to {self._jobs_follower.offset} of {end}"
+            ) from None
+
     async def _fence(self) -> int:
         """Fence the previous planner off the jobs topic and return the end offset of the topic."""
         backoff = Backoff(RETRY_MS, PASS_INTERVAL_MS)
