Test denials from an old configuration

A queue or key that is not in the configuration in force is answered 404 or 401 however old that configuration is; callers do not repeat such requests.

--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -2,14 +2,18 @@
 
 import json
 
+from aiohttp.test_utils import make_mocked_request
+
 from carawayroute.clock import Clock
 from carawayroute.fleet.jobs import JOB_KEY, JobTable, Stage
+from carawayroute.fleet.node import FleetNode
 from carawayroute.fleet.packing import Candidate
 from carawayroute.fleet.types import Capacity, Configuration, Queue, Runner, Team
 from carawayroute_schema import records_pb2 as pb
 from carawayroute_standins.fleet.taskrunner import TaskSpec, make_runner
 from carawayroute_standins.fleet.world import FleetWorld
 from carawayroute_standins.journal import Journal, JournalEntry
+from carawayrouted.platform.callers import CallerApp
 from carawayrouted.platform.configuration import decode_configuration
 from carawayrouted.platform.formats import StoreFormat
 
@@ -168,3 +172,14 @@
             fields["outcome"] = "done"
         journal.entries.append(JournalEntry(0.0, what, fields))
     return journal
+
+
+def caller_app(node: FleetNode) -> CallerApp:
+    """Return the callers' API of an instance."""
+    return CallerApp(node.service, lambda: node.configuration, lambda *counted: None)
+
+
+async def call_status(app: CallerApp, path: str, key: str) -> int:
+    """Return the status of a GET request to an instance's API."""
+    headers = {"Host": "h", "Authorization": f"Bearer {key}"}
+    return (await app.handle(make_mocked_request("GET", path, headers=headers))).status
--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -3,7 +3,16 @@
 import struct
 
 import pytest
-from fleet_builders import NORMAL, OWNER, job, job_table_of, world
+from fleet_builders import (
+    NORMAL,
+    OWNER,
+    call_status,
+    caller_app,
+    configuration_bytes,
+    job,
+    job_table_of,
+    world,
+)
 
 from carawayroute.fleet.exceptions import StoreTrimmedError, StoreUnansweredError
 from carawayroute.fleet.jobs import JOB_KEY
@@ -113,6 +122,30 @@
     run_scenario(scenario)
 
 
+def test_new_queue_and_key_are_not_denied_from_an_old_configuration():
+    """An instance cut off from the store answered 404 and 401 from its old configuration."""
+
+    async def scenario(fleet):
+        name = next(one for one in ("n1", "n2") if one != fleet.planner_name())
+        app = caller_app(fleet.nodes_by_name[name])
+        path = "/x0/" + ID.format(1)
+        # While the store is read, absence is known.
+        assert await call_status(app, path, "key-owner") == 404
+        assert await call_status(app, "/render/", "key-new") == 401
+        cut_off(fleet, name)
+        fleet.store.put("keyed.op", "config", configuration_bytes(version=7, routes=1))
+        await fleet.clock.sleep_ms(4_000)
+        assert await call_status(app, path, "key-owner") == 503
+        assert await call_status(app, "/render/", "key-new") == 503
+        reconnect(fleet, name)
+        await fleet.clock.sleep_ms(3_000)
+        assert await call_status(app, "/render/", "key-new") == 401
+        assert await call_status(app, "/x1/", "key-owner") == 404
+        assert await call_status(app, path, "key-owner") == 410
+
+    run_scenario(scenario)
+
+
 def test_answer_that_begins_after_the_asked_offset_counts_as_trimmed():
     """The records between the asked offset and the first one kept were skipped."""
     body = struct.pack(">QQ", 20, 12) + _encode_record("a/1", b"x")
