Answer 503 instead of 404 and 401 while the configuration is old

What callers saw by the test: an instance that was cut off from the store denied the queues and keys that were added meanwhile; a 404 means that no such queue exists, so they give up. Cause: absence in a state of any age was taken for proof. The test failed (404) and passes, and shows that an instance in touch still denies; so do the tests of test_fleet_world and test_fleet_platform.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -63,7 +63,10 @@
             StoreFormat(),
         )
         self.callers = CallerApp(
-            self.node.service, lambda: self.node.configuration, self.metrics.count_call
+            self.node.service,
+            lambda: self.node.configuration,
+            self.node.configuration_is_current,
+            self.metrics.count_call,
         )
         self._server_runners: list[web.ServerRunner] = []
         self._add_gauges()
--- a/packages/daemon/carawayrouted/platform/callers.py
+++ b/packages/daemon/carawayrouted/platform/callers.py
@@ -42,6 +42,8 @@
     """Decodes callers' requests and encodes the results.
 
     :param configuration: returns the configuration in force, or ``None`` if there is none yet.
+    :param configuration_is_current: returns whether queues and keys that are not in the
+        configuration in force do not exist.
     :param count: called with each request's method, status and duration in ms.
     """
 
@@ -49,10 +51,12 @@
         self,
         service: EntryService,
         configuration: Callable[[], Configuration | None],
+        configuration_is_current: Callable[[], bool],
         count: Callable[[str, int, float], None],
     ) -> None:
         self._service = service
         self._configuration = configuration
+        self._configuration_is_current = configuration_is_current
         self._count = count
         self.open_requests = 0
 
@@ -76,11 +80,11 @@
             return _reply(503, retry_after_ms=1_000)
         queue = configuration.find_queue(request.host.split(":")[0], request.path)
         if queue is None:
-            return _reply(404)
+            return self._deny(404, configuration)
         team = self._team(configuration, request)
         if team is None and not queue.public:
             log.info("key_refused", queue=queue.name, version=configuration.version)
-            return _reply(401)
+            return self._deny(401, configuration)
         rest = request.path[len(queue.prefix) :]
         if rest == "" and request.method == "GET":
             return self._pending(queue)
@@ -122,6 +126,13 @@
             return _reply(503, retry_after_ms=1_000)
         return _reply(405)
 
+    def _deny(self, status: int, configuration: Configuration) -> web.Response:
+        """Answer a request whose queue or key is unknown."""
+        if self._configuration_is_current():
+            return _reply(status)
+        log.info("denial_withheld", status=status, version=configuration.version)
+        return _reply(503, retry_after_ms=1_000)
+
     def _pending(self, queue: Queue) -> web.Response:
         try:
             return _reply(200, {"pending": self._service.pending(queue)})
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -35,6 +35,8 @@
 RETENTION_MARGIN_MS = 60_000
 # An instance is not ready if the store has not answered for longer than this.
 MAX_READY_LAG_MS = 1_800
+# An older configuration does not show that a queue or a key does not exist.
+MAX_CONFIGURATION_AGE_MS = 3_000
 
 # Cores and link speed that a planner of about 200 runners needs: a scheduling pass over 176 runners
 # takes 10 to 40 ms on one core, and their reports about 3 Mbit/s (docs/MEASUREMENTS.md).
@@ -208,6 +210,10 @@
             return "the store does not answer"
         return ""
 
+    def configuration_is_current(self) -> bool:
+        """Return whether queues and keys that the configuration lacks do not exist."""
+        return self.config_follower.lag_ms() <= MAX_CONFIGURATION_AGE_MS
+
     def _election_delay_ms(self) -> float:
         delay_ms = election_delay_ms(self.settings.cores, self.settings.link_mbps)
         return delay_ms + (NOT_READY_ELECTION_DELAY_MS if self.not_ready() else 0.0)
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -176,7 +176,12 @@
 
 def caller_app(node: FleetNode) -> CallerApp:
     """Return the callers' API of an instance."""
-    return CallerApp(node.service, lambda: node.configuration, lambda *counted: None)
+    return CallerApp(
+        node.service,
+        lambda: node.configuration,
+        node.configuration_is_current,
+        lambda *counted: None,
+    )
 
 
 async def call_status(app: CallerApp, path: str, key: str) -> int:
