Test a lookup of the older interface while the log is down

watch_job and cancel_job take the absence of a job in the local state for proof, however far that state is behind.

--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -13,6 +13,7 @@
     job_table_of,
     world,
 )
+from test_callers import send
 
 from carawayroute.fleet.exceptions import StoreTrimmedError, StoreUnansweredError
 from carawayroute.fleet.jobs import JOB_KEY
@@ -153,6 +154,12 @@
         _decode_records(body, 10)
 
 
+def test_older_interface_does_not_deny_a_job_while_the_log_is_down():
+    """A job was answered with 404 by an entry that could not read the log."""
+    status, answer = send("GET", "/jobs/j-0000000000000001", log_mode="down")
+    assert (status, answer["outcome"]) == (503, "unknown")
+
+
 def test_job_accepted_during_a_load_is_kept():
     """The pages of a load are no snapshot: a job accepted meanwhile may be missing from them."""
     job_table = job_table_of(job(ID.format(1)), job(ID.format(2)), job(ID.format(3)))
