--- a/packages/daemon/carawayrouted/callers.py
+++ b/packages/daemon/carawayrouted/callers.py
@@ -269,16 +269,24 @@
         """Return the region of a team's first guarantee, or the entry's own."""
         return team.guarantees[0].region if team.guarantees else self._node.settings.region
 
-    def _job_of_team(self, request: web.Request) -> Job:
+    async def _job_of_team(self, request: web.Request) -> Job:
+        """Return the job that a request names.
+
+        :raises BadRequestError: the team has no such job.
+        :raises LogError: whether the job exists cannot be read.
+        """
         team = self._team(request)
-        job = self._jobs.find(request.match_info["job"])
+        job = await self._jobs.look_up(request.match_info["job"])
         if job is None or job.accepted.team != team.id:
             raise BadRequestError(404, "unknown_job", "the team has no such job")
         return job
 
     async def watch_job(self, request: web.Request) -> web.Response:
         """Return a job's state, waiting up to ``wait_ms`` for its end."""
-        job = self._job_of_team(request)
+        try:
+            job = await self._job_of_team(request)
+        except LogError:
+            return self._job_not_read()
         text = request.query.get("wait_ms", "0")
         if not re.fullmatch(r"\d{1,9}", text):
             raise BadRequestError(400, "bad_wait", "wait_ms must be a number")
@@ -288,7 +296,10 @@
 
     async def cancel_job(self, request: web.Request) -> web.Response:
         """Request the cancellation of a job."""
-        job = self._job_of_team(request)
+        try:
+            job = await self._job_of_team(request)
+        except LogError:
+            return self._job_not_read()
         try:
             await self._jobs.cancel(job.accepted.job_id, job.accepted.team)
         except LogError:
@@ -296,6 +307,11 @@
             return error_response(503, "unknown", "not_confirmed", reason, 1000)
         return web.json_response(self._job_view(job), status=202)
 
+    @staticmethod
+    def _job_not_read() -> web.Response:
+        reason = "whether the job exists cannot be read from the log"
+        return error_response(503, "unknown", "not_read", reason, 1000)
+
     @staticmethod
     def _job_view(job: Job) -> dict[str, object]:
         view: dict[str, object] = {
--- a/packages/library/carawayroute/jobs.py
+++ b/packages/library/carawayroute/jobs.py
@@ -87,6 +87,16 @@
         """Return a job by id, or ``None`` if it is unknown or no longer kept."""
         return self._follower.state.jobs_by_id.get(job_id)
 
+    async def look_up(self, job_id: str) -> Job | None:
+        """Return a job, reading the log first if the job is not known here.
+
+        :return: ``None`` if there is no such job or it is no longer kept.
+        :raises LogError: the job is not known here and the log cannot be read.
+        """
+        if job_id not in self._follower.state.jobs_by_id:
+            await self._follower.read_to_end()
+        return self.find(job_id)
+
     async def wait_finished(self, job_id: str, timeout_ms: float) -> Job | None:
         """Wait for a job to end; after the timeout, return it in its current state."""
         deadline_ms = self._clock.now_ms() + timeout_ms
--- a/packages/library/carawayroute/log.py
+++ b/packages/library/carawayroute/log.py
@@ -94,6 +94,17 @@
             if len(records) < READ_LIMIT:
                 self.caught_up = True
 
+    async def read_to_end(self) -> None:
+        """Read the records that the log has now, concurrently with `run`.
+
+        :raises LogError: the log did not answer, or no longer has the next records.
+        """
+        while True:
+            records = await self.log.read(self.state.offset, 0, READ_LIMIT)
+            self.apply(records)
+            if len(records) < READ_LIMIT:
+                return
+
     async def _recover(self, earliest: int) -> None:
         """Recover from missed records, by a peer's snapshot or else by the remaining records."""
         self.needs_peer_state = True
