Test a lookup during which the state is reset

JobTable.reset() discards the progress of all jobs before it is loaded again. A lookup that is past the wait for `loaded` and waits in _refresh then reads the job's state from the table without progress.

--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -1,5 +1,6 @@
 """Tests that what was accepted is neither denied, nor forgotten, nor left without an answer."""
 
+import asyncio
 import struct
 
 import pytest
@@ -123,6 +124,27 @@
     run_scenario(scenario)
 
 
+def test_running_job_is_not_queued_while_the_state_is_loaded_again():
+    """A caller that waited for a read when the planner stopped was told `queued`."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=20_000), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(1), "running", 2_000)
+        name = fleet.planner_name()
+        node = fleet.nodes_by_name[name]
+        fleet.store.answer_ms = 100
+        await fleet.clock.sleep_ms(500)
+        states = []
+        for _ in range(40):
+            states.append(asyncio.create_task(fleet.state(ID.format(1), at=name)))
+            await fleet.clock.sleep_ms(10)
+            if len(states) == 20:
+                node.leadership.step_down(node.leadership.term)
+        assert set(await asyncio.gather(*states)) == {"running"}
+
+    run_scenario(scenario)
+
+
 def test_new_queue_and_key_are_not_denied_from_an_old_configuration():
     """An instance cut off from the store answered 404 and 401 from its old configuration."""
 
