Test the repeat of a job whose outcome is unknown

A job's append outlives its request: the caller gets 504 while the batch is sent again until its outcome is certain. A repeat at the same instance is refused as never run (503) meanwhile, and the job may run after all.

--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -16,6 +16,7 @@
 )
 from test_callers import send
 
+from carawayroute.fleet.entry import OutcomeUnknownError
 from carawayroute.fleet.exceptions import StoreTrimmedError, StoreUnansweredError
 from carawayroute.fleet.jobs import JOB_KEY
 from carawayroute.fleet.node import JOBS_TOPIC
@@ -145,6 +146,20 @@
     run_scenario(scenario)
 
 
+def test_job_that_may_be_stored_is_not_rejected_by_the_same_instance():
+    """A job was answered with an unknown outcome, its repeat as never run, and then it ran."""
+
+    async def scenario(fleet):
+        fleet.store.lost_answer_ratio = 1.0
+        fleet.store.late_ms = 6_000
+        with pytest.raises(OutcomeUnknownError):
+            await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at="n2")
+        with pytest.raises(OutcomeUnknownError):
+            await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at="n2")
+
+    run_scenario(scenario)
+
+
 def test_new_queue_and_key_are_not_denied_from_an_old_configuration():
     """An instance cut off from the store answered 404 and 401 from its old configuration."""
 
