Test a record that the store rejects for its size

HttpStore.append takes every status but 200, 409, 412, 429, 503 and 507 as no answer, so LogWriter sends the batch again for ever and all later writes wait.

--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -4,6 +4,7 @@
 import struct
 
 import pytest
+from aiohttp import web
 from fleet_builders import (
     NORMAL,
     OWNER,
@@ -14,15 +15,20 @@
     job_table_of,
     world,
 )
+from test_adapters import AppServer
 from test_callers import send
 
+from carawayroute.clock import Clock
 from carawayroute.fleet.entry import OutcomeUnknownError
-from carawayroute.fleet.exceptions import StoreTrimmedError, StoreUnansweredError
+from carawayroute.fleet.exceptions import StoreError, StoreTrimmedError, StoreUnansweredError
 from carawayroute.fleet.jobs import JOB_KEY
 from carawayroute.fleet.node import JOBS_TOPIC
+from carawayroute.fleet.writer import LogWriter
 from carawayroute_standins.fleet.judge import find_violations, starts
 from carawayroute_standins.virtual import run_virtual
-from carawayrouted.platform.store import _decode_records, _encode_record
+from carawayrouted.platform.http import HttpPool
+from carawayrouted.platform.settings import Address
+from carawayrouted.platform.store import HttpStore, _decode_records, _encode_record
 
 ID = "00000000000000{:02x}"
 
@@ -191,6 +197,40 @@
         _decode_records(body, 10)
 
 
+@pytest.mark.parametrize("retry_until_stored", [False, True])
+def test_record_that_the_store_rejects_does_not_block_later_ones(retry_until_stored):
+    """A record above the store's limit was sent again for ever, before all that followed."""
+
+    async def append(request):
+        if len(await request.read()) > 262_144:
+            return web.json_response({}, status=413)
+        return web.json_response({"offset": 0, "end": 1})
+
+    async def run():
+        app = web.Application(client_max_size=4_000_000)
+        app.router.add_post("/v1/log-append", append)
+        async with AppServer(app) as site:
+            pool = HttpPool()
+            writer = LogWriter(
+                HttpStore(pool, Address(site.address)),
+                Clock(),
+                JOBS_TOPIC,
+                "p",
+                retry_until_stored=retry_until_stored,
+            )
+            task = asyncio.create_task(writer.run())
+            try:
+                async with asyncio.timeout(2):
+                    with pytest.raises(StoreError):
+                        await writer.write([("p/1", b"x" * 275_000)])
+                    await writer.write([("p/2", b"x")])
+            finally:
+                task.cancel()
+                await pool.close()
+
+    asyncio.run(run())
+
+
 def test_older_interface_does_not_deny_a_job_while_the_log_is_down():
     """A job was answered with 404 by an entry that could not read the log."""
     status, answer = send("GET", "/jobs/j-0000000000000001", log_mode="down")
