--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -28,8 +28,8 @@
     """Load the newest record of each key of a topic, then read the records that follow.
 
     :param apply: called with each record.
-    :param on_reloaded: called with all existing keys after a load, so that keys that were removed
-        in the meantime can be dropped.
+    :param on_reloaded: called after a load with all existing keys and the offset as of which they
+        are complete, so that keys that were removed in the meantime can be dropped.
     :param read_interval_ms: minimum time between two reads, to limit calls to the store.
     :ivar offset: offset of the next record to read.
     :ivar known_end: offset at which the topic ends, as last told by the store.
@@ -44,7 +44,7 @@
         clock: Clock,
         topic: str,
         apply: Callable[[KeyedRecord], None],
-        on_reloaded: Callable[[set[str]], None] | None = None,
+        on_reloaded: Callable[[set[str], int], None] | None = None,
         read_interval_ms: float = 0.0,
     ) -> None:
         self._store = store
@@ -183,7 +183,7 @@
         for record in found.records:
             self._apply(record)
         if self._on_reloaded is not None:
-            self._on_reloaded({record.key for record in found.records})
+            self._on_reloaded({record.key for record in found.records}, found.next_offset)
         self.offset = found.next_offset
         self.known_end = max(self.known_end, found.end)
         self._last_complete_read = max(self._last_complete_read, number)
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -36,6 +36,8 @@
 RETENTION_MARGIN_MS = 60_000
 # An instance is not ready if the store has not answered for longer than this.
 MAX_READY_LAG_MS = 1_800
+# An older configuration does not show that a queue or a key does not exist.
+MAX_CONFIGURATION_AGE_MS = 3_000
 
 # Cores and link speed that a planner of about 200 runners needs: a scheduling pass over 176 runners
 # takes 10 to 40 ms on one core, and their reports about 3 Mbit/s (docs/MEASUREMENTS.md).
@@ -43,6 +45,8 @@
 PLANNER_LINK_MBPS = 100.0
 # Election delay of the slowest instance: as long as two claim attempts of the others.
 MAX_ELECTION_DELAY_MS = 600.0
+# Extra election delay of an instance that is not ready: above those of all others.
+NOT_READY_ELECTION_DELAY_MS = 1_000.0
 
 log = structlog.get_logger()
 
@@ -148,13 +152,14 @@
             clock,
             process_name,
             settings.address,
-            election_delay_ms(settings.cores, settings.link_mbps),
+            self._election_delay_ms,
         )
         self.jobs_follower = TopicFollower(
             self.store,
             clock,
             JOBS_TOPIC,
             self._apply_job,
+            self.job_table.forget_removed,
             read_interval_ms=STANDBY_READ_INTERVAL_MS,
         )
         self.config_follower = TopicFollower(
@@ -207,6 +212,14 @@
             return "the store does not answer"
         return ""
 
+    def configuration_is_current(self) -> bool:
+        """Return whether queues and keys that the configuration lacks do not exist."""
+        return self.config_follower.lag_ms() <= MAX_CONFIGURATION_AGE_MS
+
+    def _election_delay_ms(self) -> float:
+        delay_ms = election_delay_ms(self.settings.cores, self.settings.link_mbps)
+        return delay_ms + (NOT_READY_ELECTION_DELAY_MS if self.not_ready() else 0.0)
+
     def planner_term(self) -> int:
         """Return the term in which this instance is the planner, 0 if it is not."""
         return self.planner.term if self.planner else 0
@@ -338,7 +351,7 @@
             self.clock,
             self._formats.runners_topic,
             apply,
-            planner.remove_unlisted,
+            lambda listed, end: planner.remove_unlisted(listed),
             read_interval_ms=RUNNERS_READ_INTERVAL_MS,
         )
 
--- /dev/null
+++ b/tests/test_fleet_paths.py
@@ -0,0 +1,247 @@
+"""Tests that what was accepted is neither denied, nor forgotten, nor left without an answer."""
+
+import asyncio
+import struct
+
+import pytest
+from aiohttp import web
+from fleet_builders import (
+    NORMAL,
+    OWNER,
+    call_status,
+    caller_app,
+    configuration_bytes,
+    job,
+    job_table_of,
+    world,
+)
+from test_adapters import AppServer
+from test_callers import send
+
+from carawayroute.clock import Clock
+from carawayroute.fleet.entry import OutcomeUnknownError
+from carawayroute.fleet.exceptions import StoreError, StoreTrimmedError, StoreUnansweredError
+from carawayroute.fleet.jobs import JOB_KEY
+from carawayroute.fleet.node import JOBS_TOPIC
+from carawayroute.fleet.writer import LogWriter
+from carawayroute_standins.fleet.judge import find_violations, starts
+from carawayroute_standins.virtual import run_virtual
+from carawayrouted.platform.http import HttpPool
+from carawayrouted.platform.settings import Address
+from carawayrouted.platform.store import HttpStore, _decode_records, _encode_record
+
+ID = "00000000000000{:02x}"
+
+
+def run_scenario(scenario, **options):
+    """Run a scenario on a ready fleet and check the journal for violations."""
+
+    async def run():
+        fleet = world(**options)
+        try:
+            await fleet.wait_ready()
+            await scenario(fleet)
+        finally:
+            await fleet.close()
+        assert find_violations(fleet.journal) == []
+
+    run_virtual(run())
+
+
+def cut_off(fleet, name):
+    """Cut an instance off from the store and from its peers."""
+    fleet.store.refused_instances.add(name)
+    fleet.unreachable_peers.add(name)
+
+
+def reconnect(fleet, name):
+    """End a cut of an instance."""
+    fleet.store.refused_instances.discard(name)
+    fleet.unreachable_peers.discard(name)
+
+
+def test_instance_plans_again_after_its_planner_failed():
+    """A planner that ends with an error is followed by another one in the next term."""
+
+    async def scenario(fleet):
+        planner = fleet.nodes_by_name["n1"].planner
+
+        async def fail():
+            raise RuntimeError("scheduling failed")
+
+        planner._pass = fail
+        await fleet.submit(job(ID.format(1)), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(1), "completed", 10_000)
+
+    run_scenario(scenario, instances=1)
+
+
+def test_term_is_given_up_by_an_instance_that_cannot_read_the_jobs():
+    """An instance behind on the jobs topic held the term while it read, and nothing was started."""
+
+    async def scenario(fleet):
+        slow = fleet.nodes_by_name["n1"]
+        read = slow.store._direct.read
+
+        async def read_no_jobs(topic, offset, wait_ms):
+            if topic == JOBS_TOPIC:
+                await fleet.clock.sleep_ms(900)
+                raise StoreUnansweredError("silent")
+            return await read(topic, offset, wait_ms)
+
+        slow.store._direct.read = read_no_jobs
+        fleet.unreachable_peers.add("n1")
+        await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at="n2")
+        await fleet.wait_until(lambda: starts(fleet.journal, ID.format(1)), 1_000, "a start")
+        others = [node.leadership for name, node in fleet.nodes_by_name.items() if name != "n1"]
+        for leadership in others:
+            leadership.candidate = False
+            leadership.step_down(leadership.term)
+        await fleet.wait_until(lambda: fleet.nodes_by_name["n1"].planner_term(), 5_000, "a term")
+        for leadership in others:
+            leadership.candidate = True
+        await fleet.submit(job(ID.format(2)), NORMAL, OWNER, at="n2")
+        await fleet.wait_until(lambda: starts(fleet.journal, ID.format(2)), 15_000, "a start")
+
+    run_scenario(scenario)
+
+
+def test_job_removed_while_an_instance_was_cut_off_is_not_open_there_afterwards():
+    """A job that had been purged stayed open, and that instance would have run it again."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=1_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(600)
+        name = next(one for one in ("n1", "n2") if one != fleet.planner_name())
+        table = fleet.nodes_by_name[name].job_table
+        assert ID.format(1) in table.open_by_id
+        cut_off(fleet, name)
+        planner = fleet.nodes_by_name[fleet.planner_name()]
+        planner.planner._settings.retention_ms = 0
+        await fleet.wait_until(
+            lambda: ID.format(1) not in planner.job_table.jobs_by_id, 10_000, "the job is purged"
+        )
+        await fleet.clock.sleep_ms(200)
+        fleet.store.compact(JOBS_TOPIC)
+        reconnect(fleet, name)
+        await fleet.clock.sleep_ms(3_000)
+        assert fleet.nodes_by_name[name].not_ready() == ""
+        assert ID.format(1) not in table.jobs_by_id
+
+    run_scenario(scenario)
+
+
+def test_running_job_is_not_queued_while_the_state_is_loaded_again():
+    """A caller that waited for a read when the planner stopped was told `queued`."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=20_000), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(1), "running", 2_000)
+        name = fleet.planner_name()
+        node = fleet.nodes_by_name[name]
+        fleet.store.answer_ms = 100
+        await fleet.clock.sleep_ms(500)
+        states = []
+        for _ in range(40):
+            states.append(asyncio.create_task(fleet.state(ID.format(1), at=name)))
+            await fleet.clock.sleep_ms(10)
+            if len(states) == 20:
+                node.leadership.step_down(node.leadership.term)
+        assert set(await asyncio.gather(*states)) == {"running"}
+
+    run_scenario(scenario)
+
+
+def test_job_that_may_be_stored_is_not_rejected_by_the_same_instance():
+    """A job was answered with an unknown outcome, its repeat as never run, and then it ran."""
+
+    async def scenario(fleet):
+        fleet.store.lost_answer_ratio = 1.0
+        fleet.store.late_ms = 6_000
+        with pytest.raises(OutcomeUnknownError):
+            await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at="n2")
+        with pytest.raises(OutcomeUnknownError):
+            await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at="n2")
+
+    run_scenario(scenario)
+
+
+def test_new_queue_and_key_are_not_denied_from_an_old_configuration():
+    """An instance cut off from the store answered 404 and 401 from its old configuration."""
+
+    async def scenario(fleet):
+        name = next(one for one in ("n1", "n2") if one != fleet.planner_name())
+        app = caller_app(fleet.nodes_by_name[name])
+        path = "/x0/" + ID.format(1)
+        # While the store is read, absence is known.
+        assert await call_status(app, path, "key-owner") == 404
+        assert await call_status(app, "/render/", "key-new") == 401
+        cut_off(fleet, name)
+        fleet.store.put("keyed.op", "config", configuration_bytes(version=7, routes=1))
+        await fleet.clock.sleep_ms(4_000)
+        assert await call_status(app, path, "key-owner") == 503
+        assert await call_status(app, "/render/", "key-new") == 503
+        reconnect(fleet, name)
+        await fleet.clock.sleep_ms(3_000)
+        assert await call_status(app, "/render/", "key-new") == 401
+        assert await call_status(app, "/x1/", "key-owner") == 404
+        assert await call_status(app, path, "key-owner") == 410
+
+    run_scenario(scenario)
+
+
+def test_answer_that_begins_after_the_asked_offset_counts_as_trimmed():
+    """The records between the asked offset and the first one kept were skipped."""
+    body = struct.pack(">QQ", 20, 12) + _encode_record("a/1", b"x")
+    with pytest.raises(StoreTrimmedError):
+        _decode_records(body, 10)
+
+
+@pytest.mark.parametrize("retry_until_stored", [False, True])
+def test_record_that_the_store_rejects_does_not_block_later_ones(retry_until_stored):
+    """A record above the store's limit was sent again for ever, before all that followed."""
+
+    async def append(request):
+        if len(await request.read()) > 262_144:
+            return web.json_response({}, status=413)
+        return web.json_response({"offset": 0, "end": 1})
+
+    async def run():
+        app = web.Application(client_max_size=4_000_000)
+        app.router.add_post("/v1/log-append", append)
+        async with AppServer(app) as site:
+            pool = HttpPool()
+            writer = LogWriter(
+                HttpStore(pool, Address(site.address)),
+                Clock(),
+                JOBS_TOPIC,
+                "p",
+                retry_until_stored=retry_until_stored,
+            )
+            task = asyncio.create_task(writer.run())
+            try:
+                async with asyncio.timeout(2):
+                    with pytest.raises(StoreError):
+                        await writer.write([("p/1", b"x" * 275_000)])
+                    await writer.write([("p/2", b"x")])
+            finally:
+                task.cancel()
+                await pool.close()
+
+    asyncio.run(run())
+
+
+def test_older_interface_does_not_deny_a_job_while_the_log_is_down():
+    """A job was answered with 404 by an entry that could not read the log."""
+    status, answer = send("GET", "/jobs/j-0000000000000001", log_mode="down")
+    assert (status, answer["outcome"]) == (503, "unknown")
+
+
+def test_job_accepted_during_a_load_is_kept():
+    """The pages of a load are no snapshot: a job accepted meanwhile may be missing from them."""
+    job_table = job_table_of(job(ID.format(1)), job(ID.format(2)), job(ID.format(3)))
+    job_table.forget_removed({JOB_KEY + ID.format(1)}, 2)
+    assert sorted(job_table.jobs_by_id) == [ID.format(1), ID.format(3)]
+    job_table.reset()
+    job_table.forget_removed({JOB_KEY + ID.format(1)}, 3)
+    assert sorted(job_table.jobs_by_id) == [ID.format(1)]
