Fail an append that the store never accepts, instead of repeating it for ever

A progress record of 10,000 tasks with checkpoints has 275,113 bytes; the store takes 262,144. The answer (413) was taken for no answer, and the batch was sent again for ever, before all later writes: nothing that the planner decided was stored any more. Answers 400 and 413 are now an error of their own; the writes of the batch are sent one by one, and only the rejected one fails. Jobs have at most 9,000 tasks, so that their record fits.

--- a/packages/daemon/carawayrouted/platform/callers.py
+++ b/packages/daemon/carawayrouted/platform/callers.py
@@ -25,7 +25,8 @@
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 MAX_SPEC_BYTES = 4_000
 MAX_STEPS = 100
-MAX_TASKS = 10_000
+# The progress of all tasks is one record of the store, which has up to 262,144 bytes.
+MAX_TASKS = 9_000
 MAX_OCCURRENCES = 10_000
 MAX_NUMBER = 2**31 - 1
 DEFAULT_WAIT_MS = 3_000
--- a/packages/daemon/carawayrouted/platform/store.py
+++ b/packages/daemon/carawayrouted/platform/store.py
@@ -14,6 +14,7 @@
     StoreError,
     StoreFencedError,
     StoreRefusedError,
+    StoreRejectedError,
     StoreSequenceError,
     StoreTrimmedError,
     StoreUnansweredError,
@@ -34,6 +35,8 @@
 # Takes well under READ_TIMEOUT_MS over the smallest machine's link (5 Mbit/s).
 READ_KB = 96
 REFUSED_STATUSES = (429, 503, 507)
+# A repetition of the call has the same result.
+REJECTED_STATUSES = (400, 413)
 # Kinds of calls.
 APPEND = "append"
 READ = "read"
@@ -110,6 +113,7 @@
         :raises StoreConflictError: the topic does not end at ``at``.
         :raises StoreSequenceError: the sequence number is not the next one.
         :raises StoreFencedError: the store refused the epoch.
+        :raises StoreRejectedError: the store never accepts these records.
         """
         query = f"log-append?topic={quote(topic)}&part={PARTITION}"
         if at is not None:
@@ -127,6 +131,8 @@
             if found.get("reason") == "seq":
                 raise StoreSequenceError(_integer_or(found.get("sequence"), 0))
             raise StoreFencedError(str(found.get("reason")))
+        if reply.status in REJECTED_STATUSES:
+            raise StoreRejectedError(f"the store answered {reply.status}")
         if reply.status != 200:
             raise StoreUnansweredError(f"the store answered {reply.status}")
         return AppendResult(_integer_or(found.get("offset"), 0), _integer_or(found.get("end"), 0))
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -10,7 +10,11 @@
 from carawayroute.clock import Clock
 from carawayroute.exceptions import CarawayrouteError
 from carawayroute.fleet.admission import AdmissionController
-from carawayroute.fleet.exceptions import StoreError, StoreRefusedError
+from carawayroute.fleet.exceptions import (
+    StoreError,
+    StoreRefusedError,
+    StoreRejectedError,
+)
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, Job, JobTable
 from carawayroute.fleet.lookup import JobStatus, PeerLookup
@@ -193,7 +197,7 @@
         try:
             async with asyncio.timeout(max(0.0, wait_ms - RESPONSE_MARGIN_MS) / 1000):
                 offset_by_key = await self._writer.write([(key, value)])
-        except StoreRefusedError as error:
+        except (StoreRefusedError, StoreRejectedError) as error:
             log.info("request_not_stored", job=job_id, key=key[:1], error=str(error))
             most_ms = min(MAX_RETRY_AFTER_MS, RETRY_AFTER_SHARE * late_limit_ms)
             retry_ms = max(MIN_RETRY_AFTER_MS, min(most_ms, self._writer.failing_ms))
--- a/packages/library/carawayroute/fleet/exceptions.py
+++ b/packages/library/carawayroute/fleet/exceptions.py
@@ -11,6 +11,10 @@
     """The call had no effect: the store is busy, full, or refuses this instance."""
 
 
+class StoreRejectedError(StoreError):
+    """The store never accepts this append, for example because a record is too large."""
+
+
 class StoreUnansweredError(StoreError):
     """The store did not answer; the call may have taken effect, or may still do so."""
 
--- a/packages/library/carawayroute/fleet/relay.py
+++ b/packages/library/carawayroute/fleet/relay.py
@@ -17,6 +17,7 @@
     StoreError,
     StoreFencedError,
     StoreRefusedError,
+    StoreRejectedError,
     StoreSequenceError,
     StoreTrimmedError,
     StoreUnansweredError,
@@ -223,6 +224,8 @@
         return pb.StoreAnswer(outcome=pb.StoreAnswer.TRIMMED, detail=error.first)
     except StoreRefusedError as error:
         return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED, reason=str(error))
+    except StoreRejectedError as error:
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.REJECTED, reason=str(error))
     except StoreError as error:
         return pb.StoreAnswer(outcome=pb.StoreAnswer.UNANSWERED, reason=str(error))
     return pb.StoreAnswer(
@@ -241,6 +244,8 @@
         return None
     if answer.outcome == outcomes.REFUSED:
         return StoreRefusedError(answer.reason)
+    if answer.outcome == outcomes.REJECTED:
+        return StoreRejectedError(answer.reason)
     if answer.outcome == outcomes.CONFLICT:
         return StoreConflictError(answer.detail)
     if answer.outcome == outcomes.FENCED:
--- a/packages/library/carawayroute/fleet/writer.py
+++ b/packages/library/carawayroute/fleet/writer.py
@@ -9,6 +9,7 @@
     StoreError,
     StoreFencedError,
     StoreRefusedError,
+    StoreRejectedError,
     StoreSequenceError,
 )
 from carawayroute.fleet.ports import Store
@@ -153,6 +154,9 @@
                 _resolve([*batch, *self._waiting], error)
                 self._waiting.clear()
                 return
+            if isinstance(error, StoreRejectedError):
+                await self._append_separately(batch, error)
+                return
             if isinstance(error, StoreRefusedError):
                 self._note_failure(error)
                 if not uncertain and not self._retry_until_stored:
@@ -164,6 +168,18 @@
             self._refuse_unsent()
             await self._clock.sleep_ms(backoff.next_ms())
 
+    async def _append_separately(
+        self, batch: list[_PendingWrite], error: StoreRejectedError
+    ) -> None:
+        """Append the writes of a rejected batch one by one; fail a single one."""
+        if len(batch) > 1:
+            for item in batch:
+                await self._append([item])
+            return
+        keys = [key for key, _ in batch[0].records]
+        log.error("append_rejected", topic=self._topic, keys=keys[:5], error=str(error))
+        _resolve(batch, error)
+
     async def _send_once(
         self, records: list[tuple[str, bytes]], uncertain: bool
     ) -> tuple[StoreError | None, int | None]:
