Tell a repeated request the outcome of its earlier attempt, if that is being appended

A caller was answered 504 while its job's append went on; its repeat at the same instance got 503 ("never runs") at once, and then the job ran.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -196,6 +196,11 @@
         """
         try:
             async with asyncio.timeout(max(0.0, wait_ms - RESPONSE_MARGIN_MS) / 1000):
+                sent = self._writer.sent_write(key)
+                if sent is not None:
+                    # An earlier attempt of this request, which may be stored already.
+                    await asyncio.shield(sent)
+                    return
                 offset_by_key = await self._writer.write([(key, value)])
         except (StoreRefusedError, StoreRejectedError) as error:
             log.info("request_not_stored", job=job_id, key=key[:1], error=str(error))
--- a/packages/library/carawayroute/fleet/writer.py
+++ b/packages/library/carawayroute/fleet/writer.py
@@ -70,6 +70,7 @@
         self._wake = asyncio.Event()
         self._failing_since_ms: float | None = None
         self._append_in_flight = False
+        self._sent_by_key: dict[str, _PendingWrite] = {}
         self.fenced = False
 
     @property
@@ -79,6 +80,14 @@
             return 0.0
         return self._clock.now_ms() - self._failing_since_ms
 
+    def sent_write(self, key: str) -> asyncio.Future | None:
+        """Return the result of the append in flight that includes a key, ``None`` if there is none.
+
+        Whether its records are stored is not certain before it ends.
+        """
+        item = self._sent_by_key.get(key)
+        return item.done if item is not None else None
+
     async def write(self, records: list[tuple[str, bytes]]) -> dict[str, int]:
         """Append records and return once the store has them.
 
@@ -119,9 +128,12 @@
             if self._retry_until_stored:
                 await self._clock.sleep_ms(BATCH_LINGER_MS)
             while self._waiting:
+                batch = self._next_batch()
                 self._append_in_flight = True
-                await self._append(self._next_batch())
+                self._sent_by_key = {key: item for item in batch for key, _ in item.records}
+                await self._append(batch)
                 self._append_in_flight = False
+                self._sent_by_key = {}
 
     def _next_batch(self) -> list[_PendingWrite]:
         batch: list[_PendingWrite] = []
