Keep the connection to a peer that has answered other calls meanwhile

One call that timed out closed the socket that all calls to the peer share, so that relayed appends and reads in flight ended as unanswered. With lookups on the same sockets that would happen more often. The socket is now closed only if the peer has answered nothing since the call was sent.

--- a/packages/daemon/carawayrouted/relay_links.py
+++ b/packages/daemon/carawayrouted/relay_links.py
@@ -1,6 +1,8 @@
 """Requests between instances over pynng: several serving contexts, one socket for each peer."""
 
 import asyncio
+import math
+import time
 from collections.abc import Awaitable, Callable
 
 import pynng
@@ -26,6 +28,7 @@
         self._serve = serve
         self._server: pynng.Rep0 | None = None
         self._sockets_by_address: dict[str, pynng.Req0] = {}
+        self._last_reply_s_by_address: dict[str, float] = {}
 
     async def run(self) -> None:
         """Answer peers until cancelled."""
@@ -60,6 +63,7 @@
         :raises PeerError: no reply came in time, or the connection failed.
         """
         socket = self._sockets_by_address.get(address)
+        sent_s = time.monotonic()
         try:
             if socket is None:
                 socket = pynng.Req0(resend_time=-1)
@@ -69,12 +73,15 @@
             try:
                 async with asyncio.timeout(timeout_ms / 1000):
                     await context.asend(message)
-                    return await context.arecv()
+                    reply = await context.arecv()
+                self._last_reply_s_by_address[address] = time.monotonic()
+                return reply
             finally:
                 context.close()
         except (pynng.NNGException, TimeoutError) as error:
-            # The connection may be dead; the next call opens a new one.
-            stale = self._sockets_by_address.pop(address, None)
-            if stale is not None:
-                stale.close()
+            if self._last_reply_s_by_address.get(address, -math.inf) < sent_s:
+                # The connection may be dead; the next call opens a new one.
+                stale = self._sockets_by_address.pop(address, None)
+                if stale is not None:
+                    stale.close()
             raise PeerError(f"{address}: {type(error).__name__}") from error
