Ask further peers while the first ones are still expected to answer

Each round of a lookup waited 1.2 s for two peers and then dropped them, though a peer behind a full link answers later than that. Two more are now asked every 500 ms or after a failure, and all are waited for until the caller's deadline.

--- a/packages/library/carawayroute/fleet/lookup.py
+++ b/packages/library/carawayroute/fleet/lookup.py
@@ -13,11 +13,11 @@
 from carawayroute.misc import interleave
 from carawayroute_schema import records_pb2 as pb
 
-# Peers that are asked at the same time; the first conclusive answer counts.
+# Peers that are asked at the same time; the first conclusive answer counts. More are asked after an
+# interval or a failure.
 PEERS_PER_ROUND = 2
 MAX_ROUNDS = 3
-# A peer that has to read the store first needs this long over a slow link.
-PEER_TIMEOUT_MS = 1_200
+ROUND_INTERVAL_MS = 500
 # Part of a peer's timeout that is reserved for its answer.
 PEER_ANSWER_MARGIN_MS = 100
 
@@ -111,25 +111,28 @@
 
     async def _first_proof(self, call: pb.StoreCall, wait_ms: float) -> pb.StoreAnswer:
         """Ask a few peers at a time and return the first conclusive answer."""
-        timeout_ms = min(wait_ms, PEER_TIMEOUT_MS)
-        call.wait_ms = max(0, int(timeout_ms - PEER_ANSWER_MARGIN_MS))
-        candidates = self._candidates()
-        for number in range(MAX_ROUNDS):
-            addresses = candidates[number * PEERS_PER_ROUND : (number + 1) * PEERS_PER_ROUND]
-            pending = {
-                asyncio.ensure_future(self._ask(address, call, timeout_ms)) for address in addresses
-            }
-            try:
-                while pending:
-                    done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-                    errors = [task.exception() for task in done]
-                    for task in done:
-                        if task.exception() is None:
-                            return task.result()
+        call.wait_ms = max(0, int(wait_ms - PEER_ANSWER_MARGIN_MS))
+        candidates = self._candidates()[: MAX_ROUNDS * PEERS_PER_ROUND]
+        pending: set[asyncio.Future[pb.StoreAnswer]] = set()
+        try:
+            while candidates or pending:
+                for address in candidates[:PEERS_PER_ROUND]:
+                    pending.add(asyncio.ensure_future(self._ask(address, call, wait_ms)))
+                candidates = candidates[PEERS_PER_ROUND:]
+                done, pending = await asyncio.wait(
+                    pending,
+                    timeout=ROUND_INTERVAL_MS / 1000 if candidates else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                errors = [task.exception() for task in done]
+                for task in done:
+                    if task.exception() is None:
+                        return task.result()
+                if errors:
                     log.info("peer_lookup_failed", errors=[str(error) for error in errors])
-            finally:
-                for task in pending:
-                    task.cancel()
+        finally:
+            for task in pending:
+                task.cancel()
         raise PeerError("no peer could tell")
 
     async def _ask(self, address: str, call: pb.StoreCall, timeout_ms: float) -> pb.StoreAnswer:
