Resign a term despite a heartbeat in flight

A planner that was told to stop went on planning until it ended, and nobody planned for 1.5 s after that: its resignation is appended on the condition that nothing else was, and lost that race to its own heartbeat or to a claim; it was not tried again. It is now tried up to five times. The test also asked for the planner before any was elected; it now waits for one first, its check is unchanged. A test of the race fails before.

--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -22,6 +22,7 @@
 # An instance whose view of the topic is older than this does not claim the term.
 MAX_CLAIM_LAG_MS = 1_100
 CHECK_INTERVAL_MS = 50
+MAX_RESIGN_ATTEMPTS = 5
 
 log = structlog.get_logger()
 
@@ -166,9 +167,11 @@
     async def resign(self) -> None:
         """Resign the term, so that another instance can claim it without waiting for a timeout."""
         self.candidate = False
-        if self.is_leader:
-            record = pb.Leader(instance=self._holder, term=self.term, resigned=True)
-            await self._append(record)
+        for _ in range(MAX_RESIGN_ATTEMPTS):
+            if not self.is_leader:
+                return
+            # Fails if a heartbeat of this instance or a claim of another one is appended first.
+            await self._append(pb.Leader(instance=self._holder, term=self.term, resigned=True))
 
     async def _append(self, leader: pb.Leader) -> None:
         leader.address = self._address
--- a/tests/fleet_cluster.py
+++ b/tests/fleet_cluster.py
@@ -165,6 +165,13 @@
                 return name
         return ""
 
+    async def wait_planner(self) -> str:
+        """Wait until an instance plans, and return it; instances are ready before the election."""
+        async with asyncio.timeout(20):
+            while not (name := await self.planner()):
+                await asyncio.sleep(0.05)
+        return name
+
     async def close(self) -> None:
         """Stop all processes, relays and servers."""
         for process in self.processes_by_name.values():
--- a/tests/test_fleet_leadership.py
+++ b/tests/test_fleet_leadership.py
@@ -144,3 +144,15 @@
     assert any(entry["event"] == "planner_fenced" for entry in logs)
     planners = Counter(entry["term"] for entry in logs if entry["event"] == "planner_started")
     assert set(planners.values()) == {1}
+
+
+def test_term_is_resigned_despite_a_heartbeat_in_flight():
+    """The heartbeat was appended first, and its holder planned on until it stopped."""
+
+    async def scenario(clock, store, leadership):
+        await wait_heartbeat_sent(clock, store)
+        await leadership.resign()
+        assert leadership.term == 0
+        assert leadership.newest_record().resigned
+
+    run_scenario(scenario)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -94,7 +94,7 @@
 
 def test_terminated_process_answers_what_was_asked_and_hands_over(tmp_path):
     async def scenario(cluster):
-        victim = await cluster.planner()
+        victim = await cluster.wait_planner()
         process = cluster.processes_by_name[victim]
         process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.3)
