--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -3,11 +3,13 @@
 import json
 
 from aiohttp.test_utils import make_mocked_request
+from hypothesis import strategies as st
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.jobs import JOB_KEY, JobTable, Stage
+from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, PROGRESS_KEY, JobTable, Stage
 from carawayroute.fleet.node import FleetNode
 from carawayroute.fleet.packing import Candidate
+from carawayroute.fleet.ports import KeyedRecord
 from carawayroute.fleet.types import Capacity, Configuration, Queue, Runner, Team
 from carawayroute_schema import records_pb2 as pb
 from carawayroute_standins.fleet.taskrunner import TaskSpec, make_runner
@@ -23,6 +25,8 @@
 QUEUES = (URGENT, NORMAL, BATCH)
 OWNER = Team("owner", ["key-owner"], 32)
 OTHER = Team("other", ["key-other"], 0)
+# Progress records of a job in turn: whether it has begun, and whether its first task is done.
+PROGRESS_HISTORIES = ((), ((0, 0),), ((0, 0), (1, 0)), ((0, 0), (1, 0), (1, 1)))
 
 
 def step(count: int = 1, accelerators: int = 1, **options) -> pb.Step:
@@ -188,3 +192,50 @@
     """Return the status of a GET request to an instance's API."""
     headers = {"Host": "h", "Authorization": f"Bearer {key}"}
     return (await app.handle(make_mocked_request("GET", path, headers=headers))).status
+
+
+@st.composite
+def job_history(draw, job_id: str) -> list[KeyedRecord]:
+    """Return the records of a job that runs, is cancelled or ends, and may be purged."""
+    accepted = job(job_id, [step(2)])
+    values = [(JOB_KEY, accepted.SerializeToString())]
+    for begun, done in draw(st.sampled_from(PROGRESS_HISTORIES)):
+        placed = pb.StepProgress(
+            runs=[1, 1], done=bytes([done, 0]), failures=[0, 0], places=[1, 1], runners=["w1"]
+        )
+        progress = pb.Progress(steps=[placed], begun=begun, term=1)
+        values.append((PROGRESS_KEY, progress.SerializeToString()))
+        if draw(st.booleans()):
+            # A job that was submitted twice is stored twice.
+            values.append((JOB_KEY, accepted.SerializeToString()))
+    outcome = draw(st.sampled_from(("open", "completed", "failed", "cancelled")))
+    if outcome == "cancelled":
+        values.append((CANCEL_KEY, pb.Cancel(entry="n1").SerializeToString()))
+    if outcome != "open" and draw(st.booleans()):
+        ended = pb.Progress(
+            ended=True, completed=outcome == "completed", failed=outcome == "failed", term=1
+        )
+        values.append((PROGRESS_KEY, ended.SerializeToString()))
+        if draw(st.booleans()):
+            values.extend((key, b"") for key in (JOB_KEY, CANCEL_KEY, PROGRESS_KEY))
+    return [KeyedRecord(offset, key + job_id, value) for offset, (key, value) in enumerate(values)]
+
+
+def newest_record(records: list[KeyedRecord], key: str) -> KeyedRecord | None:
+    """Return the newest record of a key, ``None`` if it was never written or is removed."""
+    found = next((record for record in reversed(records) if record.key == key), None)
+    return found if found is not None and found.value else None
+
+
+def apply_records(job_table: JobTable, records: list[KeyedRecord]) -> None:
+    """Apply records in the given order."""
+    for record in records:
+        job_table.apply(record.offset, record.key, record.value, 0.0)
+
+
+def describe_jobs(job_table: JobTable) -> dict[str, tuple[str, bool]]:
+    """Return each job's state as told to callers, and whether no more tasks are started."""
+    return {
+        job_id: (found.reported_state, found.closed)
+        for job_id, found in job_table.jobs_by_id.items()
+    }
--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -8,20 +8,26 @@
 from fleet_builders import (
     NORMAL,
     OWNER,
+    apply_records,
     call_status,
     caller_app,
     configuration_bytes,
+    describe_jobs,
     job,
+    job_history,
     job_table_of,
+    newest_record,
     world,
 )
+from hypothesis import given
+from hypothesis import strategies as st
 from test_adapters import AppServer
 from test_callers import send
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.entry import OutcomeUnknownError
 from carawayroute.fleet.exceptions import StoreError, StoreTrimmedError, StoreUnansweredError
-from carawayroute.fleet.jobs import JOB_KEY
+from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, PROGRESS_KEY, JobTable
 from carawayroute.fleet.node import JOBS_TOPIC
 from carawayroute.fleet.writer import LogWriter
 from carawayroute_standins.fleet.judge import find_violations, starts
@@ -245,3 +251,32 @@
     job_table.reset()
     job_table.forget_removed({JOB_KEY + ID.format(1)}, 3)
     assert sorted(job_table.jobs_by_id) == [ID.format(1)]
+
+
+@given(st.data())
+def test_load_that_is_no_snapshot_leads_to_the_same_state(data):
+    """Pages read at different times, and reads that overlap them, must not change a job's state."""
+    records = data.draw(job_history(ID.format(1)))
+    expected = JobTable()
+    apply_records(expected, records)
+    loaded = JobTable()
+    if data.draw(st.booleans()):
+        # The instance stops planning: its progress is discarded and loaded again.
+        known = data.draw(st.integers(0, len(records)))
+        apply_records(loaded, records[:known])
+        loaded.reset()
+        overlapping = data.draw(st.integers(known, len(records)))
+        apply_records(loaded, records[known:overlapping])
+        first_page = data.draw(st.integers(known, len(records)))
+    else:
+        first_page = data.draw(st.integers(0, len(records)))
+    ends = st.integers(first_page, len(records))
+    pages = sorted((first_page, data.draw(ends), data.draw(ends)))
+    page_records = [
+        newest_record(records[:end], kind + ID.format(1))
+        for kind, end in zip((JOB_KEY, CANCEL_KEY, PROGRESS_KEY), pages, strict=True)
+    ]
+    apply_records(loaded, [record for record in page_records if record is not None])
+    loaded.forget_removed({record.key for record in page_records if record is not None}, first_page)
+    apply_records(loaded, records[first_page:])
+    assert describe_jobs(loaded) == describe_jobs(expected)
