Test a request that is open at the end of the grace

Instance._drain stops waiting for open requests 0.7 s before the grace ends, but the servers' cleanup then waits up to 60 s for their handlers; the platform kills the process before, and the connection ends without an answer.

--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -1,6 +1,7 @@
 """Tests that what was accepted is neither denied, nor forgotten, nor left without an answer."""
 
 import asyncio
+import signal
 import struct
 
 import pytest
@@ -19,6 +20,7 @@
     newest_record,
     world,
 )
+from fleet_cluster import CALLER_HEADERS, FleetCluster, job_body
 from hypothesis import given
 from hypothesis import strategies as st
 from test_adapters import AppServer
@@ -35,8 +37,11 @@
 from carawayrouted.platform.http import HttpPool
 from carawayrouted.platform.settings import Address
 from carawayrouted.platform.store import HttpStore, _decode_records, _encode_record
+from carawayrouted.platform.wire_names import DEADLINE_HEADER
 
 ID = "00000000000000{:02x}"
+# The grace in the settings that FleetCluster writes.
+GRACE_S = 6
 
 
 def run_scenario(scenario, **options):
@@ -280,3 +285,29 @@
     loaded.forget_removed({record.key for record in page_records if record is not None}, first_page)
     apply_records(loaded, records[first_page:])
     assert describe_jobs(loaded) == describe_jobs(expected)
+
+
+@pytest.mark.slow
+def test_request_that_is_open_at_the_end_of_the_grace_is_answered(tmp_path):
+    """A request that waited for the store ended without an answer when its process was killed."""
+
+    async def scenario(cluster):
+        cluster.store.mode = "silent"
+        process = cluster.processes_by_name["n1"]
+        process.send_signal(signal.SIGTERM)
+        headers = {**CALLER_HEADERS, DEADLINE_HEADER: "20000"}
+        async with asyncio.timeout(GRACE_S):
+            path = "/render/" + ID.format(1)
+            answer = await cluster.call("n1", "POST", path, job_body(), headers=headers)
+            assert answer[0] == 504
+            assert await process.wait() == 0
+
+    async def run():
+        cluster = FleetCluster(tmp_path)
+        try:
+            await cluster.start(instances=1)
+            await scenario(cluster)
+        finally:
+            await cluster.close()
+
+    asyncio.run(run())
