Answer open requests before the grace of a stopping instance ends

What callers saw by the test: a request that waits for a silent store when its instance is stopped ends without an answer at SIGKILL. Cause: the drain gives up 0.7 s before the grace ends, but the servers' cleanup waits for the handlers of open requests. These are answered 504 then, which says that the outcome is unknown. The test failed (no answer in 6 s) and passes, with test_fleet_platform and test_fleet_processes except test_terminated_process_answers_what_was_asked_and_hands_over (KeyError: no instance planned yet when the test begins).

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -146,6 +146,8 @@
         while self.clock.now_ms() < earliest_end_ms or self.callers.open_requests:
             await self.clock.sleep_ms(DRAIN_CHECK_MS)
             if self.clock.now_ms() > latest_end_ms:
+                log.info("drain_timed_out", open_requests=self.callers.open_requests)
+                self.callers.answer_open_requests()
                 break
         for server_runner in self._server_runners:
             await server_runner.cleanup()
--- a/packages/daemon/carawayrouted/platform/callers.py
+++ b/packages/daemon/carawayrouted/platform/callers.py
@@ -1,5 +1,6 @@
 """The callers' HTTP API on the platform: submit, watch, cancel and count jobs."""
 
+import asyncio
 import hmac
 import json
 import math
@@ -58,18 +59,32 @@
         self._configuration = configuration
         self._configuration_is_current = configuration_is_current
         self._count = count
-        self.open_requests = 0
+        self._open: set[asyncio.Timeout] = set()
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests in progress."""
+        return len(self._open)
+
+    def answer_open_requests(self) -> None:
+        """Answer the requests in progress now: their outcome is unknown."""
+        for timeout in self._open:
+            timeout.reschedule(asyncio.get_running_loop().time())
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer one request."""
-        self.open_requests += 1
         arrived_s = time.monotonic()
+        timeout = asyncio.timeout(None)
+        self._open.add(timeout)
         try:
-            response = await self._answer(request)
+            async with timeout:
+                response = await self._answer(request)
+        except TimeoutError:
+            response = _reply(504)
         except web.HTTPException as error:
             response = _reply(error.status)
         finally:
-            self.open_requests -= 1
+            self._open.discard(timeout)
         duration_ms = (time.monotonic() - arrived_s) * 1000
         self._count(request.method, response.status, duration_ms)
         return response
