--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -1,6 +1,7 @@
 """Tests that what was accepted is neither denied, nor forgotten, nor left without an answer."""
 
 import asyncio
+import signal
 import struct
 
 import pytest
@@ -8,20 +9,27 @@
 from fleet_builders import (
     NORMAL,
     OWNER,
+    apply_records,
     call_status,
     caller_app,
     configuration_bytes,
+    describe_jobs,
     job,
+    job_history,
     job_table_of,
+    newest_record,
     world,
 )
+from fleet_cluster import CALLER_HEADERS, FleetCluster, job_body
+from hypothesis import given
+from hypothesis import strategies as st
 from test_adapters import AppServer
 from test_callers import send
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.entry import OutcomeUnknownError
 from carawayroute.fleet.exceptions import StoreError, StoreTrimmedError, StoreUnansweredError
-from carawayroute.fleet.jobs import JOB_KEY
+from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, PROGRESS_KEY, JobTable
 from carawayroute.fleet.node import JOBS_TOPIC
 from carawayroute.fleet.writer import LogWriter
 from carawayroute_standins.fleet.judge import find_violations, starts
@@ -29,8 +37,11 @@
 from carawayrouted.platform.http import HttpPool
 from carawayrouted.platform.settings import Address
 from carawayrouted.platform.store import HttpStore, _decode_records, _encode_record
+from carawayrouted.platform.wire_names import DEADLINE_HEADER
 
 ID = "00000000000000{:02x}"
+# The grace in the settings that FleetCluster writes.
+GRACE_S = 6
 
 
 def run_scenario(scenario, **options):
@@ -245,3 +256,58 @@
     job_table.reset()
     job_table.forget_removed({JOB_KEY + ID.format(1)}, 3)
     assert sorted(job_table.jobs_by_id) == [ID.format(1)]
+
+
+@given(st.data())
+def test_load_that_is_no_snapshot_leads_to_the_same_state(data):
+    """Pages read at different times, and reads that overlap them, must not change a job's state."""
+    records = data.draw(job_history(ID.format(1)))
+    expected = JobTable()
+    apply_records(expected, records)
+    loaded = JobTable()
+    if data.draw(st.booleans()):
+        # The instance stops planning: its progress is discarded and loaded again.
+        known = data.draw(st.integers(0, len(records)))
+        apply_records(loaded, records[:known])
+        loaded.reset()
+        overlapping = data.draw(st.integers(known, len(records)))
+        apply_records(loaded, records[known:overlapping])
+        first_page = data.draw(st.integers(known, len(records)))
+    else:
+        first_page = data.draw(st.integers(0, len(records)))
+    ends = st.integers(first_page, len(records))
+    pages = sorted((first_page, data.draw(ends), data.draw(ends)))
+    page_records = [
+        newest_record(records[:end], kind + ID.format(1))
+        for kind, end in zip((JOB_KEY, CANCEL_KEY, PROGRESS_KEY), pages, strict=True)
+    ]
+    apply_records(loaded, [record for record in page_records if record is not None])
+    loaded.forget_removed({record.key for record in page_records if record is not None}, first_page)
+    apply_records(loaded, records[first_page:])
+    assert describe_jobs(loaded) == describe_jobs(expected)
+
+
+@pytest.mark.slow
+def test_request_that_is_open_at_the_end_of_the_grace_is_answered(tmp_path):
+    """A request that waited for the store ended without an answer when its process was killed."""
+
+    async def scenario(cluster):
+        cluster.store.mode = "silent"
+        process = cluster.processes_by_name["n1"]
+        process.send_signal(signal.SIGTERM)
+        headers = {**CALLER_HEADERS, DEADLINE_HEADER: "20000"}
+        async with asyncio.timeout(GRACE_S):
+            path = "/render/" + ID.format(1)
+            answer = await cluster.call("n1", "POST", path, job_body(), headers=headers)
+            assert answer[0] == 504
+            assert await process.wait() == 0
+
+    async def run():
+        cluster = FleetCluster(tmp_path)
+        try:
+            await cluster.start(instances=1)
+            await scenario(cluster)
+        finally:
+            await cluster.close()
+
+    asyncio.run(run())
