Start another read or load when the shared one has just ended

What callers saw: nothing; found by reading. A lookup that came between the end of a shared read and its callbacks joined the ended read again and again without ever waiting, so the process stood still. Such a read does not count for the lookup, as it was sent before it. The ended read or load is now replaced. On the code before, the new test ends with 21 joins of one read; now with one join of a second read.

--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -166,13 +166,14 @@
 
     async def _join_load(self) -> None:
         """Load the topic, or wait for the load in progress."""
-        if self._shared_load is None:
+        if self._shared_load is None or self._shared_load.done():
             self._shared_load = asyncio.create_task(self._load(), name=f"load {self.topic}")
             self._shared_load.add_done_callback(self._end_load)
         await asyncio.shield(self._shared_load)
 
     def _end_load(self, task: asyncio.Task) -> None:
-        self._shared_load = None
+        if self._shared_load is task:
+            self._shared_load = None
         _retrieve_exception(task)
 
     async def _load(self) -> None:
@@ -195,13 +196,14 @@
 
     async def _join_read(self) -> None:
         """Read the available records, or wait for the read in progress."""
-        if self._shared_read is None:
+        if self._shared_read is None or self._shared_read.done():
             self._shared_read = asyncio.create_task(self._read(0), name=f"read {self.topic}")
             self._shared_read.add_done_callback(self._end_read)
         await asyncio.shield(self._shared_read)
 
     def _end_read(self, task: asyncio.Task) -> None:
-        self._shared_read = None
+        if self._shared_read is task:
+            self._shared_read = None
         _retrieve_exception(task)
 
     async def _read(self, wait_ms: int) -> None:
