Leave the other requests to a peer open when one of them times out

What callers saw: answers that are unknown though a peer was about to tell them. A request that timed out closed the socket that all requests to the peer share, so that appends, reads and lookups in flight ended with Closed. The socket is now replaced for new requests and closed only once no request uses it. On the code before, the new test ends with PeerError (Closed); it passes now.

--- a/packages/daemon/carawayrouted/relay_links.py
+++ b/packages/daemon/carawayrouted/relay_links.py
@@ -16,6 +16,22 @@
 log = structlog.get_logger()
 
 
+class _PeerSocket:
+    """A socket to one peer.
+
+    :ivar requests: number of requests that use the socket.
+    :ivar last_reply_s: time of the last reply on the monotonic clock.
+    """
+
+    __slots__ = ("last_reply_s", "requests", "socket")
+
+    def __init__(self, address: str) -> None:
+        self.socket = pynng.Req0(resend_time=-1)
+        self.socket.dial(f"tcp://{address}", block=False)
+        self.requests = 0
+        self.last_reply_s = -math.inf
+
+
 class RelayLinks:
     """Answer requests of peers and send requests to them.
 
@@ -27,8 +43,7 @@
         self._address = address
         self._serve = serve
         self._server: pynng.Rep0 | None = None
-        self._sockets_by_address: dict[str, pynng.Req0] = {}
-        self._last_reply_s_by_address: dict[str, float] = {}
+        self._sockets_by_address: dict[str, _PeerSocket] = {}
 
     async def run(self) -> None:
         """Answer peers until cancelled."""
@@ -44,8 +59,8 @@
         finally:
             await tasks.cancel()
             self._server.close()
-            for socket in self._sockets_by_address.values():
-                socket.close()
+            for peer in self._sockets_by_address.values():
+                peer.socket.close()
 
     async def _answer(self, context: pynng.Context) -> None:
         while True:
@@ -62,26 +77,41 @@
         :param address: ``host:port`` of the peer.
         :raises PeerError: no reply came in time, or the connection failed.
         """
-        socket = self._sockets_by_address.get(address)
+        peer = self._sockets_by_address.get(address)
         sent_s = time.monotonic()
         try:
-            if socket is None:
-                socket = pynng.Req0(resend_time=-1)
-                socket.dial(f"tcp://{address}", block=False)
-                self._sockets_by_address[address] = socket
-            context = socket.new_context()
+            if peer is None:
+                peer = self._sockets_by_address[address] = _PeerSocket(address)
+            peer.requests += 1
             try:
                 async with asyncio.timeout(timeout_ms / 1000):
-                    await context.asend(message)
-                    reply = await context.arecv()
-                self._last_reply_s_by_address[address] = time.monotonic()
+                    reply = await self._exchange(peer.socket, message)
+                peer.last_reply_s = time.monotonic()
                 return reply
             finally:
-                context.close()
+                peer.requests -= 1
         except (pynng.NNGException, TimeoutError) as error:
-            if self._last_reply_s_by_address.get(address, -math.inf) < sent_s:
-                # The connection may be dead; the next call opens a new one.
-                stale = self._sockets_by_address.pop(address, None)
-                if stale is not None:
-                    stale.close()
+            # Without a reply since, the connection may be dead; the next request opens a new one.
+            if (
+                peer is not None
+                and peer.last_reply_s < sent_s
+                and self._sockets_by_address.get(address) is peer
+            ):
+                del self._sockets_by_address[address]
             raise PeerError(f"{address}: {type(error).__name__}") from error
+        finally:
+            # Other requests may still be answered over the old connection.
+            if (
+                peer is not None
+                and not peer.requests
+                and self._sockets_by_address.get(address) is not peer
+            ):
+                peer.socket.close()
+
+    async def _exchange(self, socket: pynng.Req0, message: bytes) -> bytes:
+        context = socket.new_context()
+        try:
+            await context.asend(message)
+            return await context.arecv()
+        finally:
+            context.close()
--- a/tests/test_fleet_relay.py
+++ b/tests/test_fleet_relay.py
@@ -1,12 +1,16 @@
 """Tests of relayed store calls: a call that may have taken effect is not reported as refused."""
 
+import asyncio
+
 import pytest
 
 from carawayroute.clock import ManualClock
 from carawayroute.fleet.exceptions import StoreRefusedError, StoreUnansweredError
 from carawayroute.fleet.relay import PeerError, RelayedStore
 from carawayroute_schema import records_pb2 as pb
+from carawayroute_standins.cluster import free_port_range
 from carawayroute_standins.virtual import run_virtual
+from carawayrouted.relay_links import RelayLinks
 
 
 class RefusingStore:
@@ -68,3 +72,25 @@
 def test_append_without_peers_is_refused():
     with pytest.raises(StoreRefusedError):
         append_through_peers(pb.StoreAnswer.DONE, peers=())
+
+
+def test_timed_out_request_leaves_the_others_to_the_peer_open():
+    async def serve(message):
+        await asyncio.sleep(float(message))
+        return message
+
+    async def run():
+        address = f"127.0.0.1:{free_port_range()}"
+        links = RelayLinks(address, serve)
+        serving = asyncio.create_task(links.run())
+        await asyncio.sleep(0.05)
+        slow = asyncio.create_task(links.ask(address, b"0.5", 3_000))
+        await asyncio.sleep(0.1)
+        with pytest.raises(PeerError):
+            await links.ask(address, b"5", 100)
+        assert await links.ask(address, b"0", 1_000) == b"0"
+        assert await slow == b"0.5"
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+
+    asyncio.run(run())
