Read the jobs topic once for each data centre instead of once for each instance

What callers saw: in the region far from the store, answers from a state that was 8 to 22 s old, 503 and 504 for submissions, and (before lookups read to the end) 410 for accepted jobs. Cause: each instance reads the whole jobs topic, so the link between the regions carries it as often as the far region has instances.

Now the best connected instance of a data centre reads the topic from the store and serves the pages to the others (`SharedReader`, `SharedReadServer`). All rank the members in the same way and ask only those above themselves, so requests cannot go in a circle. A read of a lookup (without a wait) makes the reader read the store anew, and the page says how old the end in it is, so a lookup still proves absence by an end that the store told after the request. What a peer does not serve is read from the store: a reader that is dead, draining, behind, slow or without the records. The planner always reads the store itself.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -77,6 +77,8 @@
         gauge("planner_term", "Term that this instance plans in, or 0.", node.planner_term)
         gauge("store_calls", "Calls to the platform's store.", lambda: self.direct_store.calls)
         gauge("store_calls_relayed", "Calls made by peers.", lambda: node.store.relayed_calls)
+        gauge("reads_served", "Reads answered for peers.", lambda: node.read_server.served)
+        gauge("reads_by_peers", "Reads answered by peers.", lambda: node.shared_reader.peer_reads)
         gauge("runner_looks", "Looks at runners.", lambda: self.runners_client.polls)
         gauge("jobs_open", "Jobs that have not ended.", lambda: len(node.job_table.open_by_id))
         gauge("jobs_lag_ms", "Age of the state of jobs.", node.jobs_follower.lag_ms)
@@ -92,6 +94,12 @@
             "Version of the configuration in force.",
             lambda: node.configuration.version if node.configuration else 0,
         )
+        self.metrics.counts(
+            "reads_not_shared",
+            "Reads made from the store because a peer did not serve them.",
+            "reason",
+            lambda: node.shared_reader.fallbacks_by_reason,
+        )
         self.metrics.counts(
             "runs_given_up",
             "Runs that this term's planner ended without a reported end.",
--- a/packages/daemon/carawayrouted/relay_links.py
+++ b/packages/daemon/carawayrouted/relay_links.py
@@ -11,7 +11,8 @@
 from carawayroute.fleet.relay import PeerError
 from carawayroute.misc import TaskGroup
 
-SERVING_CONTEXTS = 16
+# Reads of peers wait for records; relayed calls must find a free context beside them.
+SERVING_CONTEXTS = 48
 
 log = structlog.get_logger()
 
--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -8,7 +8,7 @@
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.exceptions import StoreError, StoreTrimmedError
-from carawayroute.fleet.ports import KeyedRecord, Store
+from carawayroute.fleet.ports import KeyedRecord, RecordReader
 from carawayroute.misc import wait_event
 from carawayroute.retries import Backoff
 
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: RecordReader,
         clock: Clock,
         topic: str,
         apply: Callable[[KeyedRecord], None],
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -17,6 +17,7 @@
 from carawayroute.fleet.planner import Planner, PlannerSettings
 from carawayroute.fleet.ports import KeyedRecord, PlatformFormat, RunnerClient, Store
 from carawayroute.fleet.relay import Peers, RelayedStore
+from carawayroute.fleet.shared_reader import ReaderChoice, SharedReader, SharedReadServer
 from carawayroute.fleet.types import Configuration
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import TaskGroup, new_id
@@ -154,14 +155,33 @@
             settings.address,
             self._election_delay_ms,
         )
-        self.jobs_follower = TopicFollower(
+        self._own_member = pb.Member(
+            instance=settings.instance,
+            address=settings.address,
+            region=settings.region,
+            data_centre=settings.data_centre,
+            cores=settings.cores,
+            link_mbps=settings.link_mbps,
+        )
+        self.shared_reader = SharedReader(
             self.store,
+            peers,
+            clock,
+            ReaderChoice(self._own_member, clock),
+            lambda: self.planner is not None,
+            self.leadership.planner_address,
+        )
+        self.jobs_follower = TopicFollower(
+            self.shared_reader,
             clock,
             JOBS_TOPIC,
             self._apply_job,
             self.job_table.forget_removed,
             read_interval_ms=STANDBY_READ_INTERVAL_MS,
         )
+        self.read_server = SharedReadServer(
+            self.shared_reader, self.jobs_follower, clock, lambda: self.draining
+        )
         self.config_follower = TopicFollower(
             self.store, clock, formats.configuration_topic, self._apply_configuration
         )
@@ -236,6 +256,8 @@
             return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
         if call.kind in (pb.StoreCall.LOOK_UP_JOB, pb.StoreCall.COUNT_PENDING):
             answer = await serve_lookup(call, self.service)
+        elif call.kind == pb.StoreCall.SHARED_READ:
+            answer = await self.read_server.serve(call)
         else:
             answer = await self.store.serve(call)
         return answer.SerializeToString()
@@ -281,7 +303,10 @@
         if before is not None:
             self.store.addresses.discard(before)
             self.store.same_region_addresses.discard(before)
-        if record.value:
+        if not record.value:
+            self.shared_reader.choice.remove_member(name)
+        else:
+            self.shared_reader.choice.set_member(member)
             self._address_by_member[name] = member.address
             self.store.addresses.add(member.address)
             if member.region == self.settings.region:
@@ -289,16 +314,8 @@
 
     async def _announce(self) -> None:
         """Publish this instance's address, retrying until it is stored."""
-        settings = self.settings
-        member = pb.Member(
-            instance=settings.instance,
-            address=settings.address,
-            region=settings.region,
-            data_centre=settings.data_centre,
-            cores=settings.cores,
-            link_mbps=settings.link_mbps,
-        )
-        records = [(MEMBER_KEY + settings.instance, member.SerializeToString())]
+        member = self._own_member
+        records = [(MEMBER_KEY + member.instance, member.SerializeToString())]
         while True:
             try:
                 await self.writer.write(records)
--- a/packages/library/carawayroute/fleet/ports.py
+++ b/packages/library/carawayroute/fleet/ports.py
@@ -35,7 +35,8 @@
 
     :param next_offset: offset from which to continue reading.
     :param end: offset at which the partition ends.
-    :param age_ms: how long before the answer the store told ``end``.
+    :param age_ms: how long before this read the store was asked for ``end``, 0 if it was asked
+        afterwards.
     """
 
     __slots__ = ("age_ms", "end", "next_offset", "records")
@@ -49,8 +50,26 @@
         self.end = end
 
 
-class Store(Protocol):
-    """The platform's store of keyed topics, each with one partition."""
+class RecordReader(Protocol):
+    """Reads keyed topics, each with one partition."""
+
+    async def read(self, topic: str, offset: int, wait_ms: int) -> RecordPage:
+        """Return records from an offset on.
+
+        :param wait_ms: longest time to wait for the first record.
+        :raises StoreTrimmedError: the records have been removed by retention.
+        :raises StoreError: the read failed.
+        """
+
+    async def newest(self, topic: str) -> RecordPage:
+        """Return the newest record of each key; concurrent appends may be missing.
+
+        :raises StoreError: the read failed.
+        """
+
+
+class Store(RecordReader, Protocol):
+    """The platform's store of keyed topics."""
 
     async def append(
         self,
@@ -72,20 +91,6 @@
         :raises StoreError: the subclass says whether the append may have taken effect.
         """
 
-    async def read(self, topic: str, offset: int, wait_ms: int) -> RecordPage:
-        """Return records from an offset on.
-
-        :param wait_ms: longest time to wait for the first record.
-        :raises StoreTrimmedError: the records have been removed by retention.
-        :raises StoreError: the read failed.
-        """
-
-    async def newest(self, topic: str) -> RecordPage:
-        """Return the newest record of each key; concurrent appends may be missing.
-
-        :raises StoreError: the read failed.
-        """
-
 
 class RunnerClient(Protocol):
     """Sends requests to runners; each carries the planner's term as a fencing token."""
