--- a/tests/soak.py
+++ b/tests/soak.py
@@ -101,7 +101,7 @@
                 if self.rng.random() < 0.1 and self.accepted:
                     job_id = self.rng.choice(list(self.accepted))
                     name = self._random_instance()
-                    # It may take effect before its answer or without one, also once the callers end.
+                    # May take effect before its answer, or without one after the callers ended.
                     self.accepted[job_id] += 1
                     status, _ = await self._call(session, "DELETE", job_id, name)
                     self._check_known(status, job_id, name)
