Tell the same end of a job at instances that load the records later

What callers saw: an instance that was started after a job had failed and been cancelled told `cancelled`, the others `failed`; or `completed` where the others told `cancelled`. Cause: instances that follow the log tell the end that was stored first, but the newest record of each key may be a later cancellation, or a progress record written after a cancellation that came too late. Change: each progress record that is written once the planner knows the first end states it, and where a cancellation and an end are stored and none states it, the planner writes one; so does a planner that takes over. A stated end counts whatever the order of the records. An ordinary end or cancellation needs no further record. Between the late cancellation and the planner's record an instance that loads still tells the other end.

--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -19,6 +19,13 @@
 FAILED = "failed"
 CANCELLED = "cancelled"
 
+FIRST_END_BY_STATE = {
+    COMPLETED: pb.Progress.COMPLETED,
+    FAILED: pb.Progress.FAILED,
+    CANCELLED: pb.Progress.CANCELLED,
+}
+STATE_BY_FIRST_END = {end: state for state, end in FIRST_END_BY_STATE.items()}
+
 
 class RecordError(CarawayrouteError):
     """A record in the store cannot be read."""
@@ -182,6 +189,9 @@
 
     :ivar abandoned: runs that were taken as ended although their runners reported no end.
     :ivar begun: a runner has started one of its tasks.
+    :ivar cancel_stored: the store has a cancellation of the job.
+    :ivar end_stated: a progress record states which end was stored first.
+    :ivar end_stored: the store has a progress record with an end of the job.
     :ivar ended_ms: time at which the job ended, by the instance's own clock.
     :ivar stored_end: final state according to the records in the store, or an empty string.
     """
@@ -189,7 +199,10 @@
     __slots__ = (
         "abandoned",
         "begun",
+        "cancel_stored",
         "cancelled",
+        "end_stated",
+        "end_stored",
         "ended_ms",
         "failed",
         "id",
@@ -208,6 +221,9 @@
         self.failed = False
         self.reason = ""
         self.ended_ms: float | None = None
+        self.cancel_stored = False
+        self.end_stored = False
+        self.end_stated = False
         self.stored_end = ""
         self.stages_by_key: dict[tuple[int, int], Stage] = {}
 
@@ -283,8 +299,15 @@
         # An end that is not stored is unknown to the next planner, which may run the task again.
         return self.stored_end or (RUNNING if self.started else QUEUED)
 
+    @property
+    def needs_stated_end(self) -> bool:
+        """Return whether the newest records leave open which end was stored first."""
+        return self.cancel_stored and self.end_stored and not self.end_stated
+
     def end_in(self, record: pb.Progress) -> str:
         """Return the final state according to a progress record, empty if the job is open."""
+        if record.first_end in STATE_BY_FIRST_END:
+            return STATE_BY_FIRST_END[record.first_end]
         if record.failed:
             return FAILED
         if record.ended:
@@ -343,6 +366,7 @@
             term=term,
             begun=self.begun,
             abandoned=abandoned,
+            first_end=FIRST_END_BY_STATE.get(self.stored_end, pb.Progress.NOT_STATED),
         )
 
 
@@ -393,6 +417,9 @@
             self._early_records_by_job.setdefault(job_id, []).append((kind, offset, value))
             return None
         if kind == CANCEL_KEY:
+            job.cancel_stored = True
+            if job.end_stated:
+                return job
             # In a page of newest records, the job's end may precede an earlier cancel.
             before_end = offset < self._offset_by_key.get(PROGRESS_KEY + job_id, -1)
             if not job.closed or before_end:
@@ -421,15 +448,24 @@
     def note_stored_end(self, job: Job, offset: int, record: pb.Progress) -> bool:
         """Set a job's final state for callers from a progress record read from the store.
 
-        The end that was stored first counts.
+        The end that was stored first counts: the one that the planner states, as long as it states
+        none the one with the lowest offset.
 
         :param offset: offset of the record.
         :returns: whether the final state was set.
         """
         end = job.end_in(record)
+        if not end:
+            return False
+        job.end_stored = True
+        stated = record.first_end in STATE_BY_FIRST_END
+        if stated:
+            job.end_stated = True
+        elif job.end_stated:
+            return False
         # In a page of newest records, a cancel that came too late precedes the job's end.
         late_cancel = offset < self._offset_by_key.get(CANCEL_KEY + job.id, -1)
-        if not end or (job.stored_end and not late_cancel):
+        if job.stored_end and not late_cancel and not stated:
             return False
         job.stored_end = end
         return True
@@ -460,6 +496,9 @@
             job.failed = False
             job.reason = ""
             job.ended_ms = None
+            job.cancel_stored = False
+            job.end_stored = False
+            job.end_stated = False
         self.open_by_id = dict(self.jobs_by_id)
 
     def _drop(self, kind: str, job_id: str) -> None:
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -338,12 +338,16 @@
                 job = self.job_table.jobs_by_id.get(record.key[len(PROGRESS_KEY) :])
                 if job is not None:
                     self.job_table.note_stored_end(job, record.offset, progress)
+                    self.planner.state_first_end(job)
                 return
+        job = None
         try:
-            self.job_table.apply(record.offset, record.key, record.value, self.clock.now_ms())
+            job = self.job_table.apply(record.offset, record.key, record.value, self.clock.now_ms())
         except RecordError as error:
             log.warning("record_unreadable", key=record.key, error=str(error))
         if self.planner is not None:
+            if job is not None:
+                self.planner.state_first_end(job)
             self.planner.changed()
 
     def _job_written(self) -> None:
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -206,6 +206,7 @@
         self.runner_health = RunnerHealth(clock)
         self.speeds = RunnerSpeeds()
         self._term_start_ms = clock.now_ms()
+        self._ends_read = False
         self._ready = False
         self._status_ms = 0.0
         self._speeds_ms = self._term_start_ms
@@ -243,6 +244,9 @@
             for stage in job.stages_by_key.values():
                 for index in stage.placed():
                     self._adopt(stage, index)
+        self._ends_read = True
+        for job in self.job_table.jobs_by_id.values():
+            self.state_first_end(job)
         # Reports are compared with the adopted runs, so runners are polled only from here on.
         self._tasks.start(self._runners_follower.run(), "follow runners")
         await self._runners_follower.loaded.wait()
@@ -954,6 +958,14 @@
             self._on_term_lost(self.term)
             raise asyncio.CancelledError from None
 
+    def state_first_end(self, job: Job) -> None:
+        """Store which end of a job counts, if the newest records of its keys do not show it."""
+        if self._ends_read and job.needs_stated_end:
+            # The record states it; it is repeated until it is stored.
+            job.end_stated = True
+            log.info("first_end_stated", job=job.id, end=job.stored_end)
+            self._tasks.start(self._persist([job]), f"state the end of {job.id}")
+
     async def _start(self, placement: Placement, runs: list[Run]) -> None:
         for victim in placement.victims:
             for index in victim.indices:
