Let a cancellation count only once the records before it are read

What callers saw: an instance that was behind stored a cancellation of a job whose end it had not read, told `cancelled`, and `completed` once it had read the end; the others told `completed` throughout. Cause: the entry applied its own cancellation from the append's answer, ahead of the records before it, as the job's first end. Change: the answer only tells where the topic ends, so the next question about the job reads up to there. Jobs still enter the state from the answer: no earlier record can contradict them.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -210,9 +210,14 @@
         except TimeoutError as error:
             log.warning("request_outcome_unknown", job=job_id, key=key[:1])
             raise OutcomeUnknownError("the store did not answer in time") from error
-        if key in offset_by_key:
+        if key not in offset_by_key:
+            return
+        if key.startswith(JOB_KEY):
             # This instance may read its own record seconds later.
             self._job_table.apply(offset_by_key[key], key, value, self._clock.now_ms())
+        else:
+            # A cancellation takes effect once it is read: the records before it may end the job.
+            self._follower.note_end(offset_by_key[key] + 1)
 
     def _known_job(self, job_id: str) -> Job | None:
         """Return a job if this instance can tell its state."""
@@ -354,7 +359,8 @@
     async def _refresh(self, job_id: str) -> None:
         """Read the latest records if the state is stale; keep the known state if that fails."""
         age_ms = self._follower.lag_ms()
-        if age_ms < MAX_STATE_AGE_MS or age_ms > STORE_UNRESPONSIVE_MS:
+        recent = age_ms < MAX_STATE_AGE_MS and not self._follower.behind_records
+        if recent or age_ms > STORE_UNRESPONSIVE_MS:
             return
         try:
             async with asyncio.timeout(STATE_READ_TIMEOUT_MS / 1000):
--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -128,6 +128,13 @@
         """Make the next read start now instead of after the read interval."""
         self._read_requested.set()
 
+    def note_end(self, end: int) -> None:
+        """Note that the topic has records up to an offset.
+
+        :param end: offset after the last one of them.
+        """
+        self.known_end = max(self.known_end, end)
+
     async def reload(self) -> None:
         """Load the newest records again, concurrently with the long-polling read."""
         self.loaded.clear()
--- a/tests/test_fleet_ends.py
+++ b/tests/test_fleet_ends.py
@@ -107,3 +107,23 @@
                     job_table.apply(*record, 0.0)
                 found = job_table.jobs_by_id[one.id]
                 assert (found.reported_state, found.closed) == (end, True)
+
+
+def test_cancellation_at_an_instance_that_is_behind_is_not_told_over_an_earlier_end():
+    """The instance told `cancelled` until it read that the job had been completed before."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=1_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(600)
+        planner = fleet.nodes_by_name[fleet.planner_name()]
+        entry = next(node for node in fleet.nodes_by_name.values() if node is not planner)
+        known = planner.job_table.jobs_by_id[ID.format(1)]
+        entry.jobs_follower.set_read_interval(3_000)
+        await fleet.clock.sleep_ms(1)
+        while not known.stored_end:
+            await fleet.clock.sleep_ms(1)
+        await entry.service.cancel(ID.format(1), 1_000)
+        told = await entry.service.state(ID.format(1), 1_000)
+        assert told == known.reported_state == "completed"
+
+    run_scenario(scenario)
