Do not deny a job that is read while the state is loaded again

What callers saw: 410 for an accepted job, also through peers, which ask the planner first. Cause: when a planner loses its term (or a topic is trimmed) the progress of jobs is discarded and loaded again, and until then a job counts as not known, since its state can't be told. A lookup whose read ended in that time found the job and took 'can't be told' for 'does not exist'.

Now a lookup reads until the job is in the table and then waits for the load, within the same deadline; only an id that is not in the table after a read to the end is absent.

test_job_is_not_denied_while_the_state_is_loaded_again fails on (NoSuchJobError at the instance that lost the term, job_lookup outcome=absent evidence=end_reached) and passes now.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -232,12 +232,21 @@
         job = self._known_job(job_id)
         if job is None:
             async with asyncio.timeout(wait_ms / 1000):
-                await self._follower.loaded.wait()
-                if self._known_job(job_id) is None:
-                    await self._follower.read_to_end(lambda: self._known_job(job_id) is not None)
-            job = self._known_job(job_id)
+                job = await self._read_job(job_id)
         return JobStatus(job.reported_state, bool(job.stored_end)) if job is not None else None
 
+    async def _read_job(self, job_id: str) -> Job | None:
+        """Read the store until this instance can tell a job's state or that it does not exist."""
+        jobs_by_id = self._job_table.jobs_by_id
+        while True:
+            await self._follower.loaded.wait()
+            job = self._known_job(job_id)
+            if job is not None:
+                return job
+            await self._follower.read_to_end(lambda: job_id in jobs_by_id)
+            if job_id not in jobs_by_id:
+                return None
+
     async def _find(self, job_id: str, wait_ms: float) -> JobStatus:
         """Return the status of a job from this instance's state, the store, or another instance.
 
--- a/tests/test_fleet_lookup.py
+++ b/tests/test_fleet_lookup.py
@@ -196,3 +196,21 @@
             await call_within_deadline(fleet, fleet.state(NEVER_ACCEPTED, at="n3"))
 
     run_scenario(scenario, region_by_instance=FAR)
+
+
+def test_job_is_not_denied_while_the_state_is_loaded_again():
+    """A job that is read between a reset of the state and the end of its load exists."""
+
+    async def scenario(fleet):
+        name = fleet.planner_name()
+        planning = fleet.nodes_by_name[name]
+        other = next(one for one in fleet.nodes_by_name if one != name)
+        fleet.store.answer_ms = 100
+        await fleet.submit(long_job(), NORMAL, OWNER, at=other)
+        assert ID.format(1) not in planning.job_table.jobs_by_id
+        telling = asyncio.create_task(fleet.state(ID.format(1), at=name))
+        await fleet.clock.sleep_ms(20)
+        planning.leadership.step_down(planning.leadership.term)
+        assert await call_within_deadline(fleet, telling) in ("queued", "running")
+
+    run_scenario(scenario)
