Serve peers while the reader is behind, and don't let slow reads repeat for each instance

Cause: a reader that was over 1 s behind refused its peers, and one whose read took over 200 ms as well. Both made every instance read for itself, over the link whose load had put the reader behind, so it never caught up. And each refusal doubled the time in which the reader was not asked again, up to 10 s.

Now a reader serves as long as the store answers it: what it has is sent at once, and without records it waits for its next page instead of for the end. If that takes over 200 ms the answer says how old its end is (`age_ms`), which `read_to_end` already checks, so a lookup asks again and still proves absence. A reader that the store does not answer is asked again after 1 s each time.

--- a/packages/library/carawayroute/fleet/shared_reader.py
+++ b/packages/library/carawayroute/fleet/shared_reader.py
@@ -28,8 +28,9 @@
 MAX_STORE_WAIT_MS = 300
 # Time allowed for a read from the store that a peer's request triggers.
 FRESH_READ_TIMEOUT_MS = 200
-# An instance whose own state is older than this does not serve its peers.
-MAX_SERVED_AGE_MS = 1_000
+# An instance that the store has not answered for longer than this does not serve its peers. One
+# that is behind serves them: they would get the records no sooner over the same link.
+MAX_SILENCE_MS = 1_000
 # Requests that may wait for records at the same time; further ones are answered at once.
 MAX_WAITING = 16
 FIRST_RETRY_MS = 1_000
@@ -160,13 +161,16 @@
                 usable.append(member)
         return min(usable, key=_rank, default=None)
 
-    def note_failure(self, name: str, first_ms: float = FIRST_RETRY_MS) -> float:
+    def note_failure(
+        self, name: str, first_ms: float = FIRST_RETRY_MS, most_ms: float = MAX_RETRY_MS
+    ) -> float:
         """Exclude a member for a time that doubles with each failure, and return the time in ms.
 
         :param first_ms: shortest time.
+        :param most_ms: longest time.
         """
         failures = self._failures_by_name.setdefault(name, _Failures())
-        failures.wait_ms = min(MAX_RETRY_MS, max(first_ms, failures.wait_ms * 2))
+        failures.wait_ms = min(most_ms, max(first_ms, failures.wait_ms * 2))
         failures.retry_at_ms = self._clock.now_ms() + failures.wait_ms
         return failures.wait_ms
 
@@ -189,6 +193,7 @@
     :ivar cache: records read from the store while this instance is the reader.
     :ivar end: highest end that the store has told this instance while it is the reader.
     :ivar end_asked_ms: clock time at which the latest answered read was sent to the store.
+    :ivar answered_ms: clock time at which the store last answered a read of the reader.
     :ivar peer_reads: number of reads that a peer answered.
     :ivar fallbacks_by_reason: reads that were made from the store since a peer did not serve them.
     """
@@ -212,6 +217,7 @@
         self.cache = RecordCache()
         self.end = 0
         self.end_asked_ms = float("-inf")
+        self.answered_ms = float("-inf")
         self._answered = asyncio.Event()
         self.peer_reads = 0
         self.fallbacks_by_reason: Counter[str] = Counter()
@@ -223,8 +229,8 @@
     async def read(self, topic: str, offset: int, wait_ms: int) -> RecordPage:
         """Return records from an offset on.
 
-        :param wait_ms: longest time to wait for the first record; without a wait, the end in the
-            answer is read from the store after this call.
+        :param wait_ms: longest time to wait for the first record; without a wait, a peer that has
+            no records reads the store for a new end, and ``age_ms`` tells if that takes longer.
         :raises StoreError: neither a peer nor the store answered.
         """
         if self._plans():
@@ -256,6 +262,7 @@
         self.cache.add(offset, page)
         self.end = max(self.end, page.end)
         self.end_asked_ms = max(self.end_asked_ms, asked_ms)
+        self.answered_ms = self._clock.now_ms()
         self._answered.set()
         self._answered = asyncio.Event()
         return page
@@ -281,7 +288,7 @@
             self._note_fallback(answer.reason or "other")
             # The other reasons pass soon: the peer learns of the same failures as this instance,
             # serves reads from later offsets, or answers once the store does.
-            if answer.reason in (DRAINING, BEHIND):
+            if answer.reason in (DRAINING, UNREACHED):
                 self._exclude(reader, answer.reason)
             return None
         page = _decode_page(answer, offset)
@@ -299,7 +306,9 @@
     def _exclude(self, reader: pb.Member, reason: str) -> None:
         # A draining instance serves again only after it has restarted and announced itself.
         first_ms = MAX_RETRY_MS if reason == DRAINING else FIRST_RETRY_MS
-        retry_ms = self.choice.note_failure(reader.instance, first_ms)
+        # After an outage of the store, all members would go on reading it for themselves.
+        most_ms = FIRST_RETRY_MS if reason == UNREACHED else MAX_RETRY_MS
+        retry_ms = self.choice.note_failure(reader.instance, first_ms, most_ms)
         log.info("reader_excluded", reader=reader.instance, reason=reason, retry_ms=round(retry_ms))
 
     def _use_reader(self, name: str) -> None:
@@ -312,9 +321,9 @@
 # Reasons for which an instance does not serve a read.
 NOT_READER = "not the reader"
 DRAINING = "draining"
-BEHIND = "behind"
+UNREACHED = "does not reach the store"
 UNCACHED = "not in the cache"
-STORE_SLOW = "the store does not answer"
+STORE_FAILED = "the read from the store failed"
 
 
 class SharedReadServer:
@@ -341,13 +350,18 @@
         self.served = 0
 
     async def serve(self, call: pb.StoreCall) -> pb.StoreAnswer:
-        """Return the records from the requested offset on, or refuse the read."""
+        """Return the records from the requested offset on, or refuse the read.
+
+        If there are none and the call does not wait, the store is read first, so that the end in
+        the answer is new. ``age_ms`` tells how old it is if the store takes longer.
+        """
         received_ms = self._clock.now_ms()
         reason = self._refusal(call)
-        if not reason and call.wait_ms == 0:
-            reason = await self._read_latest(received_ms)
-        elif not reason and call.offset >= self._reader.cache.next_offset:
-            await self._wait(min(call.wait_ms, MAX_PEER_WAIT_MS))
+        if not reason and call.offset >= self._reader.cache.next_offset:
+            if call.wait_ms == 0:
+                reason = await self._read_on(call.offset)
+            else:
+                await self._wait(min(call.wait_ms, MAX_PEER_WAIT_MS))
         reason = reason or self._refusal(call)
         if reason:
             return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED, reason=reason)
@@ -369,18 +383,26 @@
             return DRAINING
         if call.topic != self._follower.topic or not self._reader.reads_for_peers:
             return NOT_READER
-        if not self._follower.loaded.is_set() or self._follower.lag_ms() > MAX_SERVED_AGE_MS:
-            return BEHIND
+        silent_ms = self._clock.now_ms() - self._reader.answered_ms
+        if not self._follower.loaded.is_set() or silent_ms > MAX_SILENCE_MS:
+            return UNREACHED
         return "" if self._reader.cache.covers(call.offset) else UNCACHED
 
-    async def _read_latest(self, received_ms: float) -> str:
-        """Read the topic from the store, and return why that failed, empty if it did not."""
+    async def _read_on(self, offset: int) -> str:
+        """Read the store for records from an offset on, or up to a new end.
+
+        :return: why the read failed, empty if it did not or takes longer.
+        """
+        cache = self._reader.cache
         try:
             async with asyncio.timeout(FRESH_READ_TIMEOUT_MS / 1000):
-                await self._follower.read_to_end()
-        except (TimeoutError, StoreError):
-            return STORE_SLOW
-        return "" if self._reader.end_asked_ms >= received_ms else STORE_SLOW
+                await self._follower.read_to_end(lambda: cache.next_offset > offset)
+        except TimeoutError:
+            # `age_ms` tells that the end is not new; the peer asks again for what arrives by then.
+            return ""
+        except StoreError:
+            return STORE_FAILED
+        return ""
 
     async def _wait(self, wait_ms: float) -> None:
         if self._waiting >= MAX_WAITING:
