--- a/packages/daemon/carawayrouted/relay_links.py
+++ b/packages/daemon/carawayrouted/relay_links.py
@@ -49,16 +49,16 @@
     async def run(self) -> None:
         """Answer peers until cancelled."""
         self._server = pynng.Rep0(listen=f"tcp://{self._address}")
+        contexts = [self._server.new_context() for _ in range(SERVING_CONTEXTS)]
         tasks = TaskGroup()
         try:
             await asyncio.gather(
-                *(
-                    tasks.start(self._answer(self._server.new_context()), "answer peers")
-                    for _ in range(SERVING_CONTEXTS)
-                )
+                *(tasks.start(self._answer(context), "answer peers") for context in contexts)
             )
         finally:
             await tasks.cancel()
+            for context in contexts:
+                context.close()
             self._server.close()
             for peer in self._sockets_by_address.values():
                 peer.socket.close()
--- a/tests/test_fleet_relay.py
+++ b/tests/test_fleet_relay.py
@@ -1,6 +1,7 @@
 """Tests of relayed store calls: a call that may have taken effect is not reported as refused."""
 
 import asyncio
+import gc
 
 import pytest
 
@@ -94,3 +95,16 @@
         await asyncio.gather(serving, return_exceptions=True)
 
     asyncio.run(run())
+
+
+@pytest.mark.filterwarnings("error::pytest.PytestUnraisableExceptionWarning")
+def test_stopped_links_leave_no_context_without_its_socket():
+    async def run():
+        links = RelayLinks(f"127.0.0.1:{free_port_range()}", lambda message: None)
+        serving = asyncio.create_task(links.run())
+        await asyncio.sleep(0.05)
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+
+    asyncio.run(run())
+    gc.collect()
