Allow a count of pending jobs the age that the platform allows

Trace: in 12 runs beside six busy processes n3 answered 1 once, and 0 after 168 ms; in 12 runs without load it answered 0 at once. The test now requires 0 within 2 s. It still fails if the count stays wrong or is refused. KNOWN-RED.txt also prints entries that begin alike, of which it printed only the last.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,16 +14,15 @@
 settings.load_profile("explore" if os.environ.get("EXPLORE") else "same")
 
 
-def known_failures() -> dict[str, str]:
-    """Return the entry of KNOWN-RED.txt for each test listed there, by test id."""
+def known_failures() -> list[str]:
+    """Return the entries of KNOWN-RED.txt."""
     lines = KNOWN_FAILURES_PATH.read_text().splitlines()
-    entries = [line for line in lines if line.strip() and not line.startswith("#")]
-    return {line.split("|")[0].strip(): line for line in entries}
+    return [line for line in lines if line.strip() and not line.startswith("#")]
 
 
 def pytest_collection_modifyitems(items):
     """Mark known failures as strict xfail: one that passes fails the run until it is unlisted."""
-    reason_by_test = known_failures()
+    reason_by_test = {line.split("|")[0].strip(): line for line in known_failures()}
     for item in items:
         if item.nodeid in reason_by_test:
             item.add_marker(pytest.mark.xfail(reason=reason_by_test[item.nodeid], strict=True))
@@ -31,5 +30,5 @@
 
 def pytest_terminal_summary(terminalreporter):
     """Print the known failures at the end of the run."""
-    for line in known_failures().values():
+    for line in known_failures():
         terminalreporter.write_line(f"KNOWN RED: {line}")
--- a/tests/fleet_cluster.py
+++ b/tests/fleet_cluster.py
@@ -154,6 +154,15 @@
             while await self.call(name, "GET", path) != (200, {"state": state}):
                 await asyncio.sleep(0.05)
 
+    async def wait_pending(self, name: str, path: str, count: int, limit_s: float) -> None:
+        """Wait until an instance reports a number of pending jobs.
+
+        :raises TimeoutError: it still reports another number after ``limit_s``.
+        """
+        async with asyncio.timeout(limit_s):
+            while await self.call(name, "GET", path) != (200, {"pending": count}):
+                await asyncio.sleep(0.05)
+
     async def planner(self) -> str:
         """Return the instance whose metrics report a planner's term, or an empty string."""
         for name, ports in self.ports_by_name.items():
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -10,6 +10,8 @@
 
 pytestmark = pytest.mark.slow
 ID = "00000000000000{:02x}"
+# The platform allows a count of pending jobs to be this old.
+MAX_PENDING_AGE_S = 2.0
 
 
 def run_scenario(folder, scenario, **options):
@@ -34,7 +36,7 @@
         assert (await cluster.call("n2", "POST", path, job_body(count=4, gang=True)))[0] == 200
         await cluster.wait_state("n2", path, "completed")
         assert len(starts(cluster.journal, ID.format(1))) == 4
-        assert await cluster.call("n3", "GET", "/render/") == (200, {"pending": 0})
+        await cluster.wait_pending("n3", "/render/", 0, MAX_PENDING_AGE_S)
         assert (await cluster.call("n3", "DELETE", path))[0] == 200
 
     run_scenario(tmp_path, scenario)
