Stop asking a member that doesn't read for its peers on every read

What callers would see: the far region falls behind as before there was one reader. Cause: no member is removed from the topic when its machine is. If another instance gets the address of a removed member that ranked first, all ask that instance, which answers that it is not the reader, since it asks the same member (itself). A refusal with this reason did not exclude the member, so every instance read the whole topic for itself, for good.

Now such a refusal excludes the member as other failures do.

--- a/packages/library/carawayroute/fleet/shared_reader.py
+++ b/packages/library/carawayroute/fleet/shared_reader.py
@@ -286,9 +286,9 @@
             return None
         if answer.outcome != pb.StoreAnswer.DONE:
             self._note_fallback(answer.reason or "other")
-            # The other reasons pass soon: the peer learns of the same failures as this instance,
-            # serves reads from later offsets, or answers once the store does.
-            if answer.reason in (DRAINING, UNREACHED):
+            # The other reasons pass soon: the peer serves reads from later offsets, or answers once
+            # the store does.
+            if answer.reason in (DRAINING, NOT_READER, UNREACHED):
                 self._exclude(reader, answer.reason)
             return None
         page = _decode_page(answer, offset)
--- a/tests/test_fleet_shared_read.py
+++ b/tests/test_fleet_shared_read.py
@@ -366,6 +366,27 @@
     run_scenario(scenario)
 
 
+def test_member_whose_address_belongs_to_another_instance_is_rarely_asked():
+    """It refused each read, as it asked the removed member, too, and all read for themselves."""
+
+    async def scenario(centre, *instances):
+        removed = member("n0")
+        removed.address = instances[-1].name
+        for one in instances:
+            one.reader.choice.set_member(removed)
+        await centre.clock.sleep_ms(20_000)
+        centre.reset_counts()
+        for _ in range(300):
+            end = centre.append()
+            await centre.clock.sleep_ms(100)
+        await centre.clock.sleep_ms(2_000)
+        for one in instances[2:]:
+            assert one.reader.peer_reads > 4 * one.client.reads
+            assert one.follower.offset == end
+
+    run_scenario(scenario, instances=5)
+
+
 def test_offset_before_the_cache_is_read_from_the_store():
     async def scenario(centre, n1, n2, n3):
         centre.reset_counts()
