Stop resigning once the term times out anyway

What callers would see: no answer. A stopping planner first resigns its term, in up to five attempts of up to 2 s each while the store or the peers don't answer; requests that are still open are answered after that, and the process may be killed by then (grace 6 s). Cause: attempts were limited by number only. Now they end after 1.5 s, when the others claim the term without a resignation.

--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from contextlib import suppress
 
 import structlog
 
@@ -165,13 +166,21 @@
                 await self._clock.sleep_ms(CHECK_INTERVAL_MS)
 
     async def resign(self) -> None:
-        """Resign the term, so that another instance can claim it without waiting for a timeout."""
+        """Resign the term, so that another instance can claim it without waiting for a timeout.
+
+        Gives up once the term times out at the others anyway.
+        """
         self.candidate = False
-        for _ in range(MAX_RESIGN_ATTEMPTS):
-            if not self.is_leader:
-                return
-            # Fails if a heartbeat of this instance or a claim of another one is appended first.
-            await self._append(pb.Leader(instance=self._holder, term=self.term, resigned=True))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(TERM_TIMEOUT_MS / 1000):
+                for _ in range(MAX_RESIGN_ATTEMPTS):
+                    if not self.is_leader:
+                        return
+                    # Fails if a heartbeat of this instance or a claim of another one is appended
+                    # first.
+                    await self._append(
+                        pb.Leader(instance=self._holder, term=self.term, resigned=True)
+                    )
 
     async def _append(self, leader: pb.Leader) -> None:
         leader.address = self._address
--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -30,6 +30,7 @@
 from carawayroute.fleet.entry import OutcomeUnknownError
 from carawayroute.fleet.exceptions import StoreError, StoreTrimmedError, StoreUnansweredError
 from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, PROGRESS_KEY, JobTable
+from carawayroute.fleet.leadership import TERM_TIMEOUT_MS
 from carawayroute.fleet.node import JOBS_TOPIC
 from carawayroute.fleet.writer import LogWriter
 from carawayroute_standins.fleet.judge import find_violations, starts
@@ -303,6 +304,20 @@
     assert describe_jobs(loaded) == describe_jobs(expected)
 
 
+def test_resigning_does_not_take_up_the_grace_while_the_store_is_silent():
+    """Attempts to resign took 5 s, so a stopping instance could be killed with open requests."""
+
+    async def scenario(fleet):
+        planning = fleet.nodes_by_name[fleet.planner_name()]
+        fleet.store.mode = "silent"
+        started_ms = fleet.clock.now_ms()
+        await planning.resign()
+        assert fleet.clock.now_ms() - started_ms <= TERM_TIMEOUT_MS
+        fleet.store.mode = "up"
+
+    run_scenario(scenario)
+
+
 @pytest.mark.slow
 def test_request_that_is_open_at_the_end_of_the_grace_is_answered(tmp_path):
     """A request that waited for the store ended without an answer when its process was killed."""
