Read a record that is larger than a page

What callers would see: accepted jobs that are never shown or started, as no instance reads past one record. Cause: reads ask for at most 96 KB, a record may have 256 KB (the progress of about 9,000 tasks), and the store's page doesn't say whether an answer is cut at max_kb within its first record; the emulator's store returns at least one. If it is cut, the same read is repeated for ever. Now an answer without a record before the end is read again with the store's default limit of 1,024 KB.

test_record_larger_than_a_page_is_read fails without the change. Whether the platform cuts such a record was not tried.

--- a/packages/daemon/carawayrouted/platform/store.py
+++ b/packages/daemon/carawayrouted/platform/store.py
@@ -34,6 +34,8 @@
 MAX_PAGE_ATTEMPTS = 3
 # Takes well under READ_TIMEOUT_MS over the smallest machine's link (5 Mbit/s).
 READ_KB = 96
+# Above the size of the largest record.
+LARGEST_READ_KB = 1_024
 REFUSED_STATUSES = (429, 503, 507)
 # A repetition of the call has the same result.
 REJECTED_STATUSES = (400, 413)
@@ -143,9 +145,16 @@
         :param wait_ms: how long the store waits for a record if there is none yet.
         :raises StoreTrimmedError: the store no longer has the offset.
         """
+        page = await self._read(topic, offset, wait_ms, READ_KB)
+        if not page.records and page.end > offset:
+            # The next record may be larger than a page.
+            page = await self._read(topic, offset, 0, LARGEST_READ_KB)
+        return page
+
+    async def _read(self, topic: str, offset: int, wait_ms: int, max_kb: int) -> RecordPage:
         query = (
             f"log-read?topic={quote(topic)}&part={PARTITION}&from={offset}"
-            f"&max_kb={READ_KB}&wait_ms={wait_ms}"
+            f"&max_kb={max_kb}&wait_ms={wait_ms}"
         )
         reply = await self._call(READ, "GET", query, READ_TIMEOUT_MS + wait_ms)
         if reply.status == 410:
--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -225,6 +225,29 @@
         _decode_records(body, 10)
 
 
+def test_record_larger_than_a_page_is_read():
+    """A store that cuts its answers at their size limit would send such a record never whole."""
+    record = _encode_record("p/1", b"x" * 250_000)
+
+    async def read(request):
+        size = int(request.query["max_kb"]) * 1_024
+        return web.Response(body=struct.pack(">QQ", 8, 0) + record[:size])
+
+    async def run():
+        app = web.Application()
+        app.router.add_get("/v1/log-read", read)
+        async with AppServer(app) as site:
+            pool = HttpPool()
+            try:
+                page = await HttpStore(pool, Address(site.address)).read(JOBS_TOPIC, 7, 0)
+            finally:
+                await pool.close()
+        assert [item.offset for item in page.records] == [7]
+        assert page.next_offset == 8
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("retry_until_stored", [False, True])
 def test_record_that_the_store_rejects_does_not_block_later_ones(retry_until_stored):
     """A record above the store's limit was sent again for ever, before all that followed."""
