--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -30,6 +30,7 @@
 from carawayroute.fleet.entry import OutcomeUnknownError
 from carawayroute.fleet.exceptions import StoreError, StoreTrimmedError, StoreUnansweredError
 from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, PROGRESS_KEY, JobTable
+from carawayroute.fleet.leadership import TERM_TIMEOUT_MS
 from carawayroute.fleet.node import JOBS_TOPIC
 from carawayroute.fleet.writer import LogWriter
 from carawayroute_standins.fleet.judge import find_violations, starts
@@ -40,6 +41,8 @@
 from carawayrouted.platform.wire_names import DEADLINE_HEADER
 
 ID = "00000000000000{:02x}"
+# Time within which the platform requires a new configuration to apply.
+CONFIG_APPLY_MS = 2_500
 # The grace in the settings that FleetCluster writes.
 GRACE_S = 6
 
@@ -201,6 +204,20 @@
     run_scenario(scenario)
 
 
+def test_new_queue_is_not_denied_once_its_configuration_must_apply():
+    """An instance answered 404 from a configuration older than a new one may take to apply."""
+
+    async def scenario(fleet):
+        name = next(one for one in ("n1", "n2") if one != fleet.planner_name())
+        app = caller_app(fleet.nodes_by_name[name])
+        cut_off(fleet, name)
+        fleet.store.put("keyed.op", "config", configuration_bytes(version=7, routes=1))
+        await fleet.clock.sleep_ms(CONFIG_APPLY_MS)
+        assert await call_status(app, "/x0/" + ID.format(1), "key-owner") == 503
+
+    run_scenario(scenario)
+
+
 def test_answer_that_begins_after_the_asked_offset_counts_as_trimmed():
     """The records between the asked offset and the first one kept were skipped."""
     body = struct.pack(">QQ", 20, 12) + _encode_record("a/1", b"x")
@@ -208,6 +225,29 @@
         _decode_records(body, 10)
 
 
+def test_record_larger_than_a_page_is_read():
+    """A store that cuts its answers at their size limit would send such a record never whole."""
+    record = _encode_record("p/1", b"x" * 250_000)
+
+    async def read(request):
+        size = int(request.query["max_kb"]) * 1_024
+        return web.Response(body=struct.pack(">QQ", 8, 0) + record[:size])
+
+    async def run():
+        app = web.Application()
+        app.router.add_get("/v1/log-read", read)
+        async with AppServer(app) as site:
+            pool = HttpPool()
+            try:
+                page = await HttpStore(pool, Address(site.address)).read(JOBS_TOPIC, 7, 0)
+            finally:
+                await pool.close()
+        assert [item.offset for item in page.records] == [7]
+        assert page.next_offset == 8
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("retry_until_stored", [False, True])
 def test_record_that_the_store_rejects_does_not_block_later_ones(retry_until_stored):
     """A record above the store's limit was sent again for ever, before all that followed."""
@@ -287,6 +327,20 @@
     assert describe_jobs(loaded) == describe_jobs(expected)
 
 
+def test_resigning_does_not_take_up_the_grace_while_the_store_is_silent():
+    """Attempts to resign took 5 s, so a stopping instance could be killed with open requests."""
+
+    async def scenario(fleet):
+        planning = fleet.nodes_by_name[fleet.planner_name()]
+        fleet.store.mode = "silent"
+        started_ms = fleet.clock.now_ms()
+        await planning.resign()
+        assert fleet.clock.now_ms() - started_ms <= TERM_TIMEOUT_MS
+        fleet.store.mode = "up"
+
+    run_scenario(scenario)
+
+
 @pytest.mark.slow
 def test_request_that_is_open_at_the_end_of_the_grace_is_answered(tmp_path):
     """A request that waited for the store ended without an answer when its process was killed."""
