Read the log before the older interface denies a team or a kind

What callers saw: 401 and 404 from an entry that could not read the log, that had not read it yet, or that was behind a configuration published at another entry. A team, key or kind that is not known is now looked for in the log up to its end; if the log does not answer within 1 s, the answer is 503 with outcome not_run and Retry-After. Denials at the same time share their reads.

--- a/packages/daemon/carawayrouted/callers.py
+++ b/packages/daemon/carawayrouted/callers.py
@@ -23,7 +23,7 @@
 from carawayroute.quick import QuickResult
 from carawayroute.state import Job
 from carawayroute_schema import carawayroute_pb2 as pb
-from carawayrouted.exceptions import BadRequestError
+from carawayrouted.exceptions import BadRequestError, ConfigurationNotReadError
 from carawayrouted.logs import get_logger
 from carawayrouted.metrics import Metrics
 
@@ -31,6 +31,7 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_WATCH_MS = 60_000
 ACCEPT_TIMEOUT_MS = 5_000
+CONFIGURATION_READ_TIMEOUT_MS = 1_000
 TOKEN_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
 REGION_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 
@@ -93,6 +94,8 @@
         except BadRequestError as error:
             self._metrics.bad_requests.labels(error.code).inc()
             response = error_response(error.status, "not_run", error.code, error.reason)
+        except ConfigurationNotReadError as error:
+            response = error_response(503, "not_run", "not_read", str(error), 1000)
         except web.HTTPException as error:
             response = error_response(error.status, "not_run", "http", error.reason)
         except asyncio.CancelledError:
@@ -109,11 +112,33 @@
 
     # ------------------------------------------------------------------ checks
 
-    def _team(self, request: web.Request) -> pb.Team:
-        """Return the authenticated team.
+    async def _read_configuration(self) -> None:
+        """Read the configuration that is in force now.
+
+        :raises ConfigurationNotReadError: the log cannot be read in time.
+        """
+        try:
+            async with asyncio.timeout(CONFIGURATION_READ_TIMEOUT_MS / 1000):
+                await self._follower.read_to_end()
+        except (LogError, TimeoutError) as error:
+            raise ConfigurationNotReadError("the configuration cannot be read") from error
+
+    async def _team(self, request: web.Request) -> pb.Team:
+        """Return the authenticated team, reading the log before one is denied.
 
         :raises BadRequestError: the team is unknown or the key is wrong.
+        :raises ConfigurationNotReadError: whether that is so cannot be read.
         """
+        team = self._authenticated_team(request)
+        if team is None:
+            await self._read_configuration()
+            team = self._authenticated_team(request)
+        if team is None:
+            raise BadRequestError(401, "wrong_key", "the team or its key is wrong")
+        return team
+
+    def _authenticated_team(self, request: web.Request) -> pb.Team | None:
+        """Return the team, ``None`` if it is not known or its key is another."""
         team = self._follower.state.team(request.headers.get("Carawayroute-Team", ""))
         scheme, _, key = request.headers.get("Authorization", "").partition(" ")
         digest = hashlib.sha256(key.encode()).hexdigest()
@@ -121,12 +146,18 @@
         # teams exist.
         expected = team.key_sha256 if team is not None else "0" * 64
         matches = hmac.compare_digest(digest, expected)
-        if team is None or scheme != "Bearer" or not matches:
-            raise BadRequestError(401, "wrong_key", "the team or its key is wrong")
-        return team
+        return team if scheme == "Bearer" and matches else None
 
-    def _kind(self, kind_id: str, service: pb.Service) -> pb.Kind:
+    async def _kind(self, kind_id: str, service: pb.Service) -> pb.Kind:
+        """Return a kind of a service, reading the log before one is denied.
+
+        :raises BadRequestError: there is no such kind.
+        :raises ConfigurationNotReadError: whether it exists cannot be read.
+        """
         kind = self._follower.state.kind(kind_id)
+        if kind is None or kind.service != service:
+            await self._read_configuration()
+            kind = self._follower.state.kind(kind_id)
         if kind is None or kind.service != service:
             raise BadRequestError(404, "unknown_kind", f"no kind {kind_id!r} of this service")
         return kind
@@ -169,8 +200,8 @@
 
     async def quick_request(self, request: web.Request) -> web.Response:
         """Run a quick request and answer with its result."""
-        team = self._team(request)
-        kind = self._kind(request.match_info["kind"], pb.QUICK)
+        team = await self._team(request)
+        kind = await self._kind(request.match_info["kind"], pb.QUICK)
         request_id = self._checked_header(request, "Carawayroute-Request-Id", new_id("q"))
         caller = self._checked_header(request, "Carawayroute-Caller", "-")
         began_ms = self._clock.now_ms()
@@ -204,9 +235,9 @@
 
     async def submit_job(self, request: web.Request) -> web.Response:
         """Accept a gang job."""
-        team = self._team(request)
+        team = await self._team(request)
         body = await self._body(request, MAX_JOB_BODY_BYTES)
-        accepted = self._read_job(body, team, request)
+        accepted = await self._read_job(body, team, request)
         structlog.contextvars.bind_contextvars(
             request_id=accepted.request_id, team=team.id, kind=accepted.kind
         )
@@ -224,7 +255,7 @@
         log.info("job_accepted", job=job.accepted.job_id)
         return web.json_response(self._job_view(job), status=202)
 
-    def _read_job(self, body: bytes, team: pb.Team, request: web.Request) -> pb.JobAccepted:
+    async def _read_job(self, body: bytes, team: pb.Team, request: web.Request) -> pb.JobAccepted:
         try:
             tree = json.loads(body)
             shape = json_format.ParseDict(tree.pop("shape"), pb.Shape())
@@ -244,7 +275,7 @@
         for name, value in numbers.items():
             if not isinstance(value, int) or not 0 <= value < 2**53:
                 raise BadRequestError(400, "bad_job", f"{name} must be a number of ms")
-        kind = self._kind(text["kind"], pb.GANG)
+        kind = await self._kind(text["kind"], pb.GANG)
         if numbers["deadline_ms"] and numbers["deadline_ms"] <= self._clock.wall_ms():
             raise BadRequestError(400, "deadline_passed", "the deadline has passed")
         region = text["region"] or self._default_region(team)
@@ -275,7 +306,7 @@
         :raises BadRequestError: the team has no such job.
         :raises LogError: whether the job exists cannot be read.
         """
-        team = self._team(request)
+        team = await self._team(request)
         job = await self._jobs.look_up(request.match_info["job"])
         if job is None or job.accepted.team != team.id:
             raise BadRequestError(404, "unknown_job", "the team has no such job")
--- a/packages/daemon/carawayrouted/exceptions.py
+++ b/packages/daemon/carawayrouted/exceptions.py
@@ -11,6 +11,10 @@
     """A setting is missing, unknown or invalid."""
 
 
+class ConfigurationNotReadError(DaemonError):
+    """Whether a team or kind exists cannot be read; the request was not run."""
+
+
 class BadRequestError(DaemonError):
     """A caller's request is invalid and was not run.
 
--- a/packages/library/carawayroute/log.py
+++ b/packages/library/carawayroute/log.py
@@ -73,6 +73,9 @@
         # Local monotonic time of the last read that returned a record.
         self._last_read_ms = clock.now_ms()
         self._last_compaction_ms = float("-inf")
+        # When the newest read that reached the end of the log on request was sent.
+        self._current_as_of_ms = float("-inf")
+        self._read_lock = asyncio.Lock()
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -97,13 +100,18 @@
     async def read_to_end(self) -> None:
         """Read the records that the log has now, concurrently with `run`.
 
+        Concurrent calls share their reads.
+
         :raises LogError: the log did not answer, or no longer has the next records.
         """
-        while True:
-            records = await self.log.read(self.state.offset, 0, READ_LIMIT)
-            self.apply(records)
-            if len(records) < READ_LIMIT:
-                return
+        asked_ms = self.clock.now_ms()
+        async with self._read_lock:
+            while self._current_as_of_ms < asked_ms:
+                sent_ms = self.clock.now_ms()
+                records = await self.log.read(self.state.offset, 0, READ_LIMIT)
+                self.apply(records)
+                if len(records) < READ_LIMIT:
+                    self._current_as_of_ms = sent_ms
 
     async def _recover(self, earliest: int) -> None:
         """Recover from missed records, by a peer's snapshot or else by the remaining records."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -21,24 +21,36 @@
 JOB = {"kind": "render", "region": "south", "shape": shape_dict()}
 
 
-async def with_entry(scenario, log_mode: str = "up") -> None:
-    """Run a scenario with an HTTP session and the URL of an entry in a running system."""
+async def configured_world() -> World:
+    """Return a running system with entry ``a`` and a configuration in force."""
     world = World()
     for index in range(2):
         world.add_worker(f"worker-{index}", "south", "rack")
     world.add_runner("runner-0", "south")
     world.instances.lag_ms = 0
-    node = world.add_node(NodeSettings("a", "south"))
+    world.add_node(NodeSettings("a", "south"))
     await world.run_for(300)
     tree = configuration_dict()
     tree["teams"][0]["keySha256"] = KEY_SHA256
     await world.publish(tree)
     await world.run_for(1_200)
-    world.log.mode = log_mode
-    service = CallerService(node, Metrics(world.clock))
+    return world
+
+
+async def serve_entry(world: World, scenario) -> None:
+    """Run a scenario with an HTTP session and the URL of entry ``a``."""
+    service = CallerService(world.nodes_by_id["a"], Metrics(world.clock))
     async with AppServer(service.app()) as site, aiohttp.ClientSession() as session:
         await scenario(session, f"http://{site.address}/v1")
-    await node.stop()
+    for node in world.nodes_by_id.values():
+        await node.stop()
+
+
+async def with_entry(scenario, log_mode: str = "up") -> None:
+    """Run a scenario with an HTTP session and the URL of an entry in a running system."""
+    world = await configured_world()
+    world.log.mode = log_mode
+    await serve_entry(world, scenario)
 
 
 def send(method: str, path: str, log_mode: str = "up", **request) -> tuple[int, dict]:
@@ -158,3 +170,52 @@
         writer.close()
 
     asyncio.run(with_entry(scenario))
+
+
+@pytest.mark.parametrize(("kind", "team"), [("preview", "nobody"), ("new-kind", "owner")])
+def test_team_and_kind_are_not_denied_while_the_log_is_down(kind: str, team: str) -> None:
+    """An entry that could not read the log answered 401 and 404."""
+    headers = {**HEADERS, "Carawayroute-Team": team}
+    path = f"/kinds/{kind}/requests"
+    status, answer = send("POST", path, "down", headers=headers, data=b"{}")
+    assert (status, answer["outcome"], answer["error"]) == (503, "not_run", "not_read")
+
+
+def test_team_and_kind_that_were_just_added_are_known_to_an_entry_that_is_behind() -> None:
+    """It answered 401 and 404 for what the operators had published at another entry."""
+
+    async def run() -> None:
+        world = await configured_world()
+        publisher = world.add_node(NodeSettings("b", "south"))
+        await world.run_for(1_200)
+        log = world.nodes_by_id["a"].follower.log
+        read = log.read
+
+        async def read_only_on_request(offset: int, wait_ms: int, limit: int) -> list:
+            if wait_ms:
+                await world.run_for(60_000)
+            return await read(offset, wait_ms, limit)
+
+        log.read = read_only_on_request
+        await world.run_for(700)
+        tree = configuration_dict()
+        for team in tree["teams"]:
+            team["keySha256"] = KEY_SHA256
+        tree["kinds"].append({**tree["kinds"][0], "id": "new-kind"})
+
+        async def scenario(session: aiohttp.ClientSession, url: str) -> None:
+            body = json.dumps({"request": "r1", "run_ms": 5})
+            await world.publish(tree, publisher)
+            other = {**HEADERS, "Carawayroute-Team": "other"}
+            path = f"{url}/kinds/preview/requests"
+            async with session.post(path, headers=other, data=body) as response:
+                assert response.status == 200
+            tree["kinds"].append({**tree["kinds"][0], "id": "newer-kind"})
+            await world.publish(tree, publisher)
+            path = f"{url}/kinds/newer-kind/requests"
+            async with session.post(path, headers=HEADERS, data=body) as response:
+                assert response.status == 200
+
+        await serve_entry(world, scenario)
+
+    asyncio.run(run())
