Read the log before an operator's cancellation is answered with NOT_FOUND

What operators saw: `carawayctl cancel` of a job that the entry had not read yet, or while it could not read the log, was answered with NOT_FOUND. Cause: absence in the local state was taken for proof. The job is looked for in the log up to its end, as for callers; if the log does not answer, the call is UNAVAILABLE. The test failed (NOT_FOUND) and passes.

--- a/packages/daemon/carawayrouted/operators.py
+++ b/packages/daemon/carawayrouted/operators.py
@@ -234,7 +234,11 @@
 
     async def CancelJob(self, request: pb.CancelRequest, context) -> pb.Empty:
         """Request the cancellation of a job."""
-        if self._jobs.find(request.job_id) is None:
+        try:
+            job = await self._jobs.look_up(request.job_id)
+        except LogError as error:
+            await _abort_append(error, context)
+        if job is None:
             await context.abort(grpc.StatusCode.NOT_FOUND, f"no job {request.job_id!r}")
         cancel = pb.CancelRequested(job_id=request.job_id, by="operator")
         await self._append(self._follower.make_record(cancel_requested=cancel), context)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,14 +5,17 @@
 import time
 
 import aiohttp
+import grpc
 import pytest
 from builders import configuration_dict, shape_dict
 from test_adapters import AppServer
 
 from carawayroute.node import NodeSettings
+from carawayroute_schema import carawayroute_pb2 as pb
 from carawayroute_standins.world import World
 from carawayrouted.callers import CallerService
 from carawayrouted.metrics import Metrics
+from carawayrouted.operators import OperatorService
 
 KEY = "owner-key"
 # SHA-256 of KEY.
@@ -219,3 +222,33 @@
         await serve_entry(world, scenario)
 
     asyncio.run(run())
+
+
+class AbortedCall(Exception):
+    """Raised by the context of a gRPC call that is aborted."""
+
+
+class RecordingContext:
+    """The context of a gRPC call, which raises the status that the call is aborted with."""
+
+    async def abort(self, status: grpc.StatusCode, reason: str) -> None:
+        raise AbortedCall(status)
+
+
+def test_operators_cancellation_is_not_denied_while_the_log_is_down() -> None:
+    """A job that the entry did not know was answered with NOT_FOUND."""
+
+    async def run() -> None:
+        world = await configured_world()
+        world.log.mode = "down"
+        service = OperatorService(world.nodes_by_id["a"])
+        with pytest.raises(AbortedCall) as aborted:
+            await service.CancelJob(pb.CancelRequest(job_id="j-1"), RecordingContext())
+        assert aborted.value.args == (grpc.StatusCode.UNAVAILABLE,)
+        world.log.mode = "up"
+        with pytest.raises(AbortedCall) as aborted:
+            await service.CancelJob(pb.CancelRequest(job_id="j-1"), RecordingContext())
+        assert aborted.value.args == (grpc.StatusCode.NOT_FOUND,)
+        await world.nodes_by_id["a"].stop()
+
+    asyncio.run(run())
