Repeat an append of unknown outcome only while ended jobs are kept

What callers saw: a job whose first attempt was not answered by an instance that was then cut off, and which was accepted by another one, ran a second time minutes later. Cause: the cut-off instance repeats its append until the outcome is certain; where that is after the job has ended and been deleted, nothing shows that the job ran. Later records are numbered in a higher epoch, so that a late copy of the one given up is refused. A repeat that waits for it is told that the outcome is unknown. The test failed (two starts) and passes. Also tested: a job that is rejected by another instance while its first attempt is being stored is accepted when it is repeated and runs once (passed before).

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -14,6 +14,7 @@
     StoreError,
     StoreRefusedError,
     StoreRejectedError,
+    StoreUnansweredError,
 )
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, Job, JobTable
@@ -207,7 +208,7 @@
             most_ms = min(MAX_RETRY_AFTER_MS, RETRY_AFTER_SHARE * late_limit_ms)
             retry_ms = max(MIN_RETRY_AFTER_MS, min(most_ms, self._writer.failing_ms))
             raise NotAcceptedError("the store is not available", False, retry_ms) from error
-        except TimeoutError as error:
+        except (StoreUnansweredError, TimeoutError) as error:
             log.warning("request_outcome_unknown", job=job_id, key=key[:1])
             raise OutcomeUnknownError("the store did not answer in time") from error
         if key not in offset_by_key:
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -185,7 +185,10 @@
         self.config_follower = TopicFollower(
             self.store, clock, formats.configuration_topic, self._apply_configuration
         )
-        self.writer = LogWriter(self.store, clock, JOBS_TOPIC, process_name)
+        # A job that is stored after its state was deleted would run again.
+        self.writer = LogWriter(
+            self.store, clock, JOBS_TOPIC, process_name, give_up_ms=settings.job_retention_ms
+        )
         self.admission = AdmissionController(self.job_table, self.leadership.fleet_accelerators)
         self.service = EntryService(
             settings.instance,
--- a/packages/library/carawayroute/fleet/writer.py
+++ b/packages/library/carawayroute/fleet/writer.py
@@ -1,6 +1,7 @@
 """Appends records in batches, storing each batch exactly once even if answers are lost."""
 
 import asyncio
+import math
 
 import structlog
 
@@ -11,6 +12,7 @@
     StoreRefusedError,
     StoreRejectedError,
     StoreSequenceError,
+    StoreUnansweredError,
 )
 from carawayroute.fleet.ports import Store
 from carawayroute.retries import Backoff
@@ -47,6 +49,7 @@
     :param epoch: the producer's epoch; a producer with a higher epoch fences this one.
     :param retry_until_stored: retry appends that the store refuses, instead of failing the write,
         and gather records for a few milliseconds before each batch.
+    :param give_up_ms: time after which an append whose outcome is unknown is no longer repeated.
     :ivar fenced: whether a producer with a higher epoch has written.
     """
 
@@ -58,6 +61,7 @@
         producer: str,
         epoch: int = 1,
         retry_until_stored: bool = False,
+        give_up_ms: float = math.inf,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -65,6 +69,7 @@
         self._producer = producer
         self._epoch = epoch
         self._retry_until_stored = retry_until_stored
+        self._give_up_ms = give_up_ms
         self._sequence = 0
         self._waiting: list[_PendingWrite] = []
         self._wake = asyncio.Event()
@@ -98,6 +103,7 @@
         :return: offsets by key of the records that were sent together, of which the newest for each
             key was stored; empty if the answer with the offsets was lost.
         :raises StoreRefusedError: the records are not in the store and never will be.
+        :raises StoreUnansweredError: the records may be in the store.
         :raises StoreFencedError: a producer with a higher epoch has taken over.
         """
         if self.fenced:
@@ -145,13 +151,17 @@
         return batch
 
     async def _append(self, batch: list[_PendingWrite]) -> None:
-        """Append one batch, retrying until its outcome is certain."""
+        """Append one batch, retrying until its outcome is certain or ``give_up_ms`` have passed."""
+        first_sent_ms = self._clock.now_ms()
         # If a key was written several times, only its newest record is sent.
         newest = {key: value for item in batch for key, value in item.records}
         records = list(newest.items())
         backoff = Backoff(FIRST_RETRY_MS, MAX_RETRY_MS)
         uncertain = False
         while True:
+            if uncertain and self._clock.now_ms() - first_sent_ms > self._give_up_ms:
+                self._give_up(batch)
+                return
             error, offset = await self._send_once(records, uncertain)
             if error is None:
                 self._note_success()
@@ -180,6 +190,13 @@
             self._refuse_unsent()
             await self._clock.sleep_ms(backoff.next_ms())
 
+    def _give_up(self, batch: list[_PendingWrite]) -> None:
+        """Fail a batch of unknown outcome; later ones are numbered anew in a higher epoch."""
+        log.warning("append_given_up", topic=self._topic, records=len(batch))
+        self._epoch += 1
+        self._sequence = 0
+        _resolve(batch, StoreUnansweredError("the outcome of the append is unknown"))
+
     async def _append_separately(
         self, batch: list[_PendingWrite], error: StoreRejectedError
     ) -> None:
--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -27,10 +27,11 @@
 from test_callers import send
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.entry import OutcomeUnknownError
+from carawayroute.fleet.admission import AdmissionDecision
+from carawayroute.fleet.entry import NotAcceptedError, OutcomeUnknownError
 from carawayroute.fleet.exceptions import StoreError, StoreTrimmedError, StoreUnansweredError
 from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, PROGRESS_KEY, JobTable
-from carawayroute.fleet.node import JOBS_TOPIC
+from carawayroute.fleet.node import JOBS_TOPIC, RETENTION_MARGIN_MS
 from carawayroute.fleet.writer import LogWriter
 from carawayroute_standins.fleet.judge import find_violations, starts
 from carawayroute_standins.virtual import run_virtual
@@ -177,6 +178,67 @@
     run_scenario(scenario)
 
 
+def test_job_that_is_stored_late_does_not_run_again_after_its_purge():
+    """An instance that was cut off for minutes stored a job again that had ended elsewhere."""
+
+    async def scenario(fleet):
+        name = next(one for one in ("n1", "n2") if one != fleet.planner_name())
+        other = next(one for one in fleet.nodes_by_name if one != name)
+        store = fleet.nodes_by_name[name].store._direct
+        append = store.append
+
+        async def append_in_vain(*args, **options):
+            await fleet.clock.sleep_ms(900)
+            raise StoreUnansweredError("silent")
+
+        store.append = append_in_vain
+        fleet.unreachable_peers.add(name)
+        with pytest.raises(OutcomeUnknownError):
+            await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at=name)
+        planner = fleet.nodes_by_name[fleet.planner_name()]
+        await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at=other)
+        kept_ms = planner.settings.job_retention_ms + RETENTION_MARGIN_MS
+        await fleet.clock.sleep_ms(kept_ms + 5_000)
+        assert ID.format(1) not in planner.job_table.jobs_by_id
+        store.append = append
+        fleet.unreachable_peers.discard(name)
+        await fleet.clock.sleep_ms(3_000)
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+        await fleet.submit(job(ID.format(2)), NORMAL, OWNER, at=name)
+        await fleet.wait_state(ID.format(2), "completed", 5_000)
+
+    run_scenario(scenario)
+
+
+class OverloadedAdmission:
+    """Rejects every job."""
+
+    def decide(self, *args):
+        return AdmissionDecision(False, "backlog", 1_000)
+
+
+def test_job_that_was_rejected_elsewhere_while_it_was_being_stored_is_accepted_by_a_repeat():
+    """Only the unanswered attempt can store the job; each later repeat is told so."""
+
+    async def scenario(fleet):
+        fleet.store.lost_answer_ratio = 1.0
+        fleet.store.late_ms = 2_000
+        with pytest.raises(OutcomeUnknownError):
+            await fleet.nodes_by_name["n1"].service.submit(NORMAL, OWNER, job(ID.format(1)), 1_000)
+        fleet.store.lost_answer_ratio = 0.0
+        service = fleet.nodes_by_name["n2"].service
+        service.admission = OverloadedAdmission()
+        # Its answer is true of this attempt: the earlier one is not stored yet.
+        with pytest.raises(NotAcceptedError):
+            await service.submit(NORMAL, OWNER, job(ID.format(1)), 3_000)
+        await fleet.clock.sleep_ms(3_000)
+        await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at="n2")
+        await fleet.wait_state(ID.format(1), "completed", 5_000)
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+
+    run_scenario(scenario)
+
+
 def test_new_queue_and_key_are_not_denied_from_an_old_configuration():
     """An instance cut off from the store answered 404 and 401 from its old configuration."""
 
--- a/tests/test_fleet_writer.py
+++ b/tests/test_fleet_writer.py
@@ -5,19 +5,25 @@
 import pytest
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.exceptions import StoreFencedError, StoreRefusedError
+from carawayroute.fleet.exceptions import (
+    StoreFencedError,
+    StoreRefusedError,
+    StoreUnansweredError,
+)
 from carawayroute.fleet.writer import LogWriter
 from carawayroute_standins.fleet.topics import TopicStore
 from carawayroute_standins.virtual import run_virtual
 
 
-def run_scenario(scenario, retry_until_stored=True):
+def run_scenario(scenario, retry_until_stored=True, **options):
     """Run a scenario with a store and a running writer."""
 
     async def run():
         clock = Clock(0.0)
         store = TopicStore(clock)
-        writer = LogWriter(store.client_for("n1"), clock, "keyed.t", "p", 5, retry_until_stored)
+        writer = LogWriter(
+            store.client_for("n1"), clock, "keyed.t", "p", 5, retry_until_stored, **options
+        )
         task = asyncio.create_task(writer.run())
         try:
             await scenario(store, writer)
@@ -89,3 +95,20 @@
         assert [record.key for record in store.topic("keyed.t").records] == ["a", "c"]
 
     run_scenario(scenario, retry_until_stored=False)
+
+
+def test_append_that_was_given_up_is_not_stored_after_a_later_one():
+    """A copy that the store carries out late is refused, as the later append fenced it."""
+
+    async def scenario(store, writer):
+        store.lost_answer_ratio = 1.0
+        store.late_ms = 30_000
+        with pytest.raises(StoreUnansweredError):
+            await writer.write([("a", b"1")])
+        store.lost_answer_ratio = 0.0
+        await writer.write([("b", b"1")])
+        await asyncio.sleep(60)
+        await writer.write([("c", b"1")])
+        assert [record.key for record in store.topic("keyed.t").records] == ["b", "c"]
+
+    run_scenario(scenario, retry_until_stored=False, give_up_ms=5_000)
