End requests to peers at their timeout even if pynng drops it

A call that asks a peer (a relayed store call, a lookup, a shared read) could wait for ever. Cause: pynng drops a cancellation of the task when the operation has ended by then. The timeout of a request that had just been sent was lost so, and the reply of a silent peer was then awaited without a limit, since `asyncio.timeout` cancels once. It takes an event loop that learns of both at once, as on a loaded machine.

--- a/packages/daemon/carawayrouted/relay_links.py
+++ b/packages/daemon/carawayrouted/relay_links.py
@@ -10,6 +10,7 @@
 
 from carawayroute.fleet.relay import PeerError
 from carawayroute.misc import TaskGroup
+from carawayrouted.nng import cancellable
 
 # Reads of peers wait for records; relayed calls must find a free context beside them.
 SERVING_CONTEXTS = 48
@@ -66,8 +67,8 @@
     async def _answer(self, context: pynng.Context) -> None:
         while True:
             try:
-                message = await context.arecv()
-                await context.asend(await self._serve(message))
+                message = await cancellable(context.arecv())
+                await cancellable(context.asend(await self._serve(message)))
             except pynng.NNGException as error:
                 log.warning("peer_request_failed", error=str(error))
                 await asyncio.sleep(0.05)
@@ -112,7 +113,7 @@
     async def _exchange(self, socket: pynng.Req0, message: bytes) -> bytes:
         context = socket.new_context()
         try:
-            await context.asend(message)
-            return await context.arecv()
+            await cancellable(context.asend(message))
+            return await cancellable(context.arecv())
         finally:
             context.close()
