Keep a cancellation that arrives as a call to the platform times out

A task that repeats calls, such as a follower or the planner, could go on after it was cancelled, and whoever stops it waits for it without a limit: the resignation of a planner, and with it the drain that answers the open requests. Cause: aiohttp's limit for the whole call, entered twice for one call, takes the cancellation back with its own when both come in one turn of the loop, and raises TimeoutError. Change: the limit is an `asyncio.timeout`, which keeps an outer cancellation. test_cancellation_is_kept_when_a_call_times_out[call_pool] failed on (TimeoutError) and passes.

--- a/packages/daemon/carawayrouted/platform/http.py
+++ b/packages/daemon/carawayrouted/platform/http.py
@@ -57,7 +57,7 @@
     ) -> Reply:
         """Make a call and return its complete answer.
 
-        aiohttp closes a connection on which the answer times out.
+        A connection on which the answer times out is closed.
 
         :param timeout_ms: limit for the whole call.
         :param read_timeout_ms: longest time without received data.
@@ -67,15 +67,19 @@
         :raises RequestNotSentError: connecting failed otherwise; nothing was sent.
         :raises TimeoutError: no complete answer came in time, or the connection broke.
         """
+        # Its limit for the whole call would drop a cancellation that arrives as it expires.
         timeout = aiohttp.ClientTimeout(
-            total=timeout_ms / 1000,
+            total=None,
             sock_connect=min(timeout_ms, CONNECT_TIMEOUT_MS) / 1000,
             sock_read=read_timeout_ms / 1000 if read_timeout_ms else None,
         )
         try:
-            async with self._session.request(
-                method, url, data=body, headers=headers, timeout=timeout
-            ) as response:
+            async with (
+                asyncio.timeout(timeout_ms / 1000),
+                self._session.request(
+                    method, url, data=body, headers=headers, timeout=timeout
+                ) as response,
+            ):
                 try:
                     return Reply(response.status, await response.read())
                 finally:
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -11,6 +11,7 @@
 
 from carawayroute.fleet.relay import PeerError
 from carawayroute_standins.cluster import free_port_range
+from carawayrouted.platform.http import HttpPool
 from carawayrouted.relay_links import RelayLinks
 
 BLOCKED_S = 0.5
@@ -68,3 +69,34 @@
         await asyncio.wait([serving])
 
     asyncio.run(main())
+
+
+async def call_pool(url: str) -> None:
+    """Call a server of the platform."""
+    pool = HttpPool()
+    try:
+        await pool.call("GET", url, CALL_TIMEOUT_MS)
+    finally:
+        await pool.close()
+
+
+@pytest.mark.parametrize("call", (call_pool,))
+def test_cancellation_is_kept_when_a_call_times_out(call):
+    """The call ended as timed out, and its task went on."""
+
+    async def never_answer(reader, writer):
+        await reader.read()
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(never_answer, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        calling = asyncio.create_task(call(f"http://{host}:{port}"))
+        await asyncio.sleep(0.1)
+        asyncio.get_running_loop().call_later(CALL_TIMEOUT_MS / 1000, calling.cancel)
+        time.sleep(BLOCKED_S)
+        assert await ended(calling)
+        server.close()
+        assert calling.cancelled(), calling.exception()
+
+    asyncio.run(main())
