Prove a job's absence from a loaded state only

What callers saw: 410 for an accepted job, from an instance that had just read the jobs topic to its end. Cause: an instance that stops planning, or whose topic was trimmed, discards its state and loads it again. A lookup waited for the state to be loaded, then for a read to the end; when the state was discarded in between, the job was not known and counted as absent. Peers that asked this instance passed the denial on. The same count of pending jobs took all open jobs for pending.

Lookups now start again if the state is not loaded when their read has ended, within the same deadline. Between that check and the lookup of the job nothing else runs, so an absence is that of a complete state.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -222,6 +222,21 @@
             return None
         return job
 
+    async def _read_state(self, until: Callable[[], bool] = lambda: False) -> None:
+        """Read up to an end of the topic that the store told after this call.
+
+        :param until: stops early once it is true.
+        :raises StoreError: the store cannot be read.
+        """
+        while True:
+            await self._follower.loaded.wait()
+            if until():
+                return
+            await self._follower.read_to_end(until)
+            # The state may have been discarded meanwhile, to be loaded again.
+            if self._follower.loaded.is_set():
+                return
+
     async def find_in_store(self, job_id: str, wait_ms: float) -> JobStatus | None:
         """Return a job's status, reading the store first if the job is not known here.
 
@@ -232,9 +247,7 @@
         job = self._known_job(job_id)
         if job is None:
             async with asyncio.timeout(wait_ms / 1000):
-                await self._follower.loaded.wait()
-                if self._known_job(job_id) is None:
-                    await self._follower.read_to_end(lambda: self._known_job(job_id) is not None)
+                await self._read_state(lambda: self._known_job(job_id) is not None)
             job = self._known_job(job_id)
         return JobStatus(job.reported_state, bool(job.stored_end)) if job is not None else None
 
@@ -394,8 +407,7 @@
         """
         if not self._can_count_pending():
             async with asyncio.timeout(wait_ms / 1000):
-                await self._follower.loaded.wait()
-                await self._follower.read_to_end()
+                await self._read_state()
         return self._job_table.count_pending(queue)
 
     async def pending(self, queue: Queue, wait_ms: float) -> int:
