Make the choice of the peers of a lookup repeatable

It shuffled a list in the order of a set of strings, so runs in virtual time with one seed differed between processes.

--- a/packages/library/carawayroute/fleet/lookup.py
+++ b/packages/library/carawayroute/fleet/lookup.py
@@ -101,7 +101,7 @@
 
     def _candidates(self) -> list[str]:
         planner = self._planner_address()
-        others = list(self._store.addresses - {self._own_address, planner})
+        others = sorted(self._store.addresses - {self._own_address, planner})
         random.shuffle(others)
         near = [one for one in others if one in self._store.same_region_addresses]
         far = [one for one in others if one not in self._store.same_region_addresses]
