--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -222,21 +222,6 @@
             return None
         return job
 
-    async def _read_state(self, until: Callable[[], bool] = lambda: False) -> None:
-        """Read up to an end of the topic that the store told after this call.
-
-        :param until: stops early once it is true.
-        :raises StoreError: the store cannot be read.
-        """
-        while True:
-            await self._follower.loaded.wait()
-            if until():
-                return
-            await self._follower.read_to_end(until)
-            # The state may have been discarded meanwhile, to be loaded again.
-            if self._follower.loaded.is_set():
-                return
-
     async def find_in_store(self, job_id: str, wait_ms: float) -> JobStatus | None:
         """Return a job's status, reading the store first if the job is not known here.
 
@@ -247,10 +232,21 @@
         job = self._known_job(job_id)
         if job is None:
             async with asyncio.timeout(wait_ms / 1000):
-                await self._read_state(lambda: self._known_job(job_id) is not None)
-            job = self._known_job(job_id)
+                job = await self._read_job(job_id)
         return JobStatus(job.reported_state, bool(job.stored_end)) if job is not None else None
 
+    async def _read_job(self, job_id: str) -> Job | None:
+        """Read the store until this instance can tell a job's state or that it does not exist."""
+        jobs_by_id = self._job_table.jobs_by_id
+        while True:
+            await self._follower.loaded.wait()
+            job = self._known_job(job_id)
+            if job is not None:
+                return job
+            await self._follower.read_to_end(lambda: job_id in jobs_by_id)
+            if job_id not in jobs_by_id:
+                return None
+
     async def _find(self, job_id: str, wait_ms: float) -> JobStatus:
         """Return the status of a job from this instance's state, the store, or another instance.
 
@@ -407,7 +403,8 @@
         """
         if not self._can_count_pending():
             async with asyncio.timeout(wait_ms / 1000):
-                await self._read_state()
+                await self._follower.loaded.wait()
+                await self._follower.read_to_end()
         return self._job_table.count_pending(queue)
 
     async def pending(self, queue: Queue, wait_ms: float) -> int:
