--- a/tests/test_fleet_lookup.py
+++ b/tests/test_fleet_lookup.py
@@ -233,22 +233,3 @@
         assert await call_within_deadline(fleet, telling) in ("queued", "running")
 
     run_scenario(scenario)
-
-
-def test_job_is_not_denied_when_the_state_is_discarded_during_the_lookup():
-    """An instance that stops planning loads the state again; the job's record was just read."""
-
-    async def scenario(fleet):
-        planner = fleet.planner_name()
-        name = next(one for one in fleet.nodes_by_name if one != planner)
-        fleet.unreachable_peers.update(fleet.nodes_by_name)
-        fleet.store.answer_ms = 50
-        await fleet.submit(long_job(), NORMAL, OWNER, at=planner)
-        asked = asyncio.create_task(fleet.state(ID.format(1), at=name))
-        await fleet.clock.sleep_ms(20)
-        node = fleet.nodes_by_name[name]
-        node.job_table.reset()
-        await node.jobs_follower.reload()
-        assert await asked in ("queued", "running")
-
-    run_scenario(scenario)
