Randomize the time for which a reader is not asked again

With a removed member whose address another instance got, members that ask the same reader excluded it for the same time as that reader excluded the removed member. Each retry then met it while it tried that member itself and was no reader, so an instance read the topic from the store for good.

--- a/packages/library/carawayroute/fleet/shared_reader.py
+++ b/packages/library/carawayroute/fleet/shared_reader.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import math
+import random
 from collections import Counter
 from collections.abc import Callable, Iterator
 
@@ -171,7 +172,8 @@
         """
         failures = self._failures_by_name.setdefault(name, _Failures())
         failures.wait_ms = min(most_ms, max(first_ms, failures.wait_ms * 2))
-        failures.retry_at_ms = self._clock.now_ms() + failures.wait_ms
+        # Retries in step would always find the member while it asks another one itself.
+        failures.retry_at_ms = self._clock.now_ms() + failures.wait_ms * random.uniform(0.5, 1.0)
         return failures.wait_ms
 
     def note_success(self, name: str) -> None:
