Look a job up before any of its attempts is rejected

Cause: only rejections for the backlog were preceded by a lookup. At the end of a drain there is no lookup.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -132,13 +132,41 @@
         if job.id in self._job_table.jobs_by_id:
             log.info("job_repeated", job=job.id)
             return
+        until_ms = self._clock.now_ms() + wait_ms
+        try:
+            await self._accept(queue, team, job, wait_ms)
+        except NotAcceptedError as error:
+            if _is_cancelled():
+                # The instance is stopping and must answer now.
+                raise
+            if await self._accepted_before(job.id, until_ms - self._clock.now_ms()):
+                log.info("job_repeated", job=job.id)
+                return
+            if error.overload:
+                log.info(
+                    "job_rejected",
+                    job=job.id,
+                    queue=queue.name,
+                    team=job.team,
+                    reason=str(error),
+                    retry_after_ms=round(error.retry_after_ms),
+                    state_age_ms=self._follower.state_age_ms(),
+                )
+            raise
+
+    async def _accept(self, queue: Queue, team: Team | None, job: pb.Job, wait_ms: float) -> None:
+        """Accept a job that is not known here.
+
+        :raises NotAcceptedError: this attempt was not accepted; an earlier one may have been.
+        :raises OutcomeUnknownError: the job may have been accepted.
+        """
+        job.team = team.name if team is not None else ""
         if not await wait_event(self._follower.loaded, min(wait_ms, MAX_LOAD_WAIT_MS)):
             raise NotAcceptedError(
                 "the state of jobs has not been read yet", False, MIN_RETRY_AFTER_MS
             )
         job.queue = queue.name
         job.service = queue.service
-        job.team = team.name if team is not None else ""
         job.priority = queue.priority
         job.max_attempts = queue.max_attempts
         job.stretch = queue.deadline_factor
@@ -148,18 +176,6 @@
         job_critical_path_ms = Job(job).critical_path_ms()
         decision = self.admission.decide(job, job_critical_path_ms)
         if not decision.accepted:
-            if await self._accepted_before(job.id, wait_ms):
-                log.info("job_repeated", job=job.id)
-                return
-            log.info(
-                "job_rejected",
-                job=job.id,
-                queue=queue.name,
-                team=job.team,
-                reason=decision.reason,
-                retry_after_ms=round(decision.retry_after_ms),
-                state_age_ms=round(self._follower.lag_ms()),
-            )
             raise NotAcceptedError(decision.reason, True, decision.retry_after_ms)
         late_limit_ms = LATE_FACTOR * (job.stretch * job_critical_path_ms + job.target_ms)
         await self._write(JOB_KEY + job.id, job.SerializeToString(), job.id, wait_ms, late_limit_ms)
@@ -183,7 +199,8 @@
 
         A caller whose earlier attempt was not answered must not be told that its job never runs.
         """
-        status, _ = await self._look_up(job_id, min(wait_ms, MAX_REPEAT_CHECK_MS))
+        check_ms = min(wait_ms - RESPONSE_MARGIN_MS, MAX_REPEAT_CHECK_MS)
+        status, _ = await self._look_up(job_id, max(0.0, check_ms))
         return status is not None
 
     async def _write(
@@ -426,3 +443,9 @@
             raise StateUnknownError("the state of jobs is too old or has not been read yet")
         log.info("pending_looked_up", queue=queue.name, evidence=evidence)
         return count
+
+
+def _is_cancelled() -> bool:
+    """Return whether the current task has been cancelled."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -28,8 +28,13 @@
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.admission import AdmissionDecision
-from carawayroute.fleet.entry import NotAcceptedError, OutcomeUnknownError
-from carawayroute.fleet.exceptions import StoreError, StoreTrimmedError, StoreUnansweredError
+from carawayroute.fleet.entry import NoSuchJobError, NotAcceptedError, OutcomeUnknownError
+from carawayroute.fleet.exceptions import (
+    StoreError,
+    StoreRefusedError,
+    StoreTrimmedError,
+    StoreUnansweredError,
+)
 from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, PROGRESS_KEY, JobTable
 from carawayroute.fleet.node import JOBS_TOPIC, RETENTION_MARGIN_MS
 from carawayroute.fleet.writer import LogWriter
@@ -239,6 +244,82 @@
     run_scenario(scenario)
 
 
+def test_repeat_of_an_accepted_job_is_not_rejected_by_an_instance_that_cannot_store():
+    """A job that had been accepted elsewhere was answered as one that never runs."""
+
+    async def scenario(fleet):
+        name = next(one for one in ("n1", "n2") if one != fleet.planner_name())
+        other = next(one for one in fleet.nodes_by_name if one != name)
+        node = fleet.nodes_by_name[name]
+
+        async def refuse(records):
+            raise StoreRefusedError("the store does not answer")
+
+        node.writer.write = refuse
+        await fleet.submit(job(ID.format(1), run_ms=5_000), NORMAL, OWNER, at=other)
+        assert ID.format(1) not in node.job_table.jobs_by_id
+        await fleet.submit(job(ID.format(1), run_ms=5_000), NORMAL, OWNER, at=name)
+        with pytest.raises(NotAcceptedError):
+            await fleet.submit(job(ID.format(2)), NORMAL, OWNER, at=name)
+
+    run_scenario(scenario)
+
+
+def test_request_that_a_stopping_instance_must_answer_is_not_looked_up():
+    """The lookup of an earlier attempt would use up the time for closing connections."""
+
+    async def scenario(fleet):
+        name = next(one for one in ("n1", "n2") if one != fleet.planner_name())
+        node = fleet.nodes_by_name[name]
+
+        async def withdraw(records):
+            try:
+                await fleet.clock.sleep_ms(60_000)
+            except asyncio.CancelledError:
+                raise StoreRefusedError("the records were not sent in time") from None
+
+        node.writer.write = withdraw
+        cut_off(fleet, name)
+        sent_ms = fleet.clock.now_ms()
+        with pytest.raises(NotAcceptedError):
+            async with asyncio.timeout(0.5):
+                await node.service.submit(NORMAL, OWNER, job(ID.format(1)), 20_000)
+        assert fleet.clock.now_ms() - sent_ms < 600
+
+    run_scenario(scenario)
+
+
+def test_instance_that_has_not_loaded_the_jobs_answers_callers_from_its_peers():
+    """It answered the repeat of an accepted job as one that never runs."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=20_000), NORMAL, OWNER)
+        await fleet.submit(job(ID.format(2), run_ms=20_000), NORMAL, OWNER)
+        await fleet.wait_until(
+            lambda: starts(fleet.journal, ID.format(2)), 1_000, "the jobs have started"
+        )
+        node = fleet.start_instance("n9")
+        newest = node.shared_reader.newest
+
+        async def newest_late(topic):
+            await fleet.clock.sleep_ms(20_000)
+            return await newest(topic)
+
+        node.shared_reader.newest = newest_late
+        await fleet.clock.sleep_ms(500)
+        assert not node.jobs_follower.loaded.is_set()
+        assert await fleet.state(ID.format(1), at="n9") == "running"
+        assert await node.service.pending(NORMAL, 1_000) == 0
+        with pytest.raises(NoSuchJobError):
+            await node.service.state(ID.format(3), 1_000)
+        await fleet.submit(job(ID.format(1), run_ms=20_000), NORMAL, OWNER, at="n9")
+        await fleet.cancel(ID.format(2), at="n9")
+        await fleet.wait_state(ID.format(2), "cancelled", 1_000)
+        assert not node.jobs_follower.loaded.is_set()
+
+    run_scenario(scenario)
+
+
 def test_new_queue_and_key_are_not_denied_from_an_old_configuration():
     """An instance cut off from the store answered 404 and 401 from its old configuration."""
 
