Test callers' requests during a change of planner, a reload and after a job's end

Paths that had been cleared by reading: GET, DELETE, POST and `pending` while the planner changes; SIGHUP and an unreadable settings file; the state of an ended job for `status_s` after its end, with a change of planner and a later start; a job submitted again after its end at an instance that is behind.

--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -36,7 +36,7 @@
     StoreUnansweredError,
 )
 from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, PROGRESS_KEY, JobTable
-from carawayroute.fleet.node import JOBS_TOPIC, RETENTION_MARGIN_MS
+from carawayroute.fleet.node import JOBS_TOPIC, RETENTION_MARGIN_MS, STANDBY_READ_INTERVAL_MS
 from carawayroute.fleet.writer import LogWriter
 from carawayroute_standins.fleet.judge import find_violations, starts
 from carawayroute_standins.virtual import run_virtual
@@ -320,6 +320,94 @@
     run_scenario(scenario)
 
 
+def test_callers_are_answered_while_the_planner_changes():
+    """Each kind of call, at the instance that stops planning and at the next planner."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1)), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(1), "completed", 5_000)
+        await fleet.submit(job(ID.format(2), run_ms=60_000), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(2), "running", 2_000)
+        await fleet.clock.sleep_ms(500)
+        fleet.store.answer_ms = 50
+        leadership = fleet.nodes_by_name[fleet.planner_name()].leadership
+        calls = []
+        for turn in range(60):
+            for name, node in fleet.nodes_by_name.items():
+                calls += [
+                    (asyncio.create_task(fleet.state(ID.format(1), at=name)), "completed"),
+                    (asyncio.create_task(fleet.state(ID.format(2), at=name)), "running"),
+                    (asyncio.create_task(node.service.pending(NORMAL, 3_000)), 0),
+                    (
+                        asyncio.create_task(fleet.submit(job(ID.format(1)), NORMAL, OWNER, name)),
+                        None,
+                    ),
+                    (
+                        asyncio.create_task(fleet.submit(job(ID.format(2)), NORMAL, OWNER, name)),
+                        None,
+                    ),
+                    (asyncio.create_task(fleet.cancel(ID.format(1), at=name)), None),
+                ]
+            await fleet.clock.sleep_ms(20)
+            if turn == 10:
+                leadership.step_down(leadership.term)
+        for call, expected in calls:
+            assert await call == expected
+        assert await fleet.state(ID.format(1)) == "completed"
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+
+    run_scenario(scenario)
+
+
+def test_ended_job_is_told_for_as_long_as_promised():
+    """By every instance, also by a planner that took over and by one that was started later."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1)), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(1), "completed", 5_000)
+        node = fleet.nodes_by_name[fleet.planner_name()]
+        await fleet.clock.sleep_ms(node.settings.job_retention_ms / 2)
+        node.leadership.step_down(node.leadership.term)
+        await fleet.clock.sleep_ms(node.settings.job_retention_ms / 2 - 5_000)
+        fleet.start_instance("n9")
+        await fleet.wait_ready()
+        await fleet.clock.sleep_ms(4_000)
+        for name in fleet.nodes_by_name:
+            assert await fleet.state(ID.format(1), at=name) == "completed"
+            # A repeated submission neither fails nor runs the job again.
+            await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at=name)
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+
+    run_scenario(scenario)
+
+
+def test_job_that_is_submitted_again_after_its_end_does_not_run_again():
+    """The instance is behind: it knows neither the job nor its end, and stores the job again."""
+
+    async def scenario(fleet):
+        name = next(one for one in ("n1", "n2") if one != fleet.planner_name())
+        other = next(one for one in fleet.nodes_by_name if one != name)
+        node = fleet.nodes_by_name[name]
+        node.jobs_follower.set_read_interval(60_000)
+        await fleet.clock.sleep_ms(2_000)
+        await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at=other)
+        planner = fleet.nodes_by_name[fleet.planner_name()]
+        await fleet.wait_until(
+            lambda: planner.job_table.jobs_by_id[ID.format(1)].stored_end, 5_000, "the end"
+        )
+        assert ID.format(1) not in node.job_table.jobs_by_id
+        await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at=name)
+        node.jobs_follower.set_read_interval(STANDBY_READ_INTERVAL_MS)
+        await fleet.clock.sleep_ms(2_000)
+        fleet.start_instance("n9")
+        await fleet.wait_ready()
+        for one in fleet.nodes_by_name:
+            assert await fleet.state(ID.format(1), at=one) == "completed"
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+
+    run_scenario(scenario)
+
+
 def test_new_queue_and_key_are_not_denied_from_an_old_configuration():
     """An instance cut off from the store answered 404 and 401 from its old configuration."""
 
@@ -454,3 +542,33 @@
             await cluster.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.slow
+def test_callers_are_answered_while_the_settings_file_changes(tmp_path):
+    """SIGHUP and a settings file that cannot be read change nothing for callers."""
+
+    async def scenario(cluster):
+        process = cluster.processes_by_name["n1"]
+        path = "/render/" + ID.format(1)
+        assert (await cluster.call("n1", "POST", path, job_body(run_ms=10_000)))[0] == 200
+        settings = tmp_path / "n1.json"
+        valid = settings.read_text()
+        for turn in range(30):
+            settings.write_text("{" if turn % 2 else valid)
+            calls = [cluster.call("n1", "GET", path) for _ in range(5)]
+            calls.append(cluster.call("n1", "POST", path, job_body(run_ms=10_000)))
+            answers = asyncio.gather(*calls)
+            process.send_signal(signal.SIGHUP)
+            assert {status for status, _ in await answers} == {200}
+        assert process.returncode is None
+
+    async def run():
+        cluster = FleetCluster(tmp_path)
+        try:
+            await cluster.start(instances=1)
+            await scenario(cluster)
+        finally:
+            await cluster.close()
+
+    asyncio.run(run())
