Answer the repeat of an accepted job instead of 422 while workers are away

What callers saw at the older interface: 422 impossible_shape for every job at an entry that had not read the instance list yet, and for the repeat of a job that had been accepted, while workers that it needs were away. Cause: workers missing from the list were taken for proof before the job was looked for. Change: before a 422 the job is looked for, in the log if it is not known here, and until the list has been read the answer is 503 not_run. Both tests failed (422) and pass, with the tests of test_callers, test_state, test_adapters and test_processes.

--- a/packages/daemon/carawayrouted/callers.py
+++ b/packages/daemon/carawayrouted/callers.py
@@ -23,7 +23,7 @@
 from carawayroute.quick import QuickResult
 from carawayroute.state import Job
 from carawayroute_schema import carawayroute_pb2 as pb
-from carawayrouted.exceptions import BadRequestError, ConfigurationNotReadError
+from carawayrouted.exceptions import BadRequestError, LogNotReadError
 from carawayrouted.logs import get_logger
 from carawayrouted.metrics import Metrics
 
@@ -31,7 +31,7 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_WATCH_MS = 60_000
 ACCEPT_TIMEOUT_MS = 5_000
-CONFIGURATION_READ_TIMEOUT_MS = 1_000
+LOG_READ_TIMEOUT_MS = 1_000
 TOKEN_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
 REGION_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 
@@ -94,7 +94,7 @@
         except BadRequestError as error:
             self._metrics.bad_requests.labels(error.code).inc()
             response = error_response(error.status, "not_run", error.code, error.reason)
-        except ConfigurationNotReadError as error:
+        except LogNotReadError as error:
             response = error_response(503, "not_run", "not_read", str(error), 1000)
         except web.HTTPException as error:
             response = error_response(error.status, "not_run", "http", error.reason)
@@ -112,26 +112,26 @@
 
     # ------------------------------------------------------------------ checks
 
-    async def _read_configuration(self) -> None:
-        """Read the configuration that is in force now.
+    async def _read_log(self) -> None:
+        """Read the log up to its end before something is denied.
 
-        :raises ConfigurationNotReadError: the log cannot be read in time.
+        :raises LogNotReadError: the log cannot be read in time.
         """
         try:
-            async with asyncio.timeout(CONFIGURATION_READ_TIMEOUT_MS / 1000):
+            async with asyncio.timeout(LOG_READ_TIMEOUT_MS / 1000):
                 await self._follower.read_to_end()
         except (LogError, TimeoutError) as error:
-            raise ConfigurationNotReadError("the configuration cannot be read") from error
+            raise LogNotReadError("the log cannot be read") from error
 
     async def _team(self, request: web.Request) -> pb.Team:
         """Return the authenticated team, reading the log before one is denied.
 
         :raises BadRequestError: the team is unknown or the key is wrong.
-        :raises ConfigurationNotReadError: whether that is so cannot be read.
+        :raises LogNotReadError: whether that is so cannot be read.
         """
         team = self._authenticated_team(request)
         if team is None:
-            await self._read_configuration()
+            await self._read_log()
             team = self._authenticated_team(request)
         if team is None:
             raise BadRequestError(401, "wrong_key", "the team or its key is wrong")
@@ -152,11 +152,11 @@
         """Return a kind of a service, reading the log before one is denied.
 
         :raises BadRequestError: there is no such kind.
-        :raises ConfigurationNotReadError: whether it exists cannot be read.
+        :raises LogNotReadError: whether it exists cannot be read.
         """
         kind = self._follower.state.kind(kind_id)
         if kind is None or kind.service != service:
-            await self._read_configuration()
+            await self._read_log()
             kind = self._follower.state.kind(kind_id)
         if kind is None or kind.service != service:
             raise BadRequestError(404, "unknown_kind", f"no kind {kind_id!r} of this service")
@@ -242,7 +242,7 @@
             request_id=accepted.request_id, team=team.id, kind=accepted.kind
         )
         try:
-            self._jobs.check_shape(accepted.shape, accepted.region)
+            await self._check_shape(accepted)
             job = await self._jobs.accept(accepted, ACCEPT_TIMEOUT_MS)
         except ImpossibleShapeError as error:
             raise BadRequestError(422, "impossible_shape", str(error)) from error
@@ -255,6 +255,25 @@
         log.info("job_accepted", job=job.accepted.job_id)
         return web.json_response(self._job_view(job), status=202)
 
+    async def _check_shape(self, accepted: pb.JobAccepted) -> None:
+        """Check that the workers could hold a job, unless it was accepted before.
+
+        :raises ImpossibleShapeError: they could not.
+        :raises RefusedError: the workers are not known yet.
+        :raises LogNotReadError: whether the job was accepted before cannot be read.
+        """
+        try:
+            self._jobs.check_shape(accepted.shape, accepted.region)
+        except ImpossibleShapeError:
+            request = (accepted.team, accepted.request_id)
+            if self._jobs.find_request(*request) is None:
+                await self._read_log()
+            if self._jobs.find_request(*request) is not None:
+                return
+            if not self._node.instance_list_read:
+                raise RefusedError("the workers are not known yet", 1000) from None
+            raise
+
     async def _read_job(self, body: bytes, team: pb.Team, request: web.Request) -> pb.JobAccepted:
         try:
             tree = json.loads(body)
--- a/packages/daemon/carawayrouted/exceptions.py
+++ b/packages/daemon/carawayrouted/exceptions.py
@@ -11,8 +11,8 @@
     """A setting is missing, unknown or invalid."""
 
 
-class ConfigurationNotReadError(DaemonError):
-    """Whether a team or kind exists cannot be read; the request was not run."""
+class LogNotReadError(DaemonError):
+    """The log cannot be read, so a denial cannot be proved; the request was not run."""
 
 
 class BadRequestError(DaemonError):
--- a/packages/library/carawayroute/jobs.py
+++ b/packages/library/carawayroute/jobs.py
@@ -66,7 +66,7 @@
         :raises JobUncertainError: the job may have been accepted.
         :raises JobConflictError: the request id belongs to a job of another kind or shape.
         """
-        existing = self._follower.state.job_by_request(accepted.team, accepted.request_id)
+        existing = self.find_request(accepted.team, accepted.request_id)
         if existing is not None:
             return _check_same_job(existing, accepted)
         accepted.job_id = new_id("j")
@@ -78,7 +78,7 @@
             raise JobUncertainError("the log did not confirm the job in time") from error
         except LogError as error:
             raise RefusedError("the log cannot be reached, so no job is accepted", 1000) from error
-        job = self._follower.state.job_by_request(accepted.team, accepted.request_id)
+        job = self.find_request(accepted.team, accepted.request_id)
         if job is None:
             raise JobUncertainError("the job was accepted and has ended meanwhile")
         return _check_same_job(job, accepted)
@@ -87,6 +87,10 @@
         """Return a job by id, or ``None`` if it is unknown or no longer kept."""
         return self._follower.state.jobs_by_id.get(job_id)
 
+    def find_request(self, team: str, request_id: str) -> Job | None:
+        """Return the job that was accepted under a team's request id, if it is known here."""
+        return self._follower.state.job_by_request(team, request_id)
+
     async def look_up(self, job_id: str) -> Job | None:
         """Return a job, reading the log first if the job is not known here.
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -224,6 +224,49 @@
     asyncio.run(run())
 
 
+def test_job_is_not_impossible_before_the_instance_list_is_read() -> None:
+    """An entry that had not read the list yet answered that the region has no workers."""
+
+    async def run() -> None:
+        world = await configured_world()
+        await world.nodes_by_id["a"].stop()
+        world.instances.down = True
+        world.start_node("a")
+        await world.run_for(300)
+
+        async def scenario(session: aiohttp.ClientSession, url: str) -> None:
+            async with session.post(f"{url}/jobs", json=JOB, headers=HEADERS) as response:
+                assert (response.status, (await response.json())["outcome"]) == (503, "not_run")
+
+        await serve_entry(world, scenario)
+
+    asyncio.run(run())
+
+
+def test_repeat_of_an_accepted_job_is_not_impossible_while_workers_are_away() -> None:
+    """A job that had been accepted was answered with 422 when its request was repeated."""
+
+    async def run() -> None:
+        world = await configured_world()
+        job = {**JOB, "request_id": "r1", "payload": json.dumps({"run_ms": 60_000})}
+
+        async def scenario(session: aiohttp.ClientSession, url: str) -> None:
+            async with session.post(f"{url}/jobs", json=job, headers=HEADERS) as response:
+                accepted = await response.json()
+            world.instances.remove("worker-0")
+            await world.run_for(1_500)
+            async with session.post(f"{url}/jobs", json=job, headers=HEADERS) as response:
+                assert response.status == 202
+                assert (await response.json())["job"] == accepted["job"]
+            other = {**job, "request_id": "r2"}
+            async with session.post(f"{url}/jobs", json=other, headers=HEADERS) as response:
+                assert (await response.json())["error"] == "impossible_shape"
+
+        await serve_entry(world, scenario)
+
+    asyncio.run(run())
+
+
 class AbortedCall(Exception):
     """Raised by the context of a gRPC call that is aborted."""
 
