Move a guarantee's reservation off a worker that left while its gang ran

What callers saw at the older interface: nothing was placed any more after a worker with a guaranteed gang had left the list while another job of the team waited. Cause: the reservation in use was kept with the missing worker, was offered to the next job once its gang was removed, and the planner's task ended with a KeyError. A worker that may get no new gangs was used in the same way. Change: when the gang is removed, a reservation with such workers is placed anew. Found while testing repeats of accepted jobs. Both cases of the test failed (KeyError; the unusable worker chosen) and pass, with 89 tests of test_placement, test_scenarios, test_breaks and test_experiment.

--- a/packages/library/carawayroute/placement.py
+++ b/packages/library/carawayroute/placement.py
@@ -266,6 +266,9 @@
         item = self.reservation_table.reservation_of(job_id)
         if item is not None:
             item.job_id = ""
+            if not self._capacity().keys() >= set(item.workers):
+                # A worker left while the gang held it.
+                self._refresh_reservations()
         return placement
 
     # ------------------------------------------------------------------ capacity
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -105,6 +105,21 @@
     assert second.guarantee == ""
 
 
+@pytest.mark.parametrize("unusable", [False, True])
+def test_reservation_is_moved_off_a_worker_that_left_while_its_gang_ran(unusable: bool) -> None:
+    """The planner failed with a KeyError, and nothing was placed any more."""
+    fleet = make_fleet()
+    first = fleet.plan(job(team="owner"), RENDER)
+    mark_running(fleet, "first", first, team="owner")
+    lost = first.workers[0]
+    left = [one for name, one in fleet.workers_by_id.items() if unusable or name != lost]
+    fleet.set_workers(left, {lost} if unusable else set())
+    fleet.remove("first")
+    second = fleet.plan(job(team="owner"), RENDER)
+    assert isinstance(second, Plan)
+    assert (lost in second.workers, second.guarantee) == (False, "owner/packs")
+
+
 def test_non_idempotent_job_stays_off_reserved_capacity() -> None:
     fleet = make_fleet()
     first = fleet.plan(job(gang=shape(2, 8, pb.RACK)), CUT_PLAN)
