--- a/packages/standins/carawayroute_standins/fleet/bandwidth.py
+++ b/packages/standins/carawayroute_standins/fleet/bandwidth.py
@@ -13,13 +13,13 @@
 class Link:
     """A link that carries messages packet by packet, in turn for concurrent messages.
 
-    :param bytes_per_ms: bandwidth of the link.
+    :ivar bytes_per_ms: bandwidth of the link.
     :ivar carried_bytes: number of bytes sent so far, also of messages that nobody waited for.
     """
 
     def __init__(self, clock: Clock, bytes_per_ms: float) -> None:
         self._clock = clock
-        self._bytes_per_ms = bytes_per_ms
+        self.bytes_per_ms = bytes_per_ms
         self._free_at_ms = 0.0
         self.carried_bytes = 0
 
@@ -28,7 +28,7 @@
         while size > 0:
             packet = min(size, PACKET_BYTES)
             now_ms = self._clock.now_ms()
-            self._free_at_ms = max(now_ms, self._free_at_ms) + packet / self._bytes_per_ms
+            self._free_at_ms = max(now_ms, self._free_at_ms) + packet / self.bytes_per_ms
             await self._clock.sleep_ms(self._free_at_ms - now_ms)
             self.carried_bytes += packet
             size -= packet
--- a/packages/standins/carawayroute_standins/fleet/judge.py
+++ b/packages/standins/carawayroute_standins/fleet/judge.py
@@ -56,8 +56,11 @@
     return found
 
 
-def find_denied_jobs(journal: Journal) -> list[str]:
-    """Return the accepted jobs that an instance called unknown once every instance knows them."""
+def find_denied_jobs(journal: Journal, visible_ms: float = VISIBLE_MS) -> list[str]:
+    """Return the accepted jobs that an instance called unknown.
+
+    :param visible_ms: time after the acceptance in which an instance may not know the job yet.
+    """
     found = []
     accepted_ms_by_job: dict[str, float] = {}
     for entry in journal.entries:
@@ -66,7 +69,7 @@
             accepted_ms_by_job.setdefault(job, entry.at_ms)
         elif entry.what == "job_denied" and job in accepted_ms_by_job:
             age_ms = entry.at_ms - accepted_ms_by_job[job]
-            if age_ms > VISIBLE_MS:
+            if age_ms > visible_ms:
                 found.append(
                     f"{job} was called unknown by {entry.fields['entry']} (call: "
                     f"{entry.fields['call']}) {age_ms:.0f} ms after its acceptance"
--- a/packages/standins/carawayroute_standins/fleet/topics.py
+++ b/packages/standins/carawayroute_standins/fleet/topics.py
@@ -105,6 +105,7 @@
     :ivar lost_answer_ratio: fraction of the appends that take effect without an answer.
     :ivar late_ms: delay in ms before an append whose answer is lost takes effect.
     :ivar refused_instances: instances whose calls are refused.
+    :ivar unanswered_instances: instances whose calls are not answered.
     :ivar network: links that carry the answers; unlimited by default.
     """
 
@@ -116,6 +117,7 @@
         self.lost_answer_ratio = 0.0
         self.late_ms = 0
         self.refused_instances: set[str] = set()
+        self.unanswered_instances: set[str] = set()
         self.appends = 0
         self.reads = 0
         self._topics_by_name: dict[str, _Topic] = {}
@@ -140,7 +142,7 @@
 
     async def simulate_call(self, instance: str) -> None:
         """Wait for the duration of a call, or fail it according to the active faults."""
-        if self.mode == "silent":
+        if self.mode == "silent" or instance in self.unanswered_instances:
             await self.clock.sleep_ms(NO_ANSWER_TIMEOUT_MS)
             raise StoreUnansweredError("silent")
         await self.clock.sleep_ms(self.answer_ms)
--- a/packages/standins/carawayroute_standins/fleet/world.py
+++ b/packages/standins/carawayroute_standins/fleet/world.py
@@ -33,6 +33,7 @@
     :param formats: format of the configuration and the runners in the store.
     :param list_runner: encodes a runner's listing in that format.
     :param region_by_instance: regions of the instances that are not in the store's region.
+    :param data_centre_by_instance: data centres of instances, by default one for each region.
     :ivar network: links to the instances, unlimited by default.
     :ivar unreachable_peers: instances without connections to their peers.
     """
@@ -46,11 +47,13 @@
         racks: int = 2,
         runners_per_rack: int = 4,
         region_by_instance: dict[str, str] | None = None,
+        data_centre_by_instance: dict[str, str] | None = None,
     ) -> None:
         self.clock = Clock(wall_offset_ms=1_000_000.0)
         self.journal = Journal(self.clock)
         self.network = Network(self.clock, STORE_REGION)
         self.network.region_by_instance.update(region_by_instance or {})
+        self._data_centre_by_instance = data_centre_by_instance or {}
         self.store = TopicStore(self.clock, self.network)
         self.formats = formats
         self._list_runner = list_runner
@@ -99,12 +102,13 @@
     def start_instance(self, name: str) -> FleetNode:
         """Start an instance."""
         orders = InMemoryRunnerClient(self.runners_by_id, self.clock)
+        region = self.network.region(name)
         node = FleetNode(
             FleetSettings(
                 name,
                 name,
-                self.network.region(name),
-                f"{self.network.region(name)}-a",
+                region,
+                self._data_centre_by_instance.get(name, f"{region}-a"),
                 MAX_LEASE_MS,
                 STOP_MS,
                 seeds=("n1", "n2", "n3"),
