Keep cancellations that arrive as a daemon's awaited operation ends

Cause: a task went on after it was cancelled, and the stop waits for it without a limit. It was not the stop of the servers: reproduced on beside three busy processes and a soak (9th restart of a rolling restart), the tasks show the servers closed, `peers` cancelled, and the link to one peer, cancelled once, waiting for its next message to be due. Three libraries drop a cancellation that the loop learns of in the same turn as the end of the operation: pynng, `asyncio.wait_for` of Python 3.11, and aiohttp's limit for a whole call. Change: `cancellable` around pynng's operations, `asyncio.timeout` in place of the two limits. A request that gets its slot as its wait ends passes the slot on, since it is refused then. Tests in tests/test_cancellation.py: four for the daemon (links, event, call to the log, call to a runner), each failed on and passes.

--- a/packages/daemon/carawayrouted/adapters.py
+++ b/packages/daemon/carawayrouted/adapters.py
@@ -33,9 +33,14 @@
 DISCARD_DELAY_S = 60
 
 
-def _timeout(total_ms: float) -> aiohttp.ClientTimeout:
+def _connect_timeout(total_ms: float) -> aiohttp.ClientTimeout:
+    """Return the limit for connecting alone.
+
+    The limit for the whole request is an ``asyncio.timeout``: aiohttp's own drops a cancellation
+    that arrives as it expires.
+    """
     connect_s = min(total_ms, CONNECT_TIMEOUT_MS) / 1000
-    return aiohttp.ClientTimeout(total=total_ms / 1000, sock_connect=connect_s)
+    return aiohttp.ClientTimeout(total=None, sock_connect=connect_s)
 
 
 def _is_connect_failure(error: Exception) -> bool:
@@ -62,9 +67,12 @@
         :raises LogUncertainError: the record may have been stored.
         """
         try:
-            async with self._session.post(
-                self._url, data=data, timeout=_timeout(self._timeout_ms)
-            ) as response:
+            async with (
+                asyncio.timeout(self._timeout_ms / 1000),
+                self._session.post(
+                    self._url, data=data, timeout=_connect_timeout(self._timeout_ms)
+                ) as response,
+            ):
                 if response.status == 503:
                     raise LogUnavailableError("the log is out of service")
                 if response.status != 200:
@@ -84,9 +92,14 @@
         :raises LogError: the request failed.
         """
         query = {"from": offset, "wait_ms": wait_ms, "limit": limit}
-        timeout = _timeout(self._timeout_ms + wait_ms)
+        timeout_ms = self._timeout_ms + wait_ms
         try:
-            async with self._session.get(self._url, params=query, timeout=timeout) as response:
+            async with (
+                asyncio.timeout(timeout_ms / 1000),
+                self._session.get(
+                    self._url, params=query, timeout=_connect_timeout(timeout_ms)
+                ) as response,
+            ):
                 if response.status == 410:
                     raise LogExpiredError((await response.json())["earliest"])
                 if response.status != 200:
@@ -123,7 +136,12 @@
         :raises CarawayrouteError: the request failed or the answer cannot be decoded.
         """
         try:
-            async with self._session.get(self._url, timeout=_timeout(self._timeout_ms)) as response:
+            async with (
+                asyncio.timeout(self._timeout_ms / 1000),
+                self._session.get(
+                    self._url, timeout=_connect_timeout(self._timeout_ms)
+                ) as response,
+            ):
                 response.raise_for_status()
                 return [Instance(**item) for item in await response.json()]
         except (*TRANSPORT_ERRORS, ValueError, TypeError) as error:
@@ -146,9 +164,12 @@
         url = f"http://{worker.address}/{operation}"
         message = {"holder": holder, "token": token, **body}
         try:
-            async with self._session.post(
-                url, json=message, timeout=_timeout(WORKER_TIMEOUT_MS)
-            ) as response:
+            async with (
+                asyncio.timeout(WORKER_TIMEOUT_MS / 1000),
+                self._session.post(
+                    url, json=message, timeout=_connect_timeout(WORKER_TIMEOUT_MS)
+                ) as response,
+            ):
                 answer = await response.json()
                 if response.status == 409:
                     raise WorkerRefusedError(answer["reason"])
@@ -242,12 +263,15 @@
         headers = {"Attempt-Id": attempt_id, "Kind": kind}
         log.debug("attempt_sent", attempt=attempt_id, runner=runner.id)
         try:
-            async with self._session(runner).post(
-                f"http://{runner.address}/run",
-                data=body,
-                headers=headers,
-                timeout=_timeout(timeout_ms),
-            ) as response:
+            async with (
+                asyncio.timeout(timeout_ms / 1000),
+                self._session(runner).post(
+                    f"http://{runner.address}/run",
+                    data=body,
+                    headers=headers,
+                    timeout=_connect_timeout(timeout_ms),
+                ) as response,
+            ):
                 return _verified_answer(response, await response.read(), attempt_id)
         except asyncio.CancelledError:
             self._discard(runner)
--- a/packages/daemon/carawayrouted/peers.py
+++ b/packages/daemon/carawayrouted/peers.py
@@ -11,6 +11,7 @@
 from carawayroute_schema import carawayroute_pb2 as pb
 from carawayrouted.logs import get_logger
 from carawayrouted.metrics import Metrics
+from carawayrouted.nng import cancellable
 from carawayrouted.settings import Settings
 
 SERVING_CONTEXTS = 8
@@ -62,10 +63,10 @@
     async def _serve(self, context: pynng.Context) -> None:
         while True:
             try:
-                data = await context.arecv()
+                data = await cancellable(context.arecv())
                 request = pb.PeerRequest.FromString(data)
                 reply = self._gossip.handle_request(request).SerializeToString()
-                await context.asend(reply)
+                await cancellable(context.asend(reply))
             except (pynng.NNGException, DecodeError) as error:
                 log.warning("peer_request_failed", error=str(error))
                 await self._clock.sleep_ms(RETRY_MS)
@@ -94,8 +95,8 @@
         same_region = peer.region == self._settings.region
         while True:
             message = self._gossip.make_request(peer.id, same_region).SerializeToString()
-            await socket.asend(message)
-            data = await socket.arecv()
+            await cancellable(socket.asend(message))
+            data = await cancellable(socket.arecv())
             self._gossip.handle_reply(pb.PeerReply.FromString(data))
             self._count(received=len(data), sent=len(message))
             await self._node.pacer.wait_to_send(peer.id, same_region)
--- a/packages/library/carawayroute/dispatch.py
+++ b/packages/library/carawayroute/dispatch.py
@@ -224,16 +224,17 @@
         self.queue.push(request.path, queued_request)
         self.demand_event.set()
         try:
-            return await asyncio.wait_for(queued_request.slot, remaining_ms / 1000)
+            async with asyncio.timeout(remaining_ms / 1000):
+                return await queued_request.slot
         except TimeoutError:
-            self.queue.remove(request.path, queued_request)
+            self._abandon(queued_request)
             raise RefusedError("no slot became free within the caller's wait", 1000) from None
         except asyncio.CancelledError:
             self._abandon(queued_request)
             raise
 
     def _abandon(self, queued_request: _QueuedRequest) -> None:
-        """Remove a cancelled request from the queue; pass on a slot that it already received."""
+        """Remove a request from the queue; pass on a slot that it already received."""
         self.queue.remove(queued_request.request.path, queued_request)
         slot = queued_request.slot
         if slot.done() and not slot.cancelled() and slot.exception() is None:
--- a/packages/library/carawayroute/log.py
+++ b/packages/library/carawayroute/log.py
@@ -10,7 +10,7 @@
     LogUnavailableError,
     LogUncertainError,
 )
-from carawayroute.misc import new_id
+from carawayroute.misc import new_id, wait_event
 from carawayroute.platform import Log
 from carawayroute.retries import Backoff
 from carawayroute.state import AppliedRecord, State, serialize_copy
@@ -186,11 +186,7 @@
 
     async def wait_change(self, timeout_ms: float) -> bool:
         """Wait for the state to change and return whether it did within the timeout."""
-        try:
-            await asyncio.wait_for(self.changed.wait(), max(MIN_WAIT_MS, timeout_ms) / 1000)
-        except TimeoutError:
-            return False
-        return True
+        return await wait_event(self.changed, max(MIN_WAIT_MS, timeout_ms))
 
     def records_since(self, offset: int, limit: int) -> list[pb.OffsetRecord] | None:
         """Return applied records from an offset on, or ``None`` if some are no longer held."""
@@ -228,7 +224,8 @@
                     break
                 try:
                     self.appends += 1
-                    await asyncio.wait_for(self.log.append(data), remaining_ms / 1000)
+                    async with asyncio.timeout(remaining_ms / 1000):
+                        await self.log.append(data)
                     may_be_stored = True
                 except LogUnavailableError:
                     await self._wait(read_back, min(backoff.next_ms(), remaining_ms))
--- a/packages/library/carawayroute/pacing.py
+++ b/packages/library/carawayroute/pacing.py
@@ -5,6 +5,7 @@
 from carawayroute.clock import Clock
 from carawayroute.dispatch import Dispatcher
 from carawayroute.gossip import own_demand
+from carawayroute.misc import wait_event
 from carawayroute.routing import SlotLeaseRouter
 
 # Interval between checks for a peer to message while any entry has queued requests.
@@ -45,10 +46,7 @@
             return
         send_event = self._send_event_by_peer.setdefault(peer, asyncio.Event())
         send_event.clear()
-        try:
-            await asyncio.wait_for(send_event.wait(), self._interval_ms / 1000)
-        except TimeoutError:
-            return
+        await wait_event(send_event, self._interval_ms)
 
     async def run(self) -> None:
         """Trigger urgent messages to peers with which slots can be exchanged, within the limit."""
--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -1,7 +1,6 @@
 """Planner of one region: holds the term and worker leases, places, launches and ends gangs."""
 
 import asyncio
-import contextlib
 
 from carawayroute.clock import Clock
 from carawayroute.estimates import RunTimeEstimator
@@ -11,7 +10,7 @@
 from carawayroute.leases import WorkerLeases
 from carawayroute.log import LogFollower
 from carawayroute.membership import Membership
-from carawayroute.misc import TaskGroup
+from carawayroute.misc import TaskGroup, wait_event
 from carawayroute.placement import Fleet, NotPlaced, Placement, Plan
 from carawayroute.platform import Workers
 from carawayroute.queue import PlacementPass, QueueEntry, order_queue
@@ -118,8 +117,7 @@
         """Run planning ticks until cancelled, early when the wake event is set."""
         while True:
             await self.tick()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.wake.wait(), TICK_MS / 1000)
+            await wait_event(self.wake, TICK_MS)
             self.wake.clear()
 
     async def tick(self) -> None:
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -6,11 +6,19 @@
 import asyncio
 import time
 
+import aiohttp
 import pynng
 import pytest
+from builders import runner
 
+from carawayroute.clock import Clock
 from carawayroute.fleet.relay import PeerError
+from carawayroute.pacing import Pacer
+from carawayroute_schema import carawayroute_pb2 as pb
 from carawayroute_standins.cluster import free_port_range
+from carawayrouted.adapters import HttpEndpoints, HttpLog
+from carawayrouted.metrics import Metrics
+from carawayrouted.peers import PeerLinks
 from carawayrouted.platform.http import HttpPool
 from carawayrouted.relay_links import RelayLinks
 
@@ -24,6 +32,29 @@
     return bool(done)
 
 
+class SilentNode:
+    """A node without peers that answers their messages.
+
+    It takes the places of the node, its membership, its gossip and the settings of `PeerLinks`.
+    """
+
+    instance, region = "own", "south"
+    host, list_interval_ms = "127.0.0.1", 1_000
+
+    def __init__(self, peer_port: int) -> None:
+        self.peer_port = peer_port
+        self.clock = Clock()
+        self.gossip = self.membership = self
+
+    def link_targets(self, instance: str, region: str) -> list:
+        """Return no peers."""
+        return []
+
+    def handle_request(self, request: pb.PeerRequest) -> pb.PeerReply:
+        """Return an empty reply."""
+        return pb.PeerReply()
+
+
 def relay_links(port: int) -> RelayLinks:
     """Return the links of an instance on the platform; only empty messages are answered."""
 
@@ -35,7 +66,13 @@
     return RelayLinks(f"127.0.0.1:{port}", serve)
 
 
-@pytest.mark.parametrize("make_links", (relay_links,))
+def peer_links(port: int) -> PeerLinks:
+    """Return the links of a daemon."""
+    node = SilentNode(port)
+    return PeerLinks(node, node, Metrics(node.clock))
+
+
+@pytest.mark.parametrize("make_links", (relay_links, peer_links))
 def test_links_end_when_a_message_arrives_as_they_are_stopped(make_links):
     """A daemon did not end after SIGTERM, as a task that went on was waited for."""
 
@@ -71,6 +108,25 @@
     asyncio.run(main())
 
 
+def test_cancellation_is_kept_when_the_awaited_event_has_just_been_set():
+    async def main():
+        pacer = Pacer(Clock(), None, None, 10_000, 10_000, 10)
+
+        async def send_messages():
+            while True:
+                await pacer.wait_to_send("peer", same_region=True)
+
+        sending = asyncio.create_task(send_messages())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        pacer._send_event_by_peer["peer"].set()
+        await asyncio.sleep(0)
+        sending.cancel()
+        assert await ended(sending)
+
+    asyncio.run(main())
+
+
 async def call_pool(url: str) -> None:
     """Call a server of the platform."""
     pool = HttpPool()
@@ -80,7 +136,24 @@
         await pool.close()
 
 
-@pytest.mark.parametrize("call", (call_pool,))
+async def call_log(url: str) -> None:
+    """Append to the log."""
+    async with aiohttp.ClientSession() as session:
+        await HttpLog(session, url, CALL_TIMEOUT_MS).append(b"")
+
+
+async def call_runner(url: str) -> None:
+    """Run a request on a runner."""
+    endpoints = HttpEndpoints()
+    target = runner("r")
+    target.address = url.removeprefix("http://")
+    try:
+        await endpoints.run(target, "a", "k", b"", CALL_TIMEOUT_MS)
+    finally:
+        await endpoints.close()
+
+
+@pytest.mark.parametrize("call", (call_pool, call_log, call_runner))
 def test_cancellation_is_kept_when_a_call_times_out(call):
     """The call ended as timed out, and its task went on."""
 
