Close the servers of a stopping instance within its grace

What callers saw: a request whose body had not arrived whole got no answer from a daemon of the older interface, which ended a minute after its drain. An instance on the platform ended 7 s after its drain, past its grace, while a client did not send the rest of a body that had been refused with 413; all requests had their answers. Cause: aiohttp closes idle connections at once, but waits for the others, up to 10 s for the rest of a body and up to 60 s for a handler. Change: `close_servers` lets requests that were just read be answered, ends those still open when the time is over (504, their outcome is unknown), and then closes every connection.

--- a/packages/daemon/carawayrouted/callers.py
+++ b/packages/daemon/carawayrouted/callers.py
@@ -23,7 +23,8 @@
 from carawayroute.quick import QuickResult
 from carawayroute.state import Job
 from carawayroute_schema import carawayroute_pb2 as pb
-from carawayrouted.exceptions import BadRequestError
+from carawayrouted.closing import OpenRequests
+from carawayrouted.exceptions import BadRequestError, StoppingError
 from carawayrouted.logs import get_logger
 from carawayrouted.metrics import Metrics
 
@@ -63,7 +64,10 @@
 
 
 class CallerService:
-    """HTTP handlers of the callers' API."""
+    """HTTP handlers of the callers' API.
+
+    :ivar open_requests: requests in progress; those that are ended have an unknown outcome.
+    """
 
     def __init__(self, node: Node, metrics: Metrics) -> None:
         self._node = node
@@ -72,6 +76,7 @@
         self._quick = node.quick
         self._jobs = node.jobs
         self._metrics = metrics
+        self.open_requests = OpenRequests()
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
@@ -89,12 +94,15 @@
         """Turn errors into JSON answers, so that no caller sees a stack trace."""
         self._node.open_requests += 1
         try:
-            response = await handler(request)
+            async with self.open_requests.entered():
+                response = await handler(request)
         except BadRequestError as error:
             self._metrics.bad_requests.labels(error.code).inc()
             response = error_response(error.status, "not_run", error.code, error.reason)
         except web.HTTPException as error:
             response = error_response(error.status, "not_run", "http", error.reason)
+        except StoppingError as error:
+            response = error_response(504, "unknown", "stopping", str(error))
         except asyncio.CancelledError:
             raise
         except Exception:
--- a/packages/daemon/carawayrouted/daemon.py
+++ b/packages/daemon/carawayrouted/daemon.py
@@ -15,6 +15,7 @@
 from carawayroute_schema import carawayroute_pb2_grpc as pb_grpc
 from carawayrouted.adapters import HttpEndpoints, HttpInstanceList, HttpLog, HttpWorkers
 from carawayrouted.callers import OUTCOME_NAMES, CallerService
+from carawayrouted.closing import close_servers
 from carawayrouted.logs import get_logger
 from carawayrouted.metrics import Metrics, metrics_app
 from carawayrouted.operators import OperatorService
@@ -131,8 +132,7 @@
         log.info("draining")
         await self.node.drain()
         await operators.stop(OPERATOR_GRACE_S)
-        for app_runner in self._app_runners:
-            await app_runner.cleanup()
+        await close_servers(self._app_runners, self.callers.open_requests, 0)
         await self.node.stop()
         await self._tasks.cancel()
         await self._endpoints.close()
--- a/packages/daemon/carawayrouted/exceptions.py
+++ b/packages/daemon/carawayrouted/exceptions.py
@@ -24,3 +24,7 @@
         self.status = status
         self.code = code
         self.reason = reason
+
+
+class StoppingError(DaemonError):
+    """A request was ended because the instance is stopping."""
--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -8,6 +8,7 @@
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.node import FleetNode, FleetSettings
+from carawayrouted.closing import close_servers
 from carawayrouted.fleet_metrics import FleetMetrics
 from carawayrouted.output import BoundedOutput
 from carawayrouted.platform.callers import CallerApp
@@ -171,18 +172,18 @@
 
     async def _drain(self) -> None:
         """Resign as planner, wait for the load balancer and for open requests, then stop."""
-        log.info("draining", open_requests=self.callers.open_requests)
+        open_requests = self.callers.open_requests
+        log.info("draining", open_requests=len(open_requests))
         earliest_end_ms = self.clock.now_ms() + MIN_DRAIN_MS
         latest_end_ms = self.clock.now_ms() + self.settings.grace_ms - SHUTDOWN_MS
         await self.node.resign()
-        while self.clock.now_ms() < earliest_end_ms or self.callers.open_requests:
+        while self.clock.now_ms() < earliest_end_ms or open_requests:
             await self.clock.sleep_ms(DRAIN_CHECK_MS)
             if self.clock.now_ms() > latest_end_ms:
-                log.info("drain_timed_out", open_requests=self.callers.open_requests)
-                self.callers.answer_open_requests()
+                log.info("drain_timed_out", open_requests=len(open_requests))
                 break
-        for server_runner in self._server_runners:
-            await server_runner.cleanup()
+        remaining_ms = max(0.0, latest_end_ms - self.clock.now_ms())
+        await close_servers(self._server_runners, open_requests, remaining_ms)
         await self.node.stop()
         await self._pool.close()
         await self._runner_pool.close()
--- a/packages/daemon/carawayrouted/platform/callers.py
+++ b/packages/daemon/carawayrouted/platform/callers.py
@@ -1,6 +1,5 @@
 """The callers' HTTP API on the platform: submit, watch, cancel and count jobs."""
 
-import asyncio
 import hmac
 import json
 import math
@@ -21,6 +20,8 @@
 )
 from carawayroute.fleet.types import Configuration, Queue, Team
 from carawayroute_schema import records_pb2 as pb
+from carawayrouted.closing import OpenRequests
+from carawayrouted.exceptions import StoppingError
 from carawayrouted.platform import wire_names
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
@@ -47,6 +48,7 @@
     :param configuration_is_current: returns whether queues and keys that are not in the
         configuration in force do not exist.
     :param count: called with each request's method, status and duration in ms.
+    :ivar open_requests: requests in progress; those that are ended have an unknown outcome.
     """
 
     def __init__(
@@ -60,32 +62,18 @@
         self._configuration = configuration
         self._configuration_is_current = configuration_is_current
         self._count = count
-        self._open: set[asyncio.Timeout] = set()
-
-    @property
-    def open_requests(self) -> int:
-        """Return the number of requests in progress."""
-        return len(self._open)
-
-    def answer_open_requests(self) -> None:
-        """Answer the requests in progress now: their outcome is unknown."""
-        for timeout in self._open:
-            timeout.reschedule(asyncio.get_running_loop().time())
+        self.open_requests = OpenRequests()
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer one request."""
         arrived_s = time.monotonic()
-        timeout = asyncio.timeout(None)
-        self._open.add(timeout)
         try:
-            async with timeout:
+            async with self.open_requests.entered():
                 response = await self._answer(request)
-        except TimeoutError:
+        except (TimeoutError, StoppingError):
             response = _reply(504)
         except web.HTTPException as error:
             response = _reply(error.status)
-        finally:
-            self._open.discard(timeout)
         duration_ms = (time.monotonic() - arrived_s) * 1000
         self._count(request.method, response.status, duration_ms)
         return response
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -107,3 +107,22 @@
         assert await cluster.planner() not in ("", victim)
 
     run_scenario(tmp_path, scenario)
+
+
+def test_rest_of_a_refused_body_does_not_delay_the_stop(tmp_path):
+    """An instance ended 7 s after its drain, past its grace, as a client did not send the rest."""
+
+    async def scenario(cluster):
+        port = cluster.ports_by_name["n1"]["front"]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        lines = ["POST /render/" + ID.format(1) + " HTTP/1.1", "Content-Length: 100000000"]
+        lines += [f"{name}: {value}" for name, value in CALLER_HEADERS.items()]
+        writer.write("\r\n".join([*lines, "", "{"]).encode())
+        assert await reader.readexactly(12) == b"HTTP/1.1 413"
+        process = cluster.processes_by_name["n1"]
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(6):
+            assert await process.wait() == 0
+        writer.close()
+
+    run_scenario(tmp_path, scenario)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -166,6 +166,27 @@
     run(tmp_path, scenario)
 
 
+def test_request_with_an_incomplete_body_is_answered_and_does_not_hold_up_the_stop(
+    tmp_path,
+) -> None:
+    """A daemon ended a minute after its drain, without an answer to the request."""
+
+    async def scenario(cluster: Cluster) -> None:
+        entry = cluster.layout.entries[0]
+        host, port = entry.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = ["POST /v1/kinds/preview/requests HTTP/1.1", f"Host: {host}", "Content-Length: 9"]
+        lines += ["Authorization: Bearer storefront-key", "Carawayroute-Team: storefront"]
+        writer.write("\r\n".join([*lines, "", "{"]).encode())
+        await asyncio.sleep(0.5)
+        cluster.signal(entry.id, signal.SIGTERM)
+        assert await cluster.wait_exited(entry.id, 10) == 0
+        assert (await reader.read()).startswith(b"HTTP/1.1 504")
+        writer.close()
+
+    run(tmp_path, scenario, drain_ms=1_000)
+
+
 def test_store_outage_and_operators(tmp_path) -> None:
     async def scenario(cluster: Cluster) -> None:
         entries = cluster.layout.entries
