Soak: end a run although a caller's cancellation is dropped or a fault does not end

By reading, every wait of a fault ends: a process ends at its SIGKILL, whether stopped or not, and each that waits for it is told, whoever started it anew.

--- a/tests/fleet_cluster.py
+++ b/tests/fleet_cluster.py
@@ -49,7 +49,7 @@
 
     async def serve(self, app: web.Application) -> int:
         """Serve an application and return its port."""
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
         port = next(self._ports)
         await web.TCPSite(runner, HOST, port).start()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -40,6 +40,8 @@
 CALL_TIMEOUT_S = 4.0
 FAULT_INTERVAL_S = (0.1, 1.5)
 FAULT_DURATION_S = (0.2, 4.0)
+# Covers a stop that times out and the restart of every process.
+FAULT_END_TIMEOUT_S = 30.0
 FINAL_STATES = ("completed", "failed", "cancelled")
 
 
@@ -68,6 +70,7 @@
         self.violations: list[str] = []
         self.faults: list[str] = []
         self._started_s = 0.0
+        self._faults_ended = False
         self._fault_tasks: set[asyncio.Task] = set()
         self._start_lock = asyncio.Lock()
 
@@ -77,9 +80,9 @@
         self._started_s = time.monotonic()
         callers = [asyncio.create_task(self._run_caller()) for _ in range(4)]
         await self._inject_faults()
-        for caller in callers:
-            caller.cancel()
-        await asyncio.gather(*callers, return_exceptions=True)
+        # Not cancelled: aiohttp can drop a cancellation, and a last answer may accept a job.
+        self._faults_ended = True
+        await asyncio.gather(*callers)
         await self._wait_for_jobs()
         return self.violations
 
@@ -94,7 +97,7 @@
         async with aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         ) as session:
-            while True:
+            while not self._faults_ended:
                 await self._submit(session)
                 for job_id in self.rng.sample(list(self.accepted), min(2, len(self.accepted))):
                     await self._check_job(session, job_id, self._random_instance())
@@ -193,10 +196,19 @@
         while time.monotonic() < deadline_s:
             fault_type = self.rng.choice(fault_types)
             self.faults.append(f"{time.monotonic() - self._started_s:.1f} {fault_type.__name__}")
-            task = asyncio.create_task(fault_type(self.rng.uniform(*FAULT_DURATION_S)))
-            self._fault_tasks.add(task)
+            fault = fault_type(self.rng.uniform(*FAULT_DURATION_S))
+            self._fault_tasks.add(asyncio.create_task(fault, name=fault_type.__name__))
             await asyncio.sleep(self.rng.uniform(*FAULT_INTERVAL_S))
-        await asyncio.gather(*self._fault_tasks)
+        await self._wait_for_faults()
+
+    async def _wait_for_faults(self) -> None:
+        """Wait for the faults to end; one that does not end is a violation."""
+        ended, endless = await asyncio.wait(self._fault_tasks, timeout=FAULT_END_TIMEOUT_S)
+        for task in endless:
+            self._record_violation(f"fault {task.get_name()} has not ended")
+            task.cancel()
+        for task in ended:
+            task.result()
 
     async def _signal_and_wait(self, name: str, signal_number: signal.Signals) -> None:
         process = self.cluster.processes_by_name[name]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,8 @@
 """Short seeded soak runs over real processes; ``make soak`` starts longer ones."""
 
+import asyncio
+import time
+
 import pytest
 import soak
 
@@ -16,3 +19,65 @@
 
 def test_soak_detects_ends_acknowledged_before_they_are_stored():
     assert soak.run_seed(1, seconds=10.0, mutant="acknowledge_before_stored").violations
+
+
+async def never_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Read until the client gives up."""
+    await reader.read()
+    writer.close()
+
+
+class RunWithoutProcesses(soak.SoakRun):
+    """A run whose only instance never answers, and whose faults end as calls time out."""
+
+    async def run_callers(self) -> None:
+        """Run the callers."""
+        server = await asyncio.start_server(never_answer, "127.0.0.1", 0)
+        self.cluster.ports_by_name["n1"] = {"front": server.sockets[0].getsockname()[1]}
+        try:
+            async with asyncio.timeout(10):
+                await self.run()
+        finally:
+            server.close()
+            await self.cluster.session.close()
+
+    async def _wait_for_jobs(self) -> None:
+        pass
+
+    async def _inject_faults(self) -> None:
+        await asyncio.sleep(0.1)
+        time.sleep(2 * soak.CALL_TIMEOUT_S)
+        # The calls time out in the first turn of the loop and notice it in the third.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+
+def test_run_ends_when_calls_time_out_as_the_faults_end(monkeypatch, tmp_path):
+    """A run of seed 2 beside load went on for 10 minutes."""
+    monkeypatch.setattr(soak, "CALL_TIMEOUT_S", 0.3)
+
+    async def main():
+        run = RunWithoutProcesses(1, 0.0, tmp_path, 1)
+        monkeypatch.setattr(run.cluster, "start", lambda **options: asyncio.sleep(0))
+        await run.run_callers()
+
+    asyncio.run(main())
+
+
+def test_fault_that_does_not_end_is_a_violation(monkeypatch, tmp_path):
+    monkeypatch.setattr(soak, "FAULT_END_TIMEOUT_S", 0.1, raising=False)
+
+    async def never_end():
+        await asyncio.get_running_loop().create_future()
+
+    async def main():
+        run = soak.SoakRun(1, 0.0, tmp_path, 1)
+        run._fault_tasks.add(asyncio.create_task(never_end(), name="_kill"))
+        try:
+            async with asyncio.timeout(5):
+                await run._inject_faults()
+        finally:
+            await run.cluster.session.close()
+        assert [text.split(" ", 1)[1] for text in run.violations] == ["fault _kill has not ended"]
+
+    asyncio.run(main())
