Let a node be stopped while its planner ends

What callers saw: none; found by reading. Cause: the task that awaits the end of a cancelled planner took its own cancellation for that end, went on, and the stop of the node waited for it without a limit, to be ended by SIGKILL.

--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -1,7 +1,6 @@
 """One instance of the fleet without its transports: replicated state, entry service and planner."""
 
 import asyncio
-from contextlib import suppress
 
 import structlog
 from google.protobuf.message import DecodeError
@@ -419,8 +418,7 @@
         if planner is None or task is None:
             return
         task.cancel()
-        with suppress(asyncio.CancelledError):
-            await task
+        await asyncio.wait([task])
         self.planner = None
         self._planner_task = None
         self.jobs_follower.set_read_interval(STANDBY_READ_INTERVAL_MS)
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -12,6 +12,7 @@
 from builders import runner
 
 from carawayroute.clock import Clock
+from carawayroute.fleet.node import FleetNode
 from carawayroute.fleet.relay import PeerError
 from carawayroute.pacing import Pacer
 from carawayroute_schema import carawayroute_pb2 as pb
@@ -173,3 +174,42 @@
         assert calling.cancelled(), calling.exception()
 
     asyncio.run(main())
+
+
+class SlowToEnd:
+    """A planner that takes a while to end, with the state that its node discards then."""
+
+    term = 1
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            await asyncio.sleep(0.2)
+
+    def set_read_interval(self, interval_ms: float) -> None:
+        """Keep the interval."""
+
+    def reset(self) -> None:
+        """Discard nothing."""
+
+    async def reload(self) -> None:
+        """Load nothing."""
+
+
+def test_node_can_be_stopped_while_its_planner_ends():
+    """The task that awaited the planner's end took its own cancellation for that end."""
+
+    async def main():
+        node = FleetNode.__new__(FleetNode)
+        node.planner = node.jobs_follower = node.job_table = SlowToEnd()
+        node._planner_task = asyncio.create_task(node.planner.run())
+        await asyncio.sleep(0)
+        stopping = asyncio.create_task(node._stop_planner())
+        await asyncio.sleep(0.1)
+        stopping.cancel()
+        assert await ended(stopping)
+        assert stopping.cancelled()
+
+    asyncio.run(main())
