Listen for peers once the address is free

An instance whose address for peers is in use when it starts never answered its peers afterwards: relayed calls, lookups and reads that they send it time out, and a daemon of the older interface did not link to its peers either. Cause: the task of the links ended with the error of the first attempt, which nobody looked at while the instance served.

--- a/packages/daemon/carawayrouted/peers.py
+++ b/packages/daemon/carawayrouted/peers.py
@@ -11,7 +11,7 @@
 from carawayroute_schema import carawayroute_pb2 as pb
 from carawayrouted.logs import get_logger
 from carawayrouted.metrics import Metrics
-from carawayrouted.nng import cancellable
+from carawayrouted.nng import cancellable, listen
 from carawayrouted.settings import Settings
 
 SERVING_CONTEXTS = 8
@@ -36,8 +36,7 @@
 
     async def run(self) -> None:
         """Serve peers and maintain links to the listed ones until cancelled."""
-        address = f"tcp://{self._settings.host}:{self._settings.peer_port}"
-        self._server = pynng.Rep0(listen=address)
+        self._server = await listen(f"{self._settings.host}:{self._settings.peer_port}")
         for _ in range(SERVING_CONTEXTS):
             self._tasks.start(self._serve(self._server.new_context()), "serve peers")
         try:
--- a/packages/daemon/carawayrouted/relay_links.py
+++ b/packages/daemon/carawayrouted/relay_links.py
@@ -10,7 +10,7 @@
 
 from carawayroute.fleet.relay import PeerError
 from carawayroute.misc import TaskGroup
-from carawayrouted.nng import cancellable
+from carawayrouted.nng import cancellable, listen
 
 # Reads of peers wait for records; relayed calls must find a free context beside them.
 SERVING_CONTEXTS = 48
@@ -49,7 +49,7 @@
 
     async def run(self) -> None:
         """Answer peers until cancelled."""
-        self._server = pynng.Rep0(listen=f"tcp://{self._address}")
+        self._server = await listen(self._address)
         tasks = TaskGroup()
         try:
             await asyncio.gather(
--- a/tests/test_fleet_relay.py
+++ b/tests/test_fleet_relay.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+import pynng
 import pytest
+from test_cancellation import peer_links, relay_links
 
 from carawayroute.clock import ManualClock
 from carawayroute.fleet.exceptions import StoreRefusedError, StoreUnansweredError
@@ -94,3 +96,19 @@
         await asyncio.gather(serving, return_exceptions=True)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("make_links", (relay_links, peer_links))
+def test_links_serve_once_their_address_is_free(make_links):
+    """An instance that was started while its address was in use never answered its peers."""
+
+    async def main():
+        port = free_port_range()
+        with pynng.Rep0(listen=f"tcp://127.0.0.1:{port}"):
+            serving = asyncio.create_task(make_links(port).run())
+            await asyncio.sleep(0.1)
+        assert await relay_links(0).ask(f"127.0.0.1:{port}", b"", 3_000) == b""
+        serving.cancel()
+        await asyncio.wait([serving])
+
+    asyncio.run(main())
