--- a/tests/fleet_cluster.py
+++ b/tests/fleet_cluster.py
@@ -27,6 +27,7 @@
 
     :param folder: directory of the settings files and logs.
     :ivar use_relays: whether processes reach the store and runners through relays.
+    :ivar grace_s: time that the instances have to end after SIGTERM.
     """
 
     def __init__(self, folder) -> None:
@@ -43,13 +44,14 @@
         self.session = aiohttp.ClientSession()
         self.program = ("-m", "carawayrouted.platform")
         self.use_relays = False
+        self.grace_s = 6
         self.models_by_id: dict[str, TaskRunner] = {}
         self.runner_relays_by_id: dict[str, Relay] = {}
         self.store_relays_by_name: dict[str, Relay] = {}
 
     async def serve(self, app: web.Application) -> int:
         """Serve an application and return its port."""
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
         port = next(self._ports)
         await web.TCPSite(runner, HOST, port).start()
@@ -105,7 +107,7 @@
             "bounds": {
                 "hold_max_ms": 10_000,
                 "stop_timeout_ms": 200,
-                "grace_s": 6,
+                "grace_s": self.grace_s,
                 "status_s": 120,
             },
             "unknown_field": {"is": "ignored"},
