Give up the older interface's term when its planner fails

What callers saw: after one error in the planner of the older interface an accepted job stayed `open`: the entry kept the term, told its peers so and placed nothing until its restart. Cause: the error ended the planner's task alone. Change: the planner logs `planning_failed`, gives its term up, and after 1 s plans again in a new one, or another entry does; the state is rebuilt from the records and the workers' reports.

--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import structlog
+
 from carawayroute.clock import Clock
 from carawayroute.estimates import RunTimeEstimator
 from carawayroute.exceptions import LogError
@@ -21,6 +23,8 @@
 from carawayroute_schema import carawayroute_pb2 as pb
 
 TICK_MS = 200
+# Pause after an error, so that one that lasts does not claim a term with each tick.
+FAILURE_PAUSE_MS = 1_000
 # Interval for renewing worker leases and refreshing the set of usable workers.
 WORKER_SCAN_INTERVAL_MS = 400
 TERM_APPEND_TIMEOUT_MS = 3_000
@@ -32,6 +36,8 @@
 # Bounds one placement pass, so that a long queue does not delay lease renewals and reports.
 MAX_JOBS_PER_PASS = 500
 
+log = structlog.get_logger()
+
 
 class PlannerSettings:
     """Settings of a planner.
@@ -115,9 +121,17 @@
         return [pb.Term(region=self.region, number=self.token[0], holder=self.instance)]
 
     async def run(self) -> None:
-        """Run planning ticks until cancelled, early when the wake event is set."""
+        """Run planning ticks until cancelled, early when the wake event is set.
+
+        After an error the term is given up, and the next holder starts from the records.
+        """
         while True:
-            await self.tick()
+            try:
+                await self.tick()
+            except Exception:
+                log.exception("planning_failed", region=self.region, token=self.token)
+                self.step_down()
+                await self.clock.sleep_ms(FAILURE_PAUSE_MS)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.wake.wait(), TICK_MS / 1000)
             self.wake.clear()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -267,6 +267,33 @@
     asyncio.run(run())
 
 
+def test_accepted_job_runs_after_the_planner_failed() -> None:
+    """The entry kept the term after an error in its planner, and placed nothing any more."""
+
+    async def run() -> None:
+        world = await configured_world()
+        planner = world.nodes_by_id["a"].planner
+        place = planner._place_if_changed
+
+        def fail() -> None:
+            planner._place_if_changed = place
+            raise RuntimeError("placement failed")
+
+        async def scenario(session: aiohttp.ClientSession, url: str) -> None:
+            await world.run_for(5_000)
+            assert planner.is_active
+            planner._place_if_changed = fail
+            job = {**JOB, "payload": json.dumps({"run_ms": 100})}
+            async with session.post(f"{url}/jobs", json=job, headers=HEADERS) as response:
+                path = f"{url}/jobs/{(await response.json())['job']}?wait_ms=15000"
+            async with session.get(path, headers=HEADERS) as response:
+                assert (await response.json())["outcome"] == "done"
+
+        await serve_entry(world, scenario)
+
+    asyncio.run(run())
+
+
 class AbortedCall(Exception):
     """Raised by the context of a gRPC call that is aborted."""
 
