--- a/tests/soak.py
+++ b/tests/soak.py
@@ -337,11 +337,15 @@
     :param seconds: how long faults are injected.
     :param mutant: name of a mutant of soak_mutants, or empty for the unchanged program.
     """
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
     folder = OUTPUT_DIR / f"{mutant or 'seed'}-{seed}"
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
-    soak = asyncio.run(_run_seed(seed, seconds, instances, mutant, folder))
+    log_settings = structlog.get_config()
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+    try:
+        soak = asyncio.run(_run_seed(seed, seconds, instances, mutant, folder))
+    finally:
+        structlog.configure(**log_settings)
     if soak.violations:
         (folder / "found.txt").write_text("\n".join([*soak.violations, "", *soak.faults]))
     else:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 import soak
+import structlog
 
 pytestmark = pytest.mark.slow
 
@@ -119,3 +120,16 @@
         ]
 
     asyncio.run(main())
+
+
+def test_run_leaves_the_log_settings_as_they_were(monkeypatch, tmp_path):
+    """Tests of log lines that ran after a soak in the same process saw none."""
+
+    async def run_seed(seed, seconds, instances, mutant, folder):
+        return soak.SoakRun(seed, seconds, folder, instances)
+
+    monkeypatch.setattr(soak, "_run_seed", run_seed)
+    monkeypatch.setattr(soak, "OUTPUT_DIR", tmp_path)
+    before = dict(structlog.get_config())
+    soak.run_seed(1)
+    assert structlog.get_config() == before
