--- a/tests/soak_mutants.py
+++ b/tests/soak_mutants.py
@@ -3,7 +3,7 @@
 import asyncio
 import sys
 
-from carawayroute.fleet import entry, links, planner, writer
+from carawayroute.fleet import entry, links, planner, shared_reader, writer
 from carawayroute.fleet.exceptions import StoreUnansweredError
 from carawayrouted.platform import __main__ as program
 
@@ -61,6 +61,30 @@
     planner.Planner._apply_report = apply_report
 
 
+def absence_is_proof() -> None:
+    """Take a job that this instance does not know for one that does not exist."""
+
+    async def find(self, job_id, wait_ms):
+        job = self._job_table.jobs_by_id.get(job_id)
+        if job is None:
+            raise entry.NoSuchJobError(job_id)
+        return entry.JobStatus(job.reported_state, bool(job.stored_end))
+
+    entry.EntryService._find = find
+
+
+def pages_count_as_new() -> None:
+    """Serve peers pages whose end was told earlier as if the store had just told it."""
+    original = shared_reader.SharedReadServer.serve
+
+    async def serve(self, call):
+        answer = await original(self, call)
+        answer.age_ms = 0
+        return answer
+
+    shared_reader.SharedReadServer.serve = serve
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -69,6 +93,8 @@
         lost_answer_is_a_failure,
         jobs_are_forgotten,
         runs_count_as_gone,
+        absence_is_proof,
+        pages_count_as_new,
     )
 }
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,3 +16,8 @@
 
 def test_soak_detects_ends_acknowledged_before_they_are_stored():
     assert soak.run_seed(1, seconds=10.0, mutant="acknowledge_before_stored").violations
+
+
+def test_soak_detects_absence_taken_for_proof():
+    found = soak.run_seed(1, seconds=5.0, instances=6, far=3, mutant="absence_is_proof")
+    assert any("is unknown at instance" in text for text in found.violations)
