--- a/packages/standins/carawayroute_standins/fleet/http.py
+++ b/packages/standins/carawayroute_standins/fleet/http.py
@@ -90,7 +90,7 @@
             return web.Response(status=503)
         except StoreUnansweredError:
             return _abort_connection(request)
-        body = struct.pack(">QQ", found.end, 0)
+        body = struct.pack(">QQ", found.end, self._store.first_offset(query["topic"]))
         for record in found.records:
             key = record.key.encode()
             content = bytes([len(key)]) + key + record.value
--- a/packages/standins/carawayroute_standins/fleet/topics.py
+++ b/packages/standins/carawayroute_standins/fleet/topics.py
@@ -282,6 +282,10 @@
         await store.send(self._instance, size, sent_ms, NO_ANSWER_TIMEOUT_MS + wait_ms)
         return page
 
+    def first_offset(self, topic: str) -> int:
+        """Return the first offset of a topic that is retained."""
+        return self._store.topic(topic).first
+
     async def newest_page(self, topic: str, after_key: str = "") -> NewestPage:
         """Return a page of the newest record of each key, from the key after ``after_key`` on."""
         store = self._store
--- a/tests/test_fleet_standins.py
+++ b/tests/test_fleet_standins.py
@@ -1,9 +1,11 @@
 """Tests of the fleet's stand-ins: the store's pages, links with limited bandwidth, the judge."""
 
 import asyncio
+import struct
 
 import pytest
 from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
 from fleet_builders import journal_of_calls
 
 from carawayroute.clock import Clock
@@ -143,6 +145,33 @@
     asyncio.run(run())
 
 
+def test_read_over_http_begins_with_the_end_and_the_first_retained_offset():
+    async def run():
+        local = TopicStore(Clock())
+        local.put(TOPIC, "a", b"v")
+        local.compact(TOPIC)
+        local.put(TOPIC, "b", b"v")
+        async with TestClient(TestServer(StoreServer(local.client_for("any")).app())) as client:
+            read = {"topic": TOPIC, "part": 0, "from": 1}
+            answer = await (await client.get("/v1/log-read", params=read)).read()
+            assert struct.unpack_from(">QQ", answer) == (2, 1)
+            trimmed = await client.get("/v1/log-read", params={**read, "from": 0})
+            assert (trimmed.status, await trimmed.json()) == (410, {"first": 1})
+
+    asyncio.run(run())
+
+
+def test_instance_without_an_answer_leaves_the_others_served():
+    async def scenario(store):
+        store.put(TOPIC, "k", b"v")
+        store.unanswered_instances.add("n1")
+        with pytest.raises(StoreUnansweredError):
+            await store.client_for("n1").read(TOPIC, 0, 0)
+        assert (await store.client_for("n2").read(TOPIC, 0, 0)).end == 1
+
+    run_store(scenario)
+
+
 @pytest.mark.parametrize(
     "calls, count",
     [
