--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,11 @@
     assert soak.run_seed(1, seconds=10.0, mutant="acknowledge_before_stored").violations
 
 
+def test_soak_detects_absence_taken_for_proof():
+    found = soak.run_seed(1, seconds=5.0, instances=6, far=3, mutant="absence_is_proof")
+    assert any("is unknown at instance" in text for text in found.violations)
+
+
 async def never_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Read until the client gives up."""
     await reader.read()
@@ -125,7 +130,7 @@
 def test_run_leaves_the_log_settings_as_they_were(monkeypatch, tmp_path):
     """Tests of log lines that ran after a soak in the same process saw none."""
 
-    async def run_seed(seed, seconds, instances, mutant, folder):
+    async def run_seed(seed, seconds, instances, mutant, folder, far):
         return soak.SoakRun(seed, seconds, folder, instances)
 
     monkeypatch.setattr(soak, "_run_seed", run_seed)
