--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -12,9 +12,11 @@
 from carawayroute.fleet.ports import KeyedRecord
 from carawayroute.fleet.types import Capacity, Configuration, Queue, Runner, Team
 from carawayroute_schema import records_pb2 as pb
+from carawayroute_standins.fleet.judge import find_violations
 from carawayroute_standins.fleet.taskrunner import TaskSpec, make_runner
 from carawayroute_standins.fleet.world import FleetWorld
 from carawayroute_standins.journal import Journal, JournalEntry
+from carawayroute_standins.virtual import run_virtual
 from carawayrouted.platform.callers import CallerApp
 from carawayrouted.platform.configuration import decode_configuration
 from carawayrouted.platform.formats import StoreFormat
@@ -160,6 +162,21 @@
     return FleetWorld(StoreFormat(), runner_bytes, configuration_bytes(), **options)
 
 
+def run_scenario(scenario, **options):
+    """Run a scenario on a ready fleet and check the journal for violations."""
+
+    async def run():
+        fleet = world(**options)
+        try:
+            await fleet.wait_ready()
+            await scenario(fleet)
+        finally:
+            await fleet.close()
+        assert find_violations(fleet.journal) == []
+
+    run_virtual(run())
+
+
 def journal_of(*entries: tuple[str, str, int]) -> Journal:
     """Return a journal on one task.
 
--- a/tests/test_fleet_ends.py
+++ b/tests/test_fleet_ends.py
@@ -2,8 +2,7 @@
 
 import itertools
 
-from fleet_builders import NORMAL, OWNER, job, step
-from test_fleet_paths import run_scenario
+from fleet_builders import NORMAL, OWNER, job, run_scenario, step
 from test_fleet_world import end_task_while_planner_cannot_store
 
 from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, PROGRESS_KEY, JobTable
--- a/tests/test_fleet_lookup.py
+++ b/tests/test_fleet_lookup.py
@@ -3,15 +3,22 @@
 import asyncio
 
 import pytest
-from fleet_builders import NORMAL, OWNER, job, large_job, runner_speeds_bytes, step, world
+from fleet_builders import (
+    NORMAL,
+    OWNER,
+    job,
+    large_job,
+    run_scenario,
+    runner_speeds_bytes,
+    step,
+)
 
 from carawayroute.fleet.entry import NoSuchJobError, StateUnknownError
 from carawayroute.fleet.jobs import SPEEDS_KEY
 from carawayroute.fleet.node import JOBS_TOPIC
-from carawayroute_standins.fleet.judge import VISIBLE_MS, find_violations
+from carawayroute_standins.fleet.judge import VISIBLE_MS
 from carawayroute_standins.fleet.topics import READ_PAGE_KB
 from carawayroute_standins.fleet.world import CALLER_DEADLINE_MS, FleetWorld
-from carawayroute_standins.virtual import run_virtual
 
 ID = "00000000000000{:02x}"
 NEVER_ACCEPTED = ID.format(99)
@@ -22,21 +29,6 @@
 CONGESTED_BYTES_PER_MS = 60
 
 
-def run_scenario(scenario, **options):
-    """Run a scenario on a ready fleet and check the journal for violations."""
-
-    async def run():
-        fleet = world(**options)
-        try:
-            await fleet.wait_ready()
-            await scenario(fleet)
-        finally:
-            await fleet.close()
-        assert find_violations(fleet.journal) == []
-
-    run_virtual(run())
-
-
 def long_job(number: int = 1):
     """Return a job that runs for the whole test."""
     return job(ID.format(number), [step(estimate_ms=60_000)], run_ms=60_000)
--- a/tests/test_fleet_paths.py
+++ b/tests/test_fleet_paths.py
@@ -18,7 +18,7 @@
     job_history,
     job_table_of,
     newest_record,
-    world,
+    run_scenario,
 )
 from fleet_cluster import CALLER_HEADERS, FleetCluster, job_body
 from hypothesis import given
@@ -39,8 +39,7 @@
 from carawayroute.fleet.leadership import TERM_TIMEOUT_MS
 from carawayroute.fleet.node import JOBS_TOPIC, RETENTION_MARGIN_MS, STANDBY_READ_INTERVAL_MS
 from carawayroute.fleet.writer import LogWriter
-from carawayroute_standins.fleet.judge import find_violations, starts
-from carawayroute_standins.virtual import run_virtual
+from carawayroute_standins.fleet.judge import starts
 from carawayrouted.platform.http import HttpPool
 from carawayrouted.platform.settings import Address
 from carawayrouted.platform.store import HttpStore, _decode_records, _encode_record
@@ -51,21 +50,6 @@
 CONFIG_APPLY_MS = 2_500
 
 
-def run_scenario(scenario, **options):
-    """Run a scenario on a ready fleet and check the journal for violations."""
-
-    async def run():
-        fleet = world(**options)
-        try:
-            await fleet.wait_ready()
-            await scenario(fleet)
-        finally:
-            await fleet.close()
-        assert find_violations(fleet.journal) == []
-
-    run_virtual(run())
-
-
 def cut_off(fleet, name):
     """Cut an instance off from the store and from its peers."""
     fleet.store.refused_instances.add(name)
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -13,6 +13,7 @@
     configuration_bytes,
     job,
     journal_of,
+    run_scenario,
     step,
     world,
 )
@@ -45,21 +46,6 @@
 ID = "00000000000000{:02x}"
 
 
-def run_scenario(scenario, **options):
-    """Run a scenario on a ready fleet and check the journal for violations."""
-
-    async def run():
-        fleet = world(**options)
-        try:
-            await fleet.wait_ready()
-            await scenario(fleet)
-        finally:
-            await fleet.close()
-        assert find_violations(fleet.journal) == []
-
-    run_virtual(run())
-
-
 def test_job_runs_and_is_shown_by_every_instance():
     async def scenario(fleet):
         await fleet.submit(job(ID.format(1)), NORMAL, OWNER, at="n2")
