--- a/tests/soak.py
+++ b/tests/soak.py
@@ -63,7 +63,7 @@
     """
 
     def __init__(
-        self, seed: int, seconds: float, folder: pathlib.Path, instances: int, far: int
+        self, seed: int, seconds: float, folder: pathlib.Path, instances: int, far: int = 0
     ) -> None:
         self.rng = random.Random(seed)
         self.seconds = seconds
@@ -84,7 +84,7 @@
     async def run(self) -> list[str]:
         """Run the seed and return the violations, each with the second at which it was seen."""
         self.cluster.network.limit_region(FAR_REGION, LINK_BYTES_PER_MS)
-        await self.cluster.start(self.instances, runners=6, far=self.far)
+        await self.cluster.start(instances=self.instances, runners=6, far=self.far)
         self._started_s = time.monotonic()
         callers = [asyncio.create_task(self._run_caller()) for _ in range(4)]
         await self._inject_faults()
