--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from fleet_builders import configuration_bytes, runner_fields
 from prometheus_client import generate_latest
+from test_adapters import AppServer
 
 from carawayroute.fleet.exceptions import (
     FormatError,
@@ -269,19 +270,14 @@
     async def run():
         app = web.Application()
         app.router.add_get("/v1/log-newest", newest)
-        runner = web.AppRunner(app)
-        await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
-        port = site._server.sockets[0].getsockname()[1]
         pool = HttpPool()
         monkeypatch.setattr(store, "PAGE_READ_TIMEOUT_MS", 200)
         try:
-            found = await store.HttpStore(pool, f"127.0.0.1:{port}").newest("keyed.t")
+            async with AppServer(app) as site:
+                found = await store.HttpStore(pool, site.address).newest("keyed.t")
             assert [record.key for record in found.records] == ["k1", "k2", "k3"]
         finally:
             await pool.close()
-            await runner.cleanup()
 
     asyncio.run(run())
     assert asked == ["", "k2", "k2"]
@@ -306,31 +302,25 @@
     async def run():
         app = web.Application()
         app.router.add_get("/v1/log-read", read)
-        runner = web.AppRunner(app)
-        await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
-        port = site._server.sockets[0].getsockname()[1]
         pool = HttpPool()
-        client = store.HttpStore(pool, f"127.0.0.1:{port}")
         monkeypatch.setattr(store, "READ_TIMEOUT_MS", 200)
         try:
-            await client.read("keyed.t", 0, 0)
-            assert client.bytes_by_kind == {"read": len(page)}
-            assert not client.unanswered_by_kind
-            with pytest.raises(StoreUnansweredError):
+            async with AppServer(app) as site:
+                client = store.HttpStore(pool, site.address)
                 await client.read("keyed.t", 0, 0)
-            assert client.bytes_by_kind == {"read": len(page) + 50}
-            with pytest.raises(TimeoutError):
-                async with asyncio.timeout(0.1):
+                assert client.bytes_by_kind == {"read": len(page)}
+                assert not client.unanswered_by_kind
+                with pytest.raises(StoreUnansweredError):
                     await client.read("keyed.t", 0, 0)
-            assert client.bytes_by_kind == {"read": len(page) + 100}
-            await site.stop()
+                assert client.bytes_by_kind == {"read": len(page) + 50}
+                with pytest.raises(TimeoutError):
+                    async with asyncio.timeout(0.1):
+                        await client.read("keyed.t", 0, 0)
+                assert client.bytes_by_kind == {"read": len(page) + 100}
             with pytest.raises(StoreRefusedError):
                 await client.read("keyed.t", 0, 0)
         finally:
             await pool.close()
-            await runner.cleanup()
         causes = ("timed_out", "cancelled", "not_sent")
         assert client.unanswered_by_kind == {("read", cause): 1 for cause in causes}
 
--- a/tests/test_fleet_standins.py
+++ b/tests/test_fleet_standins.py
@@ -4,9 +4,9 @@
 import struct
 
 import pytest
-from aiohttp import web
 from aiohttp.test_utils import TestClient, TestServer
 from fleet_builders import journal_of_calls
+from test_adapters import AppServer
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.exceptions import StoreUnansweredError
@@ -126,21 +126,16 @@
         local = TopicStore(Clock())
         for number in range(600):
             local.put(TOPIC, f"k{number:03}", bytes(1_000))
-        runner = web.AppRunner(StoreServer(local.client_for("any")).app())
-        await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
         pool = HttpPool()
         try:
-            port = site._server.sockets[0].getsockname()[1]
-            client = HttpStore(pool, f"127.0.0.1:{port}")
-            page = await client.read(TOPIC, 0, 0)
-            assert (len(page.records), page.next_offset, page.end) == (97, 97, 600)
-            found = await client.newest(TOPIC)
-            assert [record.key for record in found.records] == [f"k{i:03}" for i in range(600)]
+            async with AppServer(StoreServer(local.client_for("any")).app()) as site:
+                client = HttpStore(pool, site.address)
+                page = await client.read(TOPIC, 0, 0)
+                assert (len(page.records), page.next_offset, page.end) == (97, 97, 600)
+                found = await client.newest(TOPIC)
+                assert [record.key for record in found.records] == [f"k{i:03}" for i in range(600)]
         finally:
             await pool.close()
-            await runner.cleanup()
 
     asyncio.run(run())
 
