--- a/packages/daemon/carawayrouted/peers.py
+++ b/packages/daemon/carawayrouted/peers.py
@@ -37,14 +37,17 @@
     async def run(self) -> None:
         """Serve peers and maintain links to the listed ones until cancelled."""
         self._server = await listen(f"{self._settings.host}:{self._settings.peer_port}")
-        for _ in range(SERVING_CONTEXTS):
-            self._tasks.start(self._serve(self._server.new_context()), "serve peers")
+        contexts = [self._server.new_context() for _ in range(SERVING_CONTEXTS)]
+        for context in contexts:
+            self._tasks.start(self._serve(context), "serve peers")
         try:
             while True:
                 self._update_links()
                 await self._clock.sleep_ms(self._settings.list_interval_ms)
         finally:
             await self._tasks.cancel()
+            for context in contexts:
+                context.close()
             self._server.close()
 
     def _update_links(self) -> None:
--- a/tests/test_fleet_relay.py
+++ b/tests/test_fleet_relay.py
@@ -100,10 +100,10 @@
 
 
 @pytest.mark.filterwarnings("error::pytest.PytestUnraisableExceptionWarning")
-def test_stopped_links_leave_no_context_without_its_socket():
+@pytest.mark.parametrize("make_links", (relay_links, peer_links))
+def test_stopped_links_leave_no_context_without_its_socket(make_links):
     async def run():
-        links = RelayLinks(f"127.0.0.1:{free_port_range()}", lambda message: None)
-        serving = asyncio.create_task(links.run())
+        serving = asyncio.create_task(make_links(free_port_range()).run())
         await asyncio.sleep(0.05)
         serving.cancel()
         await asyncio.gather(serving, return_exceptions=True)
