LOST: wait for the runs that were preempted, not for later runs of their tasks

Cause: the runs to wait for were looked up after the placement had been stored. By then the victim's task may have been placed again, under a new run number, and the gang waited for the end of that run. Change: the runs to wait for are those that are withdrawn, noted before anything is awaited. Why it works: a run number is never used again, so the noted keys leave the planner's runs for good.

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -967,14 +967,18 @@
             self._tasks.start(self._persist([job]), f"state the end of {job.id}")
 
     async def _start(self, placement: Placement, runs: list[Run]) -> None:
-        for victim in placement.victims:
-            for index in victim.indices:
-                stage = victim.stage
-                run = self.runs_by_key.get((stage.task(index), stage.runs[index]))
-                if run is not None and not run.withdrawn:
-                    self._withdraw(run, f"preempted by {placement.stage.job.id}")
+        # The victims' tasks may be placed again, with new run numbers, before the wait begins.
+        preempted = [
+            (victim.stage.task(index), victim.stage.runs[index])
+            for victim in placement.victims
+            for index in victim.indices
+        ]
+        for key in preempted:
+            run = self.runs_by_key.get(key)
+            if run is not None and not run.withdrawn:
+                self._withdraw(run, f"preempted by {placement.stage.job.id}")
         await self._persist([placement.stage.job])
-        if placement.victims and not await self._wait_preempted(placement):
+        if not await self._wait_ended(preempted):
             log.warning("preemption_timed_out", job=placement.stage.job.id)
             for run in runs:
                 if not run.withdrawn:
@@ -987,20 +991,16 @@
             # All instances report how many jobs wait for their first task.
             await self._persist([job])
 
-    async def _wait_preempted(self, placement: Placement) -> bool:
-        """Return whether the victims ended in time."""
+    async def _wait_ended(self, keys: list[RunKey]) -> bool:
+        """Return whether preempted runs ended in time."""
         until_ms = self._clock.now_ms() + PREEMPTION_TIMEOUT_MS
-        waiting = {
-            (victim.stage.task(index), victim.stage.runs[index])
-            for victim in placement.victims
-            for index in victim.indices
-        }
-        while self._clock.now_ms() < until_ms:
-            if not any(key in self.runs_by_key for key in waiting):
-                return True
+        while any(key in self.runs_by_key for key in keys):
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return False
             self._reported.clear()
-            await wait_event(self._reported, PREEMPTION_CHECK_INTERVAL_MS)
-        return False
+            await wait_event(self._reported, min(left_ms, PREEMPTION_CHECK_INTERVAL_MS))
+        return True
 
     async def _start_task(self, run: Run) -> None:
         """Send a start request until its outcome is certain, or withdraw the run."""
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -1324,3 +1324,32 @@
         assert starts(fleet.journal, ID.format(9)) == [ID.format(9) + ".0.0.0"]
 
     run_scenario(scenario)
+
+
+async def preempt_unsent_work(fleet):
+    """Let the second step of an urgent job preempt batch work whose placement is not stored yet."""
+    urgent = job(
+        ID.format(1),
+        [step(1, 1), step(3, 8, gang=True, depends_on=[0])],
+        URGENT,
+        run_ms=2_500,
+    )
+    await fleet.submit(urgent, URGENT, OWNER)
+    await fleet.clock.sleep_ms(200)
+    fleet.store.answer_ms = 1_500
+    await fleet.submit(job(ID.format(2), [step(8, 8)], BATCH, OTHER), BATCH, OTHER)
+    for job_id in (ID.format(1), ID.format(2)):
+        await fleet.wait_state(job_id, "completed", 15_000)
+
+
+def test_preemption_waits_for_the_preempted_runs_and_not_for_later_ones():
+    """A gang was withdrawn as its victim's task, placed again elsewhere, went on running."""
+
+    async def scenario(fleet):
+        with capture_logs() as logs:
+            await preempt_unsent_work(fleet)
+        events = [line["event"] for line in logs]
+        assert "run_withdrawn" in events
+        assert "preemption_timed_out" not in events
+
+    run_scenario(scenario)
