LOST: end runs that are withdrawn before their start was sent

Cause: a withdrawn run was always stopped at its runner, also if the planner knows that it was never sent there. Change: such a run ends at once (outcome 'not sent'). All members of a gang are marked before the first one ends, since an end withdraws the others; the loops that did the same five times are one method. Measured: test_run_that_is_preempted_before_its_start_was_sent_ends_without_its_runner failed before, passes now; test_large_gang_is_withdrawn_before_its_starts_were_sent guards the order of marking and ending. Why it works: a start request notes the run's number before it is sent, and is not sent for a run that is withdrawn; a planner that takes over counts every stored placement as sent.

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -594,10 +594,8 @@
         """Mark a task as done and withdraw its current run, if any."""
         stage.mark_done(index)
         members = range(stage.step.count) if stage.step.gang else (index,)
-        for member in members:
-            run = self.runs_by_key.get((stage.task(member), stage.runs[member]))
-            if run is not None and not run.withdrawn:
-                self._withdraw(run, "done elsewhere")
+        keys = [(stage.task(member), stage.runs[member]) for member in members]
+        self._withdraw_all(keys, "done elsewhere")
 
     def _count_failure(self, stage: Stage, index: int, run: int) -> int:
         """Count a failed run and return the failures so far; too many fail the job."""
@@ -661,25 +659,33 @@
     # ------------------------------------------------------------------ withdrawing
 
     def _withdraw_gang(self, stage: Stage, number: int, reason: str) -> None:
-        for index in stage.placed():
-            run = self.runs_by_key.get((stage.task(index), number))
-            if run is not None and not run.withdrawn:
-                self._withdraw(run, reason)
+        keys = [(stage.task(index), number) for index in stage.placed()]
+        self._withdraw_all(keys, reason)
 
     def _withdraw_job(self, job: Job) -> None:
         for stage in job.stages_by_key.values():
-            for index in stage.placed():
-                run = self.runs_by_key.get((stage.task(index), stage.runs[index]))
-                if run is not None and not run.withdrawn:
-                    self._withdraw(run, job.state)
-
-    def _withdraw(self, run: Run, reason: str) -> None:
-        """Stop a run, or prevent its start if that is still outstanding."""
-        run.withdrawn = reason
-        run.acknowledged_ms = None
-        task = run.stage.task(run.index)
-        log.info("run_withdrawn", task=task, run=run.number, runner=run.runner, reason=reason)
-        self._tasks.start(self._stop_until_ended(run), f"withdraw {task}")
+            keys = [(stage.task(index), stage.runs[index]) for index in stage.placed()]
+            self._withdraw_all(keys, job.state)
+
+    def _withdraw_all(self, keys: list[RunKey], reason: str) -> None:
+        """Stop those of the given runs that are not being stopped yet.
+
+        A run for which no start request has been sent ends at once.
+        """
+        found = [self.runs_by_key.get(key) for key in keys]
+        runs = [run for run in found if run is not None and not run.withdrawn]
+        # The end of a gang member withdraws the others, so all are marked before any one ends.
+        for run in runs:
+            run.withdrawn = reason
+            run.acknowledged_ms = None
+            task = run.stage.task(run.index)
+            log.info("run_withdrawn", task=task, run=run.number, runner=run.runner, reason=reason)
+        for run in runs:
+            task = run.stage.task(run.index)
+            if run.stage.ordered_runs[run.index] < run.number:
+                self._end_run((task, run.number), run, "not sent", run.checkpoint)
+            else:
+                self._tasks.start(self._stop_until_ended(run), f"withdraw {task}")
 
     async def _stop_until_ended(self, run: Run) -> None:
         key = (run.stage.task(run.index), run.number)
@@ -973,16 +979,12 @@
             for victim in placement.victims
             for index in victim.indices
         ]
-        for key in preempted:
-            run = self.runs_by_key.get(key)
-            if run is not None and not run.withdrawn:
-                self._withdraw(run, f"preempted by {placement.stage.job.id}")
+        self._withdraw_all(preempted, f"preempted by {placement.stage.job.id}")
         await self._persist([placement.stage.job])
         if not await self._wait_ended(preempted):
             log.warning("preemption_timed_out", job=placement.stage.job.id)
-            for run in runs:
-                if not run.withdrawn:
-                    self._withdraw(run, "preemption timed out")
+            keys = [(run.stage.task(run.index), run.number) for run in runs]
+            self._withdraw_all(keys, "preemption timed out")
             return
         job = placement.stage.job
         waited = not job.begun
@@ -1078,4 +1080,4 @@
         elif run.stage.step.gang:
             self._withdraw_gang(run.stage, run.number, f"start failed: {reason}")
         else:
-            self._withdraw(run, f"start failed: {reason}")
+            self._withdraw_all([key], f"start failed: {reason}")
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -1353,3 +1353,43 @@
         assert "preemption_timed_out" not in events
 
     run_scenario(scenario)
+
+
+def test_run_that_is_preempted_before_its_start_was_sent_ends_without_its_runner():
+    """Work waited for the stops of runs that no runner had been told to start."""
+
+    async def scenario(fleet):
+        stopped = set()
+        for runner in fleet.runners_by_id.values():
+            stop = runner.stop
+
+            async def record_stop(term, task, run, stop=stop):
+                stopped.add((task, run))
+                return await stop(term, task, run)
+
+            runner.stop = record_stop
+        await preempt_unsent_work(fleet)
+        started = {
+            (entry.fields["task"], entry.fields["run"])
+            for entry in fleet.journal.all("task_started")
+        }
+        assert stopped <= started
+
+    run_scenario(scenario)
+
+
+def test_large_gang_is_withdrawn_before_its_starts_were_sent():
+    """The end of each member withdraws all others, which must not nest."""
+
+    async def scenario(fleet):
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        large = job(ID.format(1), [step(400, 0, gang=True)], run_ms=300)
+        await fleet.submit(large, NORMAL, OWNER)
+        fleet.store.answer_ms = 1_500
+        await fleet.wait_until(lambda: len(planner.runs_by_key) == 400, 1_000, "placed")
+        (stage,) = planner.job_table.jobs_by_id[large.id].stages_by_key.values()
+        planner._withdraw_gang(stage, 1, "test")
+        assert planner.runs_by_key == {}
+        await fleet.wait_state(large.id, "completed", 9_000)
+
+    run_scenario(scenario)
