--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -1324,3 +1324,72 @@
         assert starts(fleet.journal, ID.format(9)) == [ID.format(9) + ".0.0.0"]
 
     run_scenario(scenario)
+
+
+async def preempt_unsent_work(fleet):
+    """Let the second step of an urgent job preempt batch work whose placement is not stored yet."""
+    urgent = job(
+        ID.format(1),
+        [step(1, 1), step(3, 8, gang=True, depends_on=[0])],
+        URGENT,
+        run_ms=2_500,
+    )
+    await fleet.submit(urgent, URGENT, OWNER)
+    await fleet.clock.sleep_ms(200)
+    fleet.store.answer_ms = 1_500
+    await fleet.submit(job(ID.format(2), [step(8, 8)], BATCH, OTHER), BATCH, OTHER)
+    for job_id in (ID.format(1), ID.format(2)):
+        await fleet.wait_state(job_id, "completed", 15_000)
+
+
+def test_preemption_waits_for_the_preempted_runs_and_not_for_later_ones():
+    """A gang was withdrawn as its victim's task, placed again elsewhere, went on running."""
+
+    async def scenario(fleet):
+        with capture_logs() as logs:
+            await preempt_unsent_work(fleet)
+        events = [line["event"] for line in logs]
+        assert "run_withdrawn" in events
+        assert "preemption_timed_out" not in events
+
+    run_scenario(scenario)
+
+
+def test_run_that_is_preempted_before_its_start_was_sent_ends_without_its_runner():
+    """Work waited for the stops of runs that no runner had been told to start."""
+
+    async def scenario(fleet):
+        stopped = set()
+        for runner in fleet.runners_by_id.values():
+            stop = runner.stop
+
+            async def record_stop(term, task, run, stop=stop):
+                stopped.add((task, run))
+                return await stop(term, task, run)
+
+            runner.stop = record_stop
+        await preempt_unsent_work(fleet)
+        started = {
+            (entry.fields["task"], entry.fields["run"])
+            for entry in fleet.journal.all("task_started")
+        }
+        assert stopped <= started
+
+    run_scenario(scenario)
+
+
+def test_large_gang_is_withdrawn_before_its_starts_were_sent():
+    """The end of each member withdraws all others, which must not nest."""
+
+    async def scenario(fleet):
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        large = job(ID.format(1), [step(400, 0, gang=True)], run_ms=300)
+        await fleet.submit(large, NORMAL, OWNER)
+        fleet.store.answer_ms = 1_500
+        await fleet.wait_until(lambda: len(planner.runs_by_key) == 400, 1_000, "placed")
+        (stage,) = planner.job_table.jobs_by_id[large.id].stages_by_key.values()
+        planner._withdraw_gang(stage, 1, "test")
+        assert planner.runs_by_key == {}
+        await fleet.wait_state(large.id, "completed", 9_000)
+
+    run_scenario(scenario)
