--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -120,6 +120,12 @@
             ("outcome", "evidence"),
             lambda: node.service.lookups_by_evidence,
         )
+        self.metrics.counts(
+            "old_states_told",
+            "States of open jobs that were told although they could not be refreshed.",
+            "age",
+            lambda: node.service.old_states_by_age,
+        )
         self.metrics.counts(
             "store_received_bytes",
             "Bytes received from the store, including those of incomplete answers.",
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -21,6 +21,7 @@
 from carawayroute.fleet.lookup import JobStatus, PeerLookup
 from carawayroute.fleet.ranking import LATE_FACTOR
 from carawayroute.fleet.relay import PeerError
+from carawayroute.fleet.told_states import age_class
 from carawayroute.fleet.types import Queue, Team
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import wait_event
@@ -98,6 +99,8 @@
     :param peer_lookup: finds jobs that this instance does not know.
     :ivar lookups_by_evidence: number of lookups of jobs that were not known at first, by outcome
         and evidence.
+    :ivar old_states_by_age: number of states of open jobs that were told although they could not
+        be refreshed, by the class of their age.
     """
 
     def __init__(
@@ -120,6 +123,7 @@
         self._on_stored = on_stored
         self._peer_lookup = peer_lookup
         self.lookups_by_evidence: Counter[tuple[str, str]] = Counter()
+        self.old_states_by_age: Counter[str] = Counter()
 
     async def submit(self, queue: Queue, team: Team | None, job: pb.Job, wait_ms: float) -> None:
         """Accept a job; submitting a known id again has no effect.
@@ -381,25 +385,42 @@
         if job is None:
             return (await self._find(job_id, wait_ms)).state
         state = job.reported_state
-        if not job.stored_end:
-            await self._refresh(job_id)
-            # The progress of jobs may have been discarded meanwhile, to be loaded again.
-            job = self._known_job(job_id)
-        return job.reported_state if job is not None else state
+        if job.stored_end:
+            return state
+        refreshed = await self._refresh()
+        # The progress of jobs may have been discarded meanwhile, to be loaded again.
+        job = self._known_job(job_id)
+        if job is not None:
+            state = job.reported_state
+        if not refreshed and (job is None or not job.stored_end):
+            self._note_old_state(job_id, state)
+        return state
 
-    async def _refresh(self, job_id: str) -> None:
-        """Read the latest records if the state is stale; keep the known state if that fails."""
+    async def _refresh(self) -> bool:
+        """Read the latest records if the state is stale, and return whether it is recent now."""
         age_ms = self._follower.lag_ms()
-        recent = age_ms < MAX_STATE_AGE_MS and not self._follower.behind_records
-        if recent or age_ms > STORE_UNRESPONSIVE_MS:
-            return
+        if age_ms < MAX_STATE_AGE_MS and not self._follower.behind_records:
+            return True
+        if age_ms > STORE_UNRESPONSIVE_MS:
+            return False
         try:
             async with asyncio.timeout(STATE_READ_TIMEOUT_MS / 1000):
                 await self._follower.read_to_end()
-        except (TimeoutError, StoreError) as error:
-            log.info(
-                "state_not_refreshed", job=job_id, state_age_ms=round(age_ms), error=str(error)
-            )
+        except (TimeoutError, StoreError):
+            return False
+        return True
+
+    def _note_old_state(self, job_id: str, state: str) -> None:
+        """Log and count that a state is told although it could not be refreshed."""
+        self.old_states_by_age[age_class(self._follower.lag_ms())] += 1
+        log.info(
+            "state_not_refreshed",
+            job=job_id,
+            state=state,
+            state_age_ms=self._follower.state_age_ms(),
+            offset=self._follower.offset,
+            end=self._follower.known_end,
+        )
 
     async def cancel(self, job_id: str, wait_ms: float) -> None:
         """Store the cancellation of a job; a job whose end is stored is left as it is.
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -191,6 +191,24 @@
     run_virtual(run())
 
 
+@pytest.mark.parametrize(("age_ms", "age"), [(500, "1_s"), (2_500, "3_s"), (40_000, "over_30_s")])
+def test_state_that_is_told_without_a_refresh_is_logged_with_its_age(age_ms, age):
+    async def run():
+        paged, follower, service = lookup_parts(8, 8)
+        await follower.reload()
+        await follower.read_to_end()
+        paged.failing = True
+        await asyncio.sleep(age_ms / 1_000)
+        with capture_logs() as lines:
+            assert await service.state(ID.format(1), 1_000) == "queued"
+        told = [line for line in lines if line["event"] == "state_not_refreshed"]
+        assert [(line["job"], line["state"]) for line in told] == [(ID.format(1), "queued")]
+        assert told[0]["state_age_ms"] >= age_ms
+        assert service.old_states_by_age == {age: 1}
+
+    run_virtual(run())
+
+
 @pytest.mark.parametrize("evidence", ["not_loaded", "read_failed", "behind"])
 def test_lookup_without_an_answer_logs_unknown(evidence):
     async def run():
