--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -126,6 +126,12 @@
             "age",
             lambda: node.service.old_states_by_age,
         )
+        self.metrics.counts(
+            "state_lookups",
+            "Lookups of open jobs whose known state was too old.",
+            "evidence",
+            lambda: node.service.state_lookups_by_evidence,
+        )
         self.metrics.counts(
             "store_received_bytes",
             "Bytes received from the store, including those of incomplete answers.",
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -1,6 +1,7 @@
 """Callers' operations on jobs: submit, read the state, cancel, and count pending jobs."""
 
 import asyncio
+import contextlib
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import TypeVar
@@ -21,7 +22,7 @@
 from carawayroute.fleet.lookup import JobStatus, PeerLookup
 from carawayroute.fleet.ranking import LATE_FACTOR
 from carawayroute.fleet.relay import PeerError
-from carawayroute.fleet.told_states import age_class
+from carawayroute.fleet.told_states import EndsToldByPeers, LookupPauses, age_class
 from carawayroute.fleet.types import Queue, Team
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import wait_event
@@ -43,8 +44,16 @@
 PEER_LOOKUP_DELAY_MS = 150
 # How long a job's rejection is delayed to find out whether an earlier attempt was accepted.
 MAX_REPEAT_CHECK_MS = 400
-# Requests do not refresh the state while the store has been unresponsive for longer than this.
+# An older state is not refreshed alone: it is looked up in the store and elsewhere at once.
 STORE_UNRESPONSIVE_MS = 1_500
+# The state of an open job that is older than this and cannot be refreshed is looked up elsewhere.
+MAX_TOLD_AGE_MS = 1_000
+# Time limit of that lookup; without a proof, the known state is told.
+MAX_STATE_LOOKUP_MS = 600
+# A job whose state nobody could tell is not looked up again for this time.
+STATE_LOOKUP_PAUSE_MS = 1_000
+# How long a peer's lookup waits for the store to refresh the state of an open job.
+PEER_REFRESH_MS = 300
 # The platform allows a count of pending jobs to be 2 s old.
 MAX_PENDING_AGE_MS = 2_000
 # Part of the caller's deadline that is reserved for sending the response.
@@ -101,6 +110,8 @@
         and evidence.
     :ivar old_states_by_age: number of states of open jobs that were told although they could not
         be refreshed, by the class of their age.
+    :ivar state_lookups_by_evidence: number of lookups of open jobs whose known state was too old,
+        by evidence; ``unknown`` if there was none.
     """
 
     def __init__(
@@ -124,6 +135,9 @@
         self._peer_lookup = peer_lookup
         self.lookups_by_evidence: Counter[tuple[str, str]] = Counter()
         self.old_states_by_age: Counter[str] = Counter()
+        self.state_lookups_by_evidence: Counter[str] = Counter()
+        self._told_ends = EndsToldByPeers()
+        self._lookup_pauses = LookupPauses(STATE_LOOKUP_PAUSE_MS)
 
     async def submit(self, queue: Queue, team: Team | None, job: pb.Job, wait_ms: float) -> None:
         """Accept a job; submitting a known id again has no effect.
@@ -241,6 +255,22 @@
             # A cancellation takes effect once it is read: the records before it may end the job.
             self._follower.note_end(offset_by_key[key] + 1)
 
+    def _known_status(self, job_id: str, asked_ms: float) -> JobStatus | None:
+        """Return a job's status if this instance can tell it.
+
+        :param asked_ms: clock time from which the age of the state counts.
+        """
+        read_as_of_ms = self._follower.current_as_of_ms
+        job = self._known_job(job_id)
+        told_end = self._told_ends.find(job_id, read_as_of_ms)
+        if told_end and not (job is not None and job.stored_end):
+            return JobStatus(told_end, True)
+        if job is None:
+            return None
+        if job.stored_end:
+            return JobStatus(job.stored_end, True)
+        return JobStatus(job.reported_state, False, max(0.0, asked_ms - read_as_of_ms))
+
     def _known_job(self, job_id: str) -> Job | None:
         """Return a job if this instance can tell its state."""
         job = self._job_table.jobs_by_id.get(job_id)
@@ -271,12 +301,47 @@
         :raises TimeoutError: the job is not known and the store was not read to its end in time.
         :raises StoreError: the job is not known and the store cannot be read.
         """
-        job = self._known_job(job_id)
-        if job is None:
+        asked_ms = self._clock.now_ms()
+        status = self._known_status(job_id, asked_ms)
+        if status is None:
             async with asyncio.timeout(wait_ms / 1000):
                 await self._read_state(lambda: self._known_job(job_id) is not None)
-            job = self._known_job(job_id)
-        return JobStatus(job.reported_state, bool(job.stored_end)) if job is not None else None
+            status = self._known_status(job_id, asked_ms)
+        return status
+
+    async def find_for_peer(self, job_id: str, wait_ms: float) -> JobStatus | None:
+        """Return a job's status for another instance, ``None`` if no such job has been accepted.
+
+        The state of an open job is read after the call if the store answers soon.
+
+        :raises TimeoutError: the job is not known and the store was not read to its end in time.
+        :raises StoreError: the job is not known and the store cannot be read.
+        """
+        asked_ms = self._clock.now_ms()
+        status = await self.find_in_store(job_id, wait_ms)
+        if status is None or status.age_ms == 0:
+            return status
+        left_ms = asked_ms + min(wait_ms, PEER_REFRESH_MS) - self._clock.now_ms()
+        with contextlib.suppress(TimeoutError, StoreError):
+            await self._read_status(job_id, max(0.0, left_ms))
+        return self._known_status(job_id, asked_ms) or status
+
+    async def _read_status(self, job_id: str, wait_ms: float) -> JobStatus | None:
+        """Return a job's status as of after this call, or a final one.
+
+        :return: ``None`` if no such job has been accepted.
+        :raises TimeoutError: the store was not read to its end in time.
+        :raises StoreError: the store cannot be read.
+        """
+        asked_ms = self._clock.now_ms()
+
+        def ended() -> bool:
+            status = self._known_status(job_id, asked_ms)
+            return status is not None and status.ended
+
+        async with asyncio.timeout(wait_ms / 1000):
+            await self._read_state(ended)
+        return self._known_status(job_id, asked_ms)
 
     async def _find(self, job_id: str, wait_ms: float) -> JobStatus:
         """Return the status of a job from this instance's state, the store, or another instance.
@@ -284,10 +349,10 @@
         :raises NoSuchJobError: no such job has been accepted.
         :raises StateUnknownError: neither the store nor another instance could tell in time.
         """
-        job = self._known_job(job_id)
-        if job is not None:
-            return JobStatus(job.reported_state, bool(job.stored_end))
         started_ms = self._clock.now_ms()
+        known = self._known_status(job_id, started_ms)
+        if known is not None:
+            return known
         status, evidence = await self._look_up(job_id, max(0.0, wait_ms - RESPONSE_MARGIN_MS))
         if not evidence:
             evidence = BEHIND if self._follower.behind_records else READ_FAILED
@@ -299,6 +364,8 @@
             self._note_lookup(job_id, ABSENT, evidence, started_ms)
             raise NoSuchJobError(job_id)
         self._note_lookup(job_id, FOUND, evidence, started_ms)
+        if evidence == PEER:
+            self._note_told_end(job_id, status)
         return status
 
     async def _look_up(self, job_id: str, wait_ms: float) -> tuple[JobStatus | None, str]:
@@ -381,34 +448,58 @@
         :raises NoSuchJobError: no such job has been accepted.
         :raises StateUnknownError: the state cannot be read now.
         """
-        job = self._known_job(job_id)
-        if job is None:
-            return (await self._find(job_id, wait_ms)).state
-        state = job.reported_state
-        if job.stored_end:
-            return state
-        refreshed = await self._refresh()
-        # The progress of jobs may have been discarded meanwhile, to be loaded again.
-        job = self._known_job(job_id)
-        if job is not None:
-            state = job.reported_state
-        if not refreshed and (job is None or not job.stored_end):
-            self._note_old_state(job_id, state)
-        return state
-
-    async def _refresh(self) -> bool:
-        """Read the latest records if the state is stale, and return whether it is recent now."""
-        age_ms = self._follower.lag_ms()
-        if age_ms < MAX_STATE_AGE_MS and not self._follower.behind_records:
-            return True
-        if age_ms > STORE_UNRESPONSIVE_MS:
-            return False
-        try:
-            async with asyncio.timeout(STATE_READ_TIMEOUT_MS / 1000):
-                await self._follower.read_to_end()
-        except (TimeoutError, StoreError):
-            return False
-        return True
+        asked_ms = self._clock.now_ms()
+        status = await self._find(job_id, wait_ms)
+        recent = self._follower.lag_ms() < MAX_STATE_AGE_MS and not self._follower.behind_records
+        if status.ended or status.age_ms == 0 or recent:
+            return status.state
+        if self._follower.lag_ms() <= STORE_UNRESPONSIVE_MS:
+            with contextlib.suppress(TimeoutError, StoreError):
+                await self._read_status(job_id, STATE_READ_TIMEOUT_MS)
+            status = self._known_status(job_id, asked_ms) or status
+        left_ms = asked_ms + wait_ms - self._clock.now_ms() - RESPONSE_MARGIN_MS
+        status = await self._renew_old(job_id, status, min(left_ms, MAX_STATE_LOOKUP_MS))
+        if not status.ended and status.age_ms > 0:
+            self._note_old_state(job_id, status.state)
+        return status.state
+
+    async def _renew_old(self, job_id: str, status: JobStatus, wait_ms: float) -> JobStatus:
+        """Look up the state of an open job in the store and at other instances if it is too old.
+
+        :param status: what is known; it is returned if it is not too old or nobody can tell more.
+        """
+        too_old = self._follower.lag_ms() > MAX_TOLD_AGE_MS
+        started_ms = self._clock.now_ms()
+        paused = self._lookup_pauses.includes(job_id, started_ms)
+        if status.ended or status.age_ms == 0 or not too_old or paused:
+            return status
+        wait_ms = max(0.0, wait_ms)
+        found, evidence = await self._first_proof(
+            self._read_status(job_id, wait_ms),
+            lambda: self._peer_lookup.find_state(job_id, wait_ms),
+            wait_ms,
+        )
+        if found is None:
+            evidence = UNKNOWN
+            self._lookup_pauses.begin(job_id, self._clock.now_ms())
+        elif evidence == PEER:
+            self._note_told_end(job_id, found)
+        self.state_lookups_by_evidence[evidence] += 1
+        log.info(
+            "state_lookup",
+            job=job_id,
+            evidence=evidence,
+            known=status.state,
+            found=found.state if found is not None else "",
+            state_age_ms=self._follower.state_age_ms(),
+            took_ms=round(self._clock.now_ms() - started_ms),
+        )
+        return found or self._known_status(job_id, started_ms) or status
+
+    def _note_told_end(self, job_id: str, status: JobStatus) -> None:
+        """Note a final state that a peer has told, so that no earlier one is told after it."""
+        if status.ended:
+            self._told_ends.note(job_id, status.state, self._clock.now_ms())
 
     def _note_old_state(self, job_id: str, state: str) -> None:
         """Log and count that a state is told although it could not be refreshed."""
--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -72,6 +72,11 @@
         """Return the time in ms since the topic was last read to its end, infinite if never."""
         return self._clock.now_ms() - self._current_as_of_ms
 
+    @property
+    def current_as_of_ms(self) -> float:
+        """Return the clock time as of which the topic was read to its end, -infinite if never."""
+        return self._current_as_of_ms
+
     @property
     def behind_records(self) -> int:
         """Return the number of records before the known end that have not been read."""
--- a/packages/library/carawayroute/fleet/lookup.py
+++ b/packages/library/carawayroute/fleet/lookup.py
@@ -1,6 +1,7 @@
 """Looks up jobs at other instances, for an instance whose own state is behind."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -20,6 +21,8 @@
 ROUND_INTERVAL_MS = 500
 # Part of a peer's timeout that is reserved for its answer.
 PEER_ANSWER_MARGIN_MS = 100
+# Longest age of a state in an answer; it stands for a state that was never complete.
+MAX_ANSWERED_AGE_MS = 1_000_000_000
 
 log = structlog.get_logger()
 
@@ -29,21 +32,25 @@
 
     :param state: the job's state as reported to callers.
     :param ended: whether the state is final.
+    :param age_ms: how long before the question the state was read, 0 if after it or final.
     """
 
-    __slots__ = ("ended", "state")
+    __slots__ = ("age_ms", "ended", "state")
 
-    def __init__(self, state: str, ended: bool) -> None:
+    def __init__(self, state: str, ended: bool, age_ms: float = 0.0) -> None:
         self.state = state
         self.ended = ended
+        self.age_ms = age_ms
 
 
 class LocalLookup(Protocol):
     """Answers from an instance's own state and the store, without asking other instances."""
 
-    async def find_in_store(self, job_id: str, wait_ms: float) -> JobStatus | None:
+    async def find_for_peer(self, job_id: str, wait_ms: float) -> JobStatus | None:
         """Return a job's status, ``None`` if no such job has been accepted.
 
+        The state is read after the call if it is not final and the store answers soon.
+
         :raises TimeoutError: it cannot be told in time.
         :raises StoreError: the store cannot be read.
         """
@@ -85,10 +92,17 @@
         :raises PeerError: no peer could tell.
         """
         call = pb.StoreCall(kind=pb.StoreCall.LOOK_UP_JOB, job_id=job_id)
-        answer = await self._first_proof(call, wait_ms)
-        if answer.outcome == pb.StoreAnswer.NO_SUCH_JOB:
-            return None
-        return JobStatus(answer.job_state, answer.job_ended)
+        return _decode_status(await self._first_proof(call, wait_ms))
+
+    async def find_state(self, job_id: str, wait_ms: float) -> JobStatus | None:
+        """Return a job's status as a peer read it after the call, or a final one.
+
+        :param wait_ms: time until the answer is needed.
+        :return: ``None`` if a peer has proved the job's absence.
+        :raises PeerError: no peer could tell.
+        """
+        call = pb.StoreCall(kind=pb.StoreCall.LOOK_UP_JOB, job_id=job_id)
+        return _decode_status(await self._first_proof(call, wait_ms, _is_current))
 
     async def count_pending(self, queue: str, wait_ms: float) -> int:
         """Return the number of a queue's pending jobs as a peer knows it.
@@ -109,7 +123,12 @@
         # Peers of one region may share the cause that keeps this instance behind.
         return first + interleave(far, near)
 
-    async def _first_proof(self, call: pb.StoreCall, wait_ms: float) -> pb.StoreAnswer:
+    async def _first_proof(
+        self,
+        call: pb.StoreCall,
+        wait_ms: float,
+        is_proof: Callable[[pb.StoreAnswer], bool] = lambda answer: True,
+    ) -> pb.StoreAnswer:
         """Ask a few peers at a time and return the first conclusive answer."""
         call.wait_ms = max(0, int(wait_ms - PEER_ANSWER_MARGIN_MS))
         candidates = self._candidates()[: MAX_ROUNDS * PEERS_PER_ROUND]
@@ -117,7 +136,7 @@
         try:
             while candidates or pending:
                 for address in candidates[:PEERS_PER_ROUND]:
-                    pending.add(asyncio.ensure_future(self._ask(address, call, wait_ms)))
+                    pending.add(asyncio.ensure_future(self._ask(address, call, wait_ms, is_proof)))
                 candidates = candidates[PEERS_PER_ROUND:]
                 done, pending = await asyncio.wait(
                     pending,
@@ -135,7 +154,13 @@
                 task.cancel()
         raise PeerError("no peer could tell")
 
-    async def _ask(self, address: str, call: pb.StoreCall, timeout_ms: float) -> pb.StoreAnswer:
+    async def _ask(
+        self,
+        address: str,
+        call: pb.StoreCall,
+        timeout_ms: float,
+        is_proof: Callable[[pb.StoreAnswer], bool],
+    ) -> pb.StoreAnswer:
         reply = await self._peers.ask(address, call.SerializeToString(), timeout_ms)
         try:
             answer = pb.StoreAnswer.FromString(reply)
@@ -143,20 +168,36 @@
             raise PeerError(f"{address}: {error}") from error
         found = answer.job_state or answer.HasField("pending")
         if answer.outcome == pb.StoreAnswer.DONE and found:
-            return answer
+            if is_proof(answer):
+                return answer
+            raise PeerError(f"{address}: its state is {answer.age_ms} ms old")
         if answer.outcome == pb.StoreAnswer.NO_SUCH_JOB:
             return answer
         raise PeerError(f"{address}: {answer.reason or 'cannot tell'}")
 
 
+def _is_current(answer: pb.StoreAnswer) -> bool:
+    return answer.job_ended or answer.age_ms == 0
+
+
+def _decode_status(answer: pb.StoreAnswer) -> JobStatus | None:
+    if answer.outcome == pb.StoreAnswer.NO_SUCH_JOB:
+        return None
+    return JobStatus(answer.job_state, answer.job_ended, answer.age_ms)
+
+
 async def serve_lookup(call: pb.StoreCall, local: LocalLookup) -> pb.StoreAnswer:
     """Return the answer to a peer's lookup."""
     try:
         if call.kind == pb.StoreCall.COUNT_PENDING:
             return pb.StoreAnswer(pending=await local.pending_in_store(call.queue, call.wait_ms))
-        status = await local.find_in_store(call.job_id, call.wait_ms)
+        status = await local.find_for_peer(call.job_id, call.wait_ms)
     except (StoreError, TimeoutError) as error:
         return pb.StoreAnswer(outcome=pb.StoreAnswer.UNANSWERED, reason=type(error).__name__)
     if status is None:
         return pb.StoreAnswer(outcome=pb.StoreAnswer.NO_SUCH_JOB)
-    return pb.StoreAnswer(job_state=status.state, job_ended=status.ended)
+    return pb.StoreAnswer(
+        job_state=status.state,
+        job_ended=status.ended,
+        age_ms=math.ceil(min(status.age_ms, MAX_ANSWERED_AGE_MS)),
+    )
--- a/packages/library/carawayroute/fleet/told_states.py
+++ b/packages/library/carawayroute/fleet/told_states.py
@@ -1,4 +1,4 @@
-"""What callers were told of jobs whose state could not be read at that time."""
+"""What callers are told of jobs whose state this instance cannot read."""
 
 # Upper limits in ms of the age classes by which such answers are counted.
 AGE_CLASSES_MS = (1_000, 3_000, 10_000, 30_000)
@@ -10,3 +10,59 @@
         if age_ms <= limit_ms:
             return f"{limit_ms // 1_000}_s"
     return f"over_{AGE_CLASSES_MS[-1] // 1_000}_s"
+
+
+class EndsToldByPeers:
+    """Ends of jobs that peers have told, until this instance has read them itself."""
+
+    __slots__ = ("_ends_by_id",)
+
+    def __init__(self) -> None:
+        self._ends_by_id: dict[str, tuple[str, float]] = {}
+
+    def note(self, job_id: str, state: str, told_ms: float) -> None:
+        """Note a job's final state.
+
+        :param told_ms: clock time at which it was told.
+        """
+        self._ends_by_id.pop(job_id, None)
+        self._ends_by_id[job_id] = (state, told_ms)
+
+    def find(self, job_id: str, read_as_of_ms: float) -> str:
+        """Return a job's final state, empty if none was told after a time.
+
+        :param read_as_of_ms: clock time as of which this instance has read all records.
+        """
+        while self._ends_by_id:
+            oldest = next(iter(self._ends_by_id))
+            if self._ends_by_id[oldest][1] >= read_as_of_ms:
+                break
+            del self._ends_by_id[oldest]
+        return self._ends_by_id.get(job_id, ("", 0.0))[0]
+
+
+class LookupPauses:
+    """Jobs whose state nobody could tell a moment ago.
+
+    :param pause_ms: time in which such a job is not looked up again.
+    """
+
+    __slots__ = ("_pause_ms", "_until_ms_by_id")
+
+    def __init__(self, pause_ms: float) -> None:
+        self._pause_ms = pause_ms
+        self._until_ms_by_id: dict[str, float] = {}
+
+    def begin(self, job_id: str, now_ms: float) -> None:
+        """Note that nobody could tell a job's state."""
+        self._until_ms_by_id.pop(job_id, None)
+        self._until_ms_by_id[job_id] = now_ms + self._pause_ms
+
+    def includes(self, job_id: str, now_ms: float) -> bool:
+        """Return whether a job is not to be looked up now."""
+        while self._until_ms_by_id:
+            oldest = next(iter(self._until_ms_by_id))
+            if self._until_ms_by_id[oldest] > now_ms:
+                break
+            del self._until_ms_by_id[oldest]
+        return job_id in self._until_ms_by_id
--- /dev/null
+++ b/tests/test_fleet_states.py
@@ -0,0 +1,164 @@
+"""Tests of the state of known jobs at an instance that cannot read the store, in virtual time."""
+
+import functools
+
+from fleet_builders import NORMAL, OWNER, job, run_scenario, step
+from test_fleet_lookup import (
+    CONGESTED_BYTES_PER_MS,
+    FAR,
+    append_pages,
+    call_within_deadline,
+    is_behind,
+)
+
+from carawayroute_schema import records_pb2 as pb
+from carawayroute_standins.fleet.judge import VISIBLE_MS
+from carawayroute_standins.fleet.world import FleetWorld
+
+ID = "00000000000000{:02x}"
+RUN_MS = 2_000
+# An instance that nobody can tell more answers within this time.
+MOST_ANSWER_MS = 1_300
+
+
+async def know_job(fleet: FleetWorld, name: str, run_ms: int = RUN_MS) -> None:
+    """Accept a job and wait until an instance knows it as running."""
+    await fleet.submit(
+        job(ID.format(1), [step(estimate_ms=run_ms)], run_ms=run_ms), NORMAL, OWNER, at="n1"
+    )
+    table = fleet.nodes_by_name[name].job_table
+    await fleet.wait_until(
+        lambda: ID.format(1) in table.jobs_by_id and table.jobs_by_id[ID.format(1)].started,
+        1_000,
+        f"{name} knows the job as running",
+    )
+
+
+def congest(fleet: FleetWorld) -> None:
+    """Leave the far region's link too little bandwidth for a page of the jobs topic."""
+    fleet.network.limit_region("north", CONGESTED_BYTES_PER_MS)
+    append_pages(fleet, 12)
+
+
+async def end_while_congested(fleet: FleetWorld) -> None:
+    """Let a job end that n3 knows as running while n3 cannot read that, and ask n1 for its end."""
+    await know_job(fleet, "n3")
+    congest(fleet)
+    await fleet.wait_state(ID.format(1), "completed", RUN_MS + 1_000)
+    await fleet.clock.sleep_ms(VISIBLE_MS)
+    assert is_behind(fleet, "n3")
+    assert not fleet.nodes_by_name["n3"].job_table.jobs_by_id[ID.format(1)].stored_end
+
+
+def test_ended_job_is_not_told_as_running_by_an_instance_behind_a_congested_link():
+    """It told `running` seconds after another instance had told `completed`."""
+
+    async def scenario(fleet):
+        await end_while_congested(fleet)
+        assert await call_within_deadline(fleet, fleet.state(ID.format(1), at="n3")) == "completed"
+
+    run_scenario(scenario, region_by_instance=FAR)
+
+
+def test_started_job_is_not_told_as_queued_by_an_instance_that_cannot_read():
+    async def scenario(fleet):
+        fleet.nodes_by_name["n3"].jobs_follower.set_read_interval(3_000)
+        await fleet.clock.sleep_ms(500)
+        for runner in fleet.runners_by_id.values():
+            runner.mode = "refusing"
+        await fleet.submit(job(ID.format(1), run_ms=20_000), NORMAL, OWNER, at="n3")
+        congest(fleet)
+        for runner in fleet.runners_by_id.values():
+            runner.mode = "up"
+        await fleet.wait_state(ID.format(1), "running", 5_000)
+        await fleet.clock.sleep_ms(VISIBLE_MS)
+        assert is_behind(fleet, "n3")
+        assert await call_within_deadline(fleet, fleet.state(ID.format(1), at="n3")) == "running"
+
+    run_scenario(scenario, region_by_instance=FAR)
+
+
+def test_end_that_an_instance_told_from_a_peer_does_not_turn_back():
+    async def scenario(fleet):
+        await end_while_congested(fleet)
+        assert await fleet.state(ID.format(1), at="n3") == "completed"
+        fleet.unreachable_peers.add("n3")
+        assert is_behind(fleet, "n3")
+        assert await call_within_deadline(fleet, fleet.state(ID.format(1), at="n3")) == "completed"
+
+    run_scenario(scenario, region_by_instance=FAR)
+
+
+def test_state_that_nobody_can_refresh_is_told_as_it_is_known():
+    async def scenario(fleet):
+        await know_job(fleet, "n3", run_ms=20_000)
+        fleet.store.mode = "silent"
+        await fleet.clock.sleep_ms(VISIBLE_MS)
+        for name, node in fleet.nodes_by_name.items():
+            started_ms = fleet.clock.now_ms()
+            assert await fleet.state(ID.format(1), at=name) == "running"
+            assert fleet.clock.now_ms() - started_ms <= MOST_ANSWER_MS
+            assert sum(node.service.old_states_by_age.values()) == 1
+        fleet.store.mode = "up"
+
+    run_scenario(scenario, region_by_instance=FAR)
+
+
+def test_old_state_of_a_peer_is_no_proof():
+    """The peer that answers first cannot read the store either; another one can."""
+
+    async def scenario(fleet):
+        await know_job(fleet, "n3")
+        await know_job(fleet, "n4")
+        congest(fleet)
+        await fleet.wait_state(ID.format(1), "completed", RUN_MS + 1_000)
+        await fleet.clock.sleep_ms(VISIBLE_MS)
+        assert is_behind(fleet, "n3") and is_behind(fleet, "n4")
+        fleet.nodes_by_name["n3"].service._peer_lookup._candidates = lambda: ["n4", "n1"]
+        assert await call_within_deadline(fleet, fleet.state(ID.format(1), at="n3")) == "completed"
+
+    run_scenario(scenario, instances=4, region_by_instance={"n3": "north", "n4": "north"})
+
+
+def test_old_state_of_a_peer_is_not_told_by_an_instance_that_does_not_know_the_job():
+    async def scenario(fleet):
+        await know_job(fleet, "n4")
+        congest(fleet)
+        await fleet.wait_state(ID.format(1), "completed", RUN_MS + 1_000)
+        await fleet.clock.sleep_ms(VISIBLE_MS)
+        node = fleet.nodes_by_name["n3"]
+        node.job_table.forget(ID.format(1))
+        asked = iter((["n4"], ["n4", "n2"]))
+        node.service._peer_lookup._candidates = lambda: next(asked)
+        assert await call_within_deadline(fleet, fleet.state(ID.format(1), at="n3")) == "completed"
+
+    run_scenario(scenario, instances=4, region_by_instance={"n3": "north", "n4": "north"})
+
+
+def test_states_on_a_calm_day_are_asked_of_no_peer():
+    async def scenario(fleet):
+        await know_job(fleet, "n3", run_ms=60_000)
+        lookups = []
+
+        async def serve_and_note(node, message):
+            lookups.append(pb.StoreCall.FromString(message).kind == pb.StoreCall.LOOK_UP_JOB)
+            return await type(node).serve_peer(node, message)
+
+        for node in fleet.nodes_by_name.values():
+            node.serve_peer = functools.partial(serve_and_note, node)
+        reads_by_round = []
+        for asked in ([], list(fleet.nodes_by_name)):
+            reads_before = fleet.store.reads
+            for _ in range(20):
+                for name in asked:
+                    assert await fleet.state(ID.format(1), at=name) == "running"
+                await fleet.clock.sleep_ms(500)
+            reads_by_round.append(fleet.store.reads - reads_before)
+        # The instance that is asked, or the one that reads for it, and one read in progress there.
+        assert reads_by_round[1] - reads_by_round[0] <= 2 * 20 * len(fleet.nodes_by_name)
+        assert not any(lookups)
+        for node in fleet.nodes_by_name.values():
+            assert not node.service.state_lookups_by_evidence
+            assert not node.service.old_states_by_age
+
+    run_scenario(scenario, region_by_instance=FAR)
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -134,6 +134,8 @@
     async def find_job(self, job_id, wait_ms):
         raise PeerError("no peer could tell")
 
+    find_state = find_job
+
 
 def lookup_parts(count, page_size):
     """Return a paged store, a follower that has not read any of its records, and a service."""
