Tell a job whose progress is being loaded again if nobody else can tell it (LOST)

What callers saw: 503 for jobs that the instance knew, from the end of its term until it had loaded the newest records again.

Cause: an instance that stops planning discards the progress of all jobs and loads them again; cut off from the store, it has no state meanwhile, and its lookups waited until the caller's deadline for the store and peers.

Test: test_job_is_told_by_a_planner_that_was_cut_off_and_discarded_its_progress fails on (StateUnknownError) and passes.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import TypeVar
@@ -353,7 +354,14 @@
         known = self._known_status(job_id, started_ms)
         if known is not None:
             return known
-        status, evidence = await self._look_up(job_id, max(0.0, wait_ms - RESPONSE_MARGIN_MS))
+        wait_ms -= RESPONSE_MARGIN_MS
+        if job_id in self._job_table.jobs_by_id:
+            # Its state has been discarded, to be loaded again.
+            wait_ms = min(wait_ms, MAX_STATE_LOOKUP_MS)
+        status, evidence = await self._look_up(job_id, max(0.0, wait_ms))
+        job = self._job_table.jobs_by_id.get(job_id)
+        if not evidence and job is not None:
+            status, evidence = JobStatus(job.last_reported_state, False, math.inf), NOT_LOADED
         if not evidence:
             evidence = BEHIND if self._follower.behind_records else READ_FAILED
             if not self._follower.loaded.is_set():
--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -194,6 +194,7 @@
     :ivar end_stored: the store has a progress record with an end of the job.
     :ivar ended_ms: time at which the job ended, by the instance's own clock.
     :ivar stored_end: final state according to the records in the store, or an empty string.
+    :ivar was_started: a task had started when the progress was last discarded.
     """
 
     __slots__ = (
@@ -210,6 +211,7 @@
         "record",
         "stages_by_key",
         "stored_end",
+        "was_started",
     )
 
     def __init__(self, record: pb.Job) -> None:
@@ -225,6 +227,7 @@
         self.end_stored = False
         self.end_stated = False
         self.stored_end = ""
+        self.was_started = False
         self.stages_by_key: dict[tuple[int, int], Stage] = {}
 
     def stage(self, occurrence: int, step: int) -> Stage:
@@ -299,6 +302,11 @@
         # An end that is not stored is unknown to the next planner, which may run the task again.
         return self.stored_end or (RUNNING if self.started else QUEUED)
 
+    @property
+    def last_reported_state(self) -> str:
+        """Return the state as reported before the progress was discarded, or since."""
+        return self.stored_end or (RUNNING if self.started or self.was_started else QUEUED)
+
     @property
     def needs_stated_end(self) -> bool:
         """Return whether the newest records leave open which end was stored first."""
@@ -489,6 +497,7 @@
             key: offset for key, offset in self._offset_by_key.items() if key.startswith(JOB_KEY)
         }
         for job in self.jobs_by_id.values():
+            job.was_started = job.was_started or job.started
             job.stages_by_key.clear()
             job.abandoned.clear()
             job.begun = False
--- a/tests/test_fleet_states.py
+++ b/tests/test_fleet_states.py
@@ -162,3 +162,24 @@
             assert not node.service.old_states_by_age
 
     run_scenario(scenario, region_by_instance=FAR)
+
+
+def test_job_is_told_by_a_planner_that_was_cut_off_and_discarded_its_progress():
+    """It answered that nobody could tell, for a job that it knew as running."""
+
+    async def scenario(fleet):
+        planner = fleet.planner_name()
+        await know_job(fleet, planner, run_ms=20_000)
+        node = fleet.nodes_by_name[planner]
+        fleet.store.refused_instances.add(planner)
+        fleet.unreachable_peers.add(planner)
+        await fleet.wait_until(
+            lambda: node.planner is None and not node.jobs_follower.loaded.is_set(),
+            10_000,
+            "the planner's term is lost",
+        )
+        started_ms = fleet.clock.now_ms()
+        assert await fleet.state(ID.format(1), at=planner) == "running"
+        assert fleet.clock.now_ms() - started_ms <= MOST_ANSWER_MS
+
+    run_scenario(scenario)
