--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -53,6 +53,8 @@
 MAX_STATE_LOOKUP_MS = 600
 # A job whose state nobody could tell is not looked up again for this time.
 STATE_LOOKUP_PAUSE_MS = 1_000
+# Time limit of the lookup before a cancellation is stored.
+MAX_CANCEL_CHECK_MS = 400
 # How long a peer's lookup waits for the store to refresh the state of an open job.
 PEER_REFRESH_MS = 300
 # The platform allows a count of pending jobs to be 2 s old.
@@ -139,6 +141,8 @@
         self.state_lookups_by_evidence: Counter[str] = Counter()
         self._told_ends = EndsToldByPeers()
         self._lookup_pauses = LookupPauses(STATE_LOOKUP_PAUSE_MS)
+        # Offsets after the cancellations that this instance has stored and not read yet.
+        self._cancel_end_by_job: dict[str, int] = {}
 
     async def submit(self, queue: Queue, team: Team | None, job: pb.Job, wait_ms: float) -> None:
         """Accept a job; submitting a known id again has no effect.
@@ -255,6 +259,16 @@
         else:
             # A cancellation takes effect once it is read: the records before it may end the job.
             self._follower.note_end(offset_by_key[key] + 1)
+            self._note_cancel(job_id, offset_by_key[key] + 1)
+
+    def _note_cancel(self, job_id: str, end: int) -> None:
+        """Note that the state of a job is old until the topic has been read up to an offset."""
+        self._cancel_end_by_job = {
+            one: unread
+            for one, unread in self._cancel_end_by_job.items()
+            if unread > self._follower.offset
+        }
+        self._cancel_end_by_job[job_id] = end
 
     def _known_status(self, job_id: str, asked_ms: float) -> JobStatus | None:
         """Return a job's status if this instance can tell it.
@@ -476,7 +490,8 @@
 
         :param status: what is known; it is returned if it is not too old or nobody can tell more.
         """
-        too_old = self._follower.lag_ms() > MAX_TOLD_AGE_MS
+        unread_cancel = self._cancel_end_by_job.get(job_id, 0) > self._follower.offset
+        too_old = unread_cancel or self._follower.lag_ms() > MAX_TOLD_AGE_MS
         started_ms = self._clock.now_ms()
         paused = self._lookup_pauses.includes(job_id, started_ms)
         if status.ended or status.age_ms == 0 or not too_old or paused:
@@ -532,6 +547,8 @@
         """
         until_ms = self._clock.now_ms() + wait_ms
         status = await self._find(job_id, wait_ms)
+        check_ms = min(MAX_CANCEL_CHECK_MS, wait_ms - RESPONSE_MARGIN_MS)
+        status = await self._renew_old(job_id, status, check_ms)
         if status.ended:
             return
         left_ms = until_ms - self._clock.now_ms()
--- a/tests/test_fleet_states.py
+++ b/tests/test_fleet_states.py
@@ -11,6 +11,8 @@
     is_behind,
 )
 
+from carawayroute.fleet.jobs import CANCEL_KEY
+from carawayroute.fleet.node import JOBS_TOPIC
 from carawayroute_schema import records_pb2 as pb
 from carawayroute_standins.fleet.judge import VISIBLE_MS
 from carawayroute_standins.fleet.world import FleetWorld
@@ -135,6 +137,30 @@
     run_scenario(scenario, instances=4, region_by_instance={"n3": "north", "n4": "north"})
 
 
+def test_cancellation_of_a_job_that_has_ended_elsewhere_is_not_stored():
+    """The record contradicted the stored end for an instance that loaded the two."""
+
+    async def scenario(fleet):
+        await end_while_congested(fleet)
+        await call_within_deadline(fleet, fleet.cancel(ID.format(1), at="n3"))
+        assert CANCEL_KEY + ID.format(1) not in fleet.store.topic(JOBS_TOPIC).newest_by_key
+
+    run_scenario(scenario, region_by_instance=FAR)
+
+
+def test_cancelled_job_is_not_told_as_running_by_the_instance_that_cancelled_it():
+    """It told `running` after its answer to the DELETE, until it had read its own record."""
+
+    async def scenario(fleet):
+        await know_job(fleet, "n3", run_ms=20_000)
+        congest(fleet)
+        await fleet.cancel(ID.format(1), at="n3")
+        assert is_behind(fleet, "n3")
+        assert await call_within_deadline(fleet, fleet.state(ID.format(1), at="n3")) == "cancelled"
+
+    run_scenario(scenario, region_by_instance=FAR)
+
+
 def test_states_on_a_calm_day_are_asked_of_no_peer():
     async def scenario(fleet):
         await know_job(fleet, "n3", run_ms=60_000)
