--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -200,7 +200,7 @@
         self.offset = found.next_offset
         self.known_end = max(self.known_end, found.end)
         self._last_complete_read = max(self._last_complete_read, number)
-        self._current_as_of_ms = sent_ms
+        self._current_as_of_ms = sent_ms - found.age_ms
         self.loaded.set()
         self.changed.set()
         log.info("topic_loaded", topic=self.topic, keys=len(found.records), offset=self.offset)
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -16,6 +16,7 @@
 from carawayroute.fleet.planner import Planner, PlannerSettings
 from carawayroute.fleet.ports import KeyedRecord, PlatformFormat, RunnerClient, Store
 from carawayroute.fleet.relay import Peers, RelayedStore
+from carawayroute.fleet.shared_load import SharedLoad
 from carawayroute.fleet.shared_reader import ReaderChoice, SharedReader, SharedReadServer
 from carawayroute.fleet.types import Configuration
 from carawayroute.fleet.writer import LogWriter
@@ -24,6 +25,8 @@
 
 JOBS_TOPIC = "keyed.jobs"
 MEMBER_KEY = "m/"
+# The members again, in a topic that is small enough to be read before the jobs are loaded.
+MEMBERS_TOPIC = "keyed.members"
 ANNOUNCE_RETRY_MS = 1_000
 # Minimum time between two reads of the jobs topic by an instance that is not the planner. Every
 # read is charged for, and a caller's request for a job's state triggers its own read.
@@ -163,13 +166,24 @@
             cores=settings.cores,
             link_mbps=settings.link_mbps,
         )
+        choice = ReaderChoice(self._own_member, clock)
+        self.shared_load = SharedLoad(
+            self.store,
+            peers,
+            clock,
+            choice,
+            lambda: self.planner is not None,
+            self.leadership.planner_address,
+            lambda: self.draining,
+        )
         self.shared_reader = SharedReader(
             self.store,
             peers,
             clock,
-            ReaderChoice(self._own_member, clock),
+            choice,
             lambda: self.planner is not None,
             self.leadership.planner_address,
+            self.shared_load.newest,
         )
         self.jobs_follower = TopicFollower(
             self.shared_reader,
@@ -209,6 +223,7 @@
             (self.leadership.follower.run(), "follow terms"),
             (self.leadership.run(), "leadership"),
             (self.writer.run(), "writer"),
+            (self._find_members(), "members"),
             (self._announce(), "announce"),
             (self._plan_while_leading(), "planner"),
         ):
@@ -259,6 +274,8 @@
             return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
         if call.kind in (pb.StoreCall.LOOK_UP_JOB, pb.StoreCall.COUNT_PENDING):
             answer = await serve_lookup(call, self.service)
+        elif call.kind == pb.StoreCall.SHARED_NEWEST:
+            answer = await self.shared_load.serve(call)
         elif call.kind == pb.StoreCall.SHARED_READ:
             answer = await self.read_server.serve(call)
         else:
@@ -315,6 +332,21 @@
             if member.region == self.settings.region:
                 self.store.same_region_addresses.add(member.address)
 
+    async def _find_members(self) -> None:
+        """Publish this instance's address and learn those of others before the jobs are loaded."""
+        own = self._own_member
+        try:
+            await self.store.append(MEMBERS_TOPIC, [(own.instance, own.SerializeToString())])
+            found = await self.store.newest(MEMBERS_TOPIC)
+        except StoreError as error:
+            log.warning("members_unknown", error=str(error))
+        else:
+            for record in found.records:
+                self._apply_member(
+                    KeyedRecord(record.offset, MEMBER_KEY + record.key, record.value)
+                )
+        self.shared_load.members_known.set()
+
     async def _announce(self) -> None:
         """Publish this instance's address, retrying until it is stored."""
         member = self._own_member
--- a/packages/library/carawayroute/fleet/shared_reader.py
+++ b/packages/library/carawayroute/fleet/shared_reader.py
@@ -8,7 +8,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 
 import structlog
 from google.protobuf.message import DecodeError
@@ -100,15 +100,21 @@
         return self.next_offset >= 0 and offset >= self.first
 
     def records_from(self, offset: int, max_bytes: int = PAGE_BYTES) -> Iterator[KeyedRecord]:
-        """Yield records from an offset on, up to a total size but at least one."""
-        size = 0
-        while offset < self.next_offset:
-            record = self._records_by_offset[offset]
-            size += _size_of(record)
-            if size > max_bytes and size > _size_of(record):
-                return
-            yield record
-            offset += 1
+        """Return records from an offset on, up to a total size but at least one."""
+        offsets = range(offset, self.next_offset)
+        return take_records((self._records_by_offset[one] for one in offsets), max_bytes)
+
+
+def take_records(
+    records: Iterable[KeyedRecord], max_bytes: int = PAGE_BYTES
+) -> Iterator[KeyedRecord]:
+    """Yield records up to a total size but at least one."""
+    size = 0
+    for record in records:
+        size += _size_of(record)
+        if size > max_bytes and size > _size_of(record):
+            return
+        yield record
 
 
 def _size_of(record: KeyedRecord) -> int:
@@ -195,6 +201,7 @@
     :param choice: selects the reader.
     :param plans: returns whether this instance is the planner, which always reads from the store.
     :param planner_address: returns the address of the planner, empty if unknown.
+    :param load: returns the newest records of a topic, by default from the store.
     :ivar cache: records read from the store while this instance is the reader.
     :ivar end: highest end that the store has told this instance while it is the reader.
     :ivar end_asked_ms: clock time at which the latest answered read was sent to the store.
@@ -211,8 +218,10 @@
         choice: ReaderChoice,
         plans: Callable[[], bool],
         planner_address: Callable[[], str],
+        load: Callable[[str], Awaitable[RecordPage]] | None = None,
     ) -> None:
         self._store = store
+        self._load = load or store.newest
         self._peers = peers
         self._clock = clock
         self.choice = choice
@@ -230,8 +239,8 @@
         self.fallbacks_by_reason: Counter[str] = Counter()
 
     async def newest(self, topic: str) -> RecordPage:
-        """Return the newest record of each key, from the store."""
-        return await self._store.newest(topic)
+        """Return the newest record of each key."""
+        return await self._load(topic)
 
     async def read(self, topic: str, offset: int, wait_ms: int) -> RecordPage:
         """Return records from an offset on.
