--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -72,6 +72,11 @@
         """Return the time in ms since the topic was last read to its end, infinite if never."""
         return self._clock.now_ms() - self._current_as_of_ms
 
+    @property
+    def current_as_of_ms(self) -> float:
+        """Return the clock time as of which the topic was read to its end, -infinite if never."""
+        return self._current_as_of_ms
+
     @property
     def behind_records(self) -> int:
         """Return the number of records before the known end that have not been read."""
@@ -195,7 +200,7 @@
         self.offset = found.next_offset
         self.known_end = max(self.known_end, found.end)
         self._last_complete_read = max(self._last_complete_read, number)
-        self._current_as_of_ms = sent_ms
+        self._current_as_of_ms = sent_ms - found.age_ms
         self.loaded.set()
         self.changed.set()
         log.info("topic_loaded", topic=self.topic, keys=len(found.records), offset=self.offset)
