Refuse odd runner entries: nesting, numbers, addresses out of range

What callers saw: nothing here yet. Other operators report machines that end or stop following the list of runners after another writer left one odd entry in it.

Cause: the entry was decoded field by field. Deep nesting raised RecursionError, which no caller catches; ports from 0 to 40 digits, capacities of 10^400, a negative gpu and hosts with a path counted as usable.

Change: one module, platform/decoding.py, checks all data from outside. It turns JSON into typed fields in a range, and every failure is a FormatError with a short text.

Why it works: a value reaches the planner only through a getter that checks its type and range.

--- a/packages/daemon/carawayrouted/platform/runners.py
+++ b/packages/daemon/carawayrouted/platform/runners.py
@@ -10,6 +10,13 @@
 )
 from carawayroute.fleet.types import Capacity, EndedTask, Runner, RunnerReport, RunningTask
 from carawayrouted.platform import wire_names
+from carawayrouted.platform.decoding import (
+    MAX_TIME_MS,
+    check_header_safe,
+    check_text,
+    check_unicast,
+    decode_object,
+)
 from carawayrouted.platform.http import HttpPool, NotListeningError, RequestNotSentError
 
 # A runner accepts 64 connections and keeps an abandoned one for another 4 s. With this pool size
@@ -20,38 +27,46 @@
 ORDER_TIMEOUT_MS = 800
 POLL_TIMEOUT_MS = 800
 RACK_LABEL_SEPARATOR = "-"
+DRAINING = "draining"
+STATES = ("ready", DRAINING)
+# Far above those of any machine; the sums over all runners fit the fields of records.
+MAX_CPU_MILLIS = 10_000_000
+MAX_MEMORY_MB = 1_000_000_000
+MAX_ACCELERATORS = 10_000
+# Runners have two.
+MAX_LABELS = 64
 
 
 def decode_runner(runner_id: str, value: bytes) -> Runner:
     """Decode a runner from its store entry.
 
-    :raises FormatError: the entry is malformed, or another program wrote it.
+    :raises FormatError: the entry is malformed, has a value out of range, or another program wrote
+        it.
     """
-    try:
-        fields = json.loads(value)
-        capacity = fields["capacity"]
-        labels = [label for label in fields["labels"] if isinstance(label, str)]
-        if fields["state"] not in ("ready", "draining"):
-            raise FormatError(f"unknown state {fields['state']!r}")
-        address = fields["address"]
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit():
-            raise FormatError(f"address {address!r} is not host:port")
-        return Runner(
-            runner_id,
-            _text(fields["service"]),
-            address,
-            _text(fields["zone"]),
-            Capacity(
-                _integer(capacity["cpu"]), _integer(capacity["mem_mb"]), _integer(capacity["gpu"])
-            ),
-            frozenset(labels),
-            _rack(labels),
-            fields["state"] == "draining",
-            _integer(fields.get("born", 0)),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise FormatError(f"{type(error).__name__}: {error}") from error
+    check_header_safe(runner_id, "the runner's id")
+    fields = decode_object(value)
+    state = fields.text("state")
+    if state not in STATES:
+        raise FormatError("state is not one of " + ", ".join(STATES))
+    host, port = fields.address("address")
+    check_unicast(host, "address")
+    capacity = fields.object("capacity")
+    labels = [check_text(label, "a label") for label in fields.items("labels", most=MAX_LABELS)]
+    return Runner(
+        runner_id,
+        fields.text("service", least_bytes=1),
+        f"{host}:{port}",
+        fields.text("zone"),
+        Capacity(
+            capacity.whole("cpu", 0, MAX_CPU_MILLIS),
+            capacity.whole("mem_mb", 0, MAX_MEMORY_MB),
+            capacity.whole("gpu", 0, MAX_ACCELERATORS),
+        ),
+        frozenset(labels),
+        _rack(labels),
+        state == DRAINING,
+        fields.whole("born", 0, MAX_TIME_MS, default=0),
+    )
 
 
 def _rack(labels: list[str]) -> str:
@@ -59,12 +74,6 @@
     return next((label for label in labels if RACK_LABEL_SEPARATOR in label), "")
 
 
-def _text(value: object) -> str:
-    if not isinstance(value, str):
-        raise ValueError(f"{value!r} is not text")
-    return value
-
-
 def _integer(value: object) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise ValueError(f"{value!r} is not a whole number")
