Go on following a topic after a record that cannot be handled (LOST)

With one record that its handler fails on, a follower stopped in front of it at each read, or at each load, and its task ended: the list of runners, the jobs or the terms stood still until the process ended (other operators saw LOST).

Cause: an exception of the handler left the loop over the records, before the offset was moved on; run() caught the store's errors only.

Change: the follower logs the failing record with its key and exception (record_not_handled, once for each record, up to 200), counts it and passes on the next ones, in loads and reads alike. An unexpected exception of the reader or of the callback after a load is logged once an episode (topic_read_failed), counted and retried.

Why it works: the offset moves past each record whatever its handler does, and nothing but a cancellation ends run().

--- a/packages/library/carawayroute/fleet/follower.py
+++ b/packages/library/carawayroute/fleet/follower.py
@@ -18,6 +18,8 @@
 MAX_RETRY_MS = 300
 # A follower that has not reached the end of the topic for longer than this logs that it is behind.
 BEHIND_LOG_MS = 1_000
+# Records that could not be handled are remembered, so that each is logged once, up to this number.
+MAX_REMEMBERED_FAILURES = 200
 # Longest age that is logged; it stands for a topic that was never read to its end.
 MAX_LOGGED_AGE_MS = 1_000_000_000
 
@@ -27,6 +29,8 @@
 class TopicFollower:
     """Load the newest record of each key of a topic, then read the records that follow.
 
+    A record that ``apply`` fails on is logged and counted, and the follower goes on with the next.
+
     :param apply: called with each record.
     :param on_reloaded: called after a load with all existing keys and the offset as of which they
         are complete, so that keys that were removed in the meantime can be dropped.
@@ -36,6 +40,8 @@
     :ivar loaded: set while the topic has been loaded.
     :ivar changed: set after each load and read.
     :ivar recovered_ms: clock time at which reads last succeeded again after failing.
+    :ivar unhandled_records: number of records that ``apply`` failed on.
+    :ivar unexpected_errors: number of loads and reads that failed otherwise than by the store.
     """
 
     def __init__(
@@ -67,6 +73,9 @@
         self._read_requested = asyncio.Event()
         self._shared_read: asyncio.Task | None = None
         self._shared_load: asyncio.Task | None = None
+        self._failed_offset_by_key: dict[str, int] = {}
+        self.unhandled_records = 0
+        self.unexpected_errors = 0
 
     def lag_ms(self) -> float:
         """Return the time in ms since the topic was last read to its end, infinite if never."""
@@ -105,6 +114,14 @@
                 self._log_if_behind()
                 await self._clock.sleep_ms(backoff.next_ms())
                 continue
+            except Exception as error:
+                # Without its follower an instance would go on serving a state that stands still.
+                if not failing:
+                    log.error("topic_read_failed", topic=self.topic, exc_info=error)
+                failing = True
+                self.unexpected_errors += 1
+                await self._clock.sleep_ms(backoff.next_ms())
+                continue
             if failing:
                 log.info("store_read_recovered", topic=self.topic, offset=self.offset)
                 self.recovered_ms = self._clock.now_ms()
@@ -189,7 +206,7 @@
         number = self._reads_sent
         found = await self._store.newest(self.topic)
         for record in found.records:
-            self._apply(record)
+            self._handle(record)
         if self._on_reloaded is not None:
             self._on_reloaded({record.key for record in found.records}, found.next_offset)
         self.offset = found.next_offset
@@ -220,7 +237,7 @@
         found = await self._store.read(self.topic, self.offset, wait_ms)
         for record in found.records:
             if record.offset >= self.offset:
-                self._apply(record)
+                self._handle(record)
         self.offset = max(self.offset, found.next_offset)
         self.known_end = max(self.known_end, found.end)
         if self.offset >= found.end:
@@ -229,6 +246,29 @@
         self.changed.set()
         self._log_if_behind()
 
+    def _handle(self, record: KeyedRecord) -> None:
+        """Pass a record to the handler; its failure must not keep the next records from it."""
+        try:
+            self._apply(record)
+        except Exception as error:
+            self._note_failure(record, error)
+
+    def _note_failure(self, record: KeyedRecord, error: Exception) -> None:
+        """Count a record that cannot be handled, and log it once although each load repeats it."""
+        if self._failed_offset_by_key.get(record.key) == record.offset:
+            return
+        self.unhandled_records += 1
+        if len(self._failed_offset_by_key) >= MAX_REMEMBERED_FAILURES:
+            return
+        self._failed_offset_by_key[record.key] = record.offset
+        log.error(
+            "record_not_handled",
+            topic=self.topic,
+            key=record.key,
+            offset=record.offset,
+            exc_info=error,
+        )
+
     def _log_if_behind(self) -> None:
         """Log once that the end has not been reached for long, and once that it has been."""
         now_ms = self._clock.now_ms()
