Give no new work to a runner whose entry is odd, and log it once

What callers saw: nothing. When another writer replaced the entry of a runner in use by an odd one, the runner went on getting work by its older entry; each odd entry logged a line with each read.

Cause: the entry was logged and skipped. PROTOCOL.md says of such an entry that it names no runner to use, and that the others hold.

Change: RunnerList (fleet/runner_list.py) keeps why an entry is not usable. The runner's link is suspended: it is polled and keeps its lease and its tasks, as another writer's bytes must not end them, but it is no candidate for new tasks until a usable entry follows (the runner writes one with each heartbeat). One line is logged when an entry becomes unusable or is so for another reason, and one when it is usable again; the gauge runner_entries_unusable counts them. A planner that loads the list anew with an odd newest entry does not know the runner's address. It waits for the next entry as for any runner that is not listed.

Why it works: candidates for placements and for preemption are links whose `usable` is true; polls, leases and ends do not depend on it.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -81,6 +81,11 @@
         gauge("reads_served", "Reads answered for peers.", lambda: node.read_server.served)
         gauge("reads_by_peers", "Reads answered by peers.", lambda: node.shared_reader.peer_reads)
         gauge("runner_looks", "Looks at runners.", lambda: self.runners_client.polls)
+        gauge(
+            "runner_entries_unusable",
+            "Entries in the list of runners that cannot be used, at the planner.",
+            node.unusable_runner_entries,
+        )
         gauge("jobs_open", "Jobs that have not ended.", lambda: len(node.job_table.open_by_id))
         gauge("jobs_lag_ms", "Age of the state of jobs.", node.jobs_follower.lag_ms)
         gauge(
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -51,6 +51,7 @@
     :ivar report_gap_ms: time between the last two reports, -1 before the second one.
     :ivar unmatched_ends: numbers of unacknowledged ends that matched no run known to the planner.
     :ivar listed: whether the platform's list of runners names this runner.
+    :ivar suspended: whether the runner gets no new tasks, as its entry in the list is not usable.
     :ivar withheld: numbers of ends that must never be acknowledged to this process of the runner.
     """
 
@@ -92,12 +93,15 @@
         self._clock_fell_back_ms: float | None = None
         self.ends_stored = asyncio.Event()
         self.listed = True
+        self.suspended = False
         self.withheld: set[int] = set()
 
     @property
     def usable(self) -> bool:
         """Return whether the runner is listed, answers polls and may get new tasks."""
-        if not self.reachable or self.last_report_ms is None or not self.listed:
+        if not self.reachable or self.last_report_ms is None:
+            return False
+        if not self.listed or self.suspended:
             return False
         return self._clock.now_ms() - self.last_report_ms < MAX_REPORT_AGE_MS
 
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -16,6 +16,7 @@
 from carawayroute.fleet.planner import Planner, PlannerSettings
 from carawayroute.fleet.ports import KeyedRecord, PlatformFormat, RunnerClient, Store
 from carawayroute.fleet.relay import Peers, RelayedStore
+from carawayroute.fleet.runner_list import RunnerList
 from carawayroute.fleet.shared_reader import ReaderChoice, SharedReader, SharedReadServer
 from carawayroute.fleet.types import Configuration
 from carawayroute.fleet.writer import LogWriter
@@ -143,6 +144,7 @@
         self.configuration: Configuration | None = None
         self._tasks = TaskGroup()
         self.planner: Planner | None = None
+        self.runner_list: RunnerList | None = None
         self._planner_task: asyncio.Task | None = None
         self._address_by_member: dict[str, str] = {}
         self.draining = False
@@ -247,6 +249,12 @@
         """Return the term in which this instance is the planner, 0 if it is not."""
         return self.planner.term if self.planner else 0
 
+    def unusable_runner_entries(self) -> int:
+        """Return the number of entries in the list of runners that the planner cannot use."""
+        if self.planner is None or self.runner_list is None:
+            return 0
+        return len(self.runner_list.error_by_runner)
+
     async def serve_peer(self, message: bytes) -> bytes:
         """Return the answer to a message of a peer.
 
@@ -361,21 +369,13 @@
     # ------------------------------------------------------------------ planner
 
     def _make_runners_follower(self, planner: Planner) -> TopicFollower:
-        def apply(record: KeyedRecord) -> None:
-            if not record.value:
-                planner.remove_runner(record.key)
-                return
-            try:
-                planner.set_runner(self._formats.decode_runner(record.key, record.value))
-            except FormatError as error:
-                log.warning("runner_entry_unusable", runner=record.key, error=str(error))
-
+        self.runner_list = RunnerList(planner, self._formats)
         return TopicFollower(
             self.store,
             self.clock,
             self._formats.runners_topic,
-            apply,
-            lambda listed, end: planner.remove_unlisted(listed),
+            self.runner_list.apply,
+            self.runner_list.keep_listed,
             read_interval_ms=RUNNERS_READ_INTERVAL_MS,
         )
 
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -332,6 +332,7 @@
             was_draining = link.runner.draining
             link.runner = runner
             link.listed = True
+            link.suspended = False
             if runner.draining and not was_draining:
                 log.info("runner_draining", runner=runner.id)
             return
@@ -356,6 +357,12 @@
         self._link_tasks[runner.id] = self._tasks.start(link.run(), f"runner {runner.id}")
         log.info("runner_listed", runner=runner.id, address=runner.address, rack=runner.rack)
 
+    def suspend_runner(self, runner_id: str) -> None:
+        """Give a runner no new tasks until it is set again; it keeps those that it runs."""
+        link = self.links_by_id.get(runner_id)
+        if link is not None:
+            link.suspended = True
+
     def remove_runner(self, runner_id: str) -> None:
         """Mark a runner as no longer listed; its tasks may run on until its lease expires."""
         link = self.links_by_id.get(runner_id)
