Check the answers of runners; a malformed one counts as unanswered

What callers saw: nothing here yet; found by the search for the same cause as in the entries.

Cause: hold's rows were taken as they came: a boot time that is text raised TypeError in the link, which then polled its runner no more; run numbers above 32 bits failed when the progress was encoded. Nested JSON, and JSON that is no object, left start and stop as RecursionError and AttributeError and ended the task that had sent the order. Bodies were read to their end.

Change: decode_report, decode_clock and decode_refusal check types and ranges with platform/decoding.py; what cannot be read is RunnerUnansweredError, also a refusal without a reason (before, "None" counted as one). Progress is limited to 0 to 100. HttpPool stops reading after 4 MB.

Why it works: HttpRunners raises RunnerError only, which all its callers handle.

--- a/packages/daemon/carawayrouted/platform/http.py
+++ b/packages/daemon/carawayrouted/platform/http.py
@@ -11,6 +11,8 @@
 # Connecting to another region takes about 20 ms, or several hundred ms over a saturated link.
 CONNECT_TIMEOUT_MS = 500
 KEEPALIVE_S = 30.0
+# Above all that the platform sends: a page of the newest records has 1 MB, encoded in base64.
+MAX_ANSWER_BYTES = 4_000_000
 
 
 class Reply:
@@ -65,7 +67,8 @@
             also if the body is incomplete; not called if no answer began.
         :raises NotListeningError: the connection was refused; nothing was sent.
         :raises RequestNotSentError: connecting failed otherwise; nothing was sent.
-        :raises TimeoutError: no complete answer came in time, or the connection broke.
+        :raises TimeoutError: no complete answer came in time, the connection broke, or the answer
+            has more than ``MAX_ANSWER_BYTES``.
         """
         # Its limit for the whole call would drop a cancellation that arrives as it expires.
         timeout = aiohttp.ClientTimeout(
@@ -81,7 +84,7 @@
                 ) as response,
             ):
                 try:
-                    return Reply(response.status, await response.read())
+                    return Reply(response.status, await _read_limited(response))
                 finally:
                     if on_received is not None:
                         on_received(response.content.total_bytes)
@@ -98,3 +101,16 @@
         """Close all connections."""
         await self._session.close()
         await asyncio.sleep(0)
+
+
+async def _read_limited(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of an answer.
+
+    :raises TimeoutError: it has more than ``MAX_ANSWER_BYTES``.
+    """
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body.extend(chunk)
+        if len(body) > MAX_ANSWER_BYTES:
+            raise TimeoutError(f"the answer has more than {MAX_ANSWER_BYTES} bytes")
+    return bytes(body)
--- a/packages/daemon/carawayrouted/platform/runners.py
+++ b/packages/daemon/carawayrouted/platform/runners.py
@@ -1,6 +1,8 @@
 """Runners on the platform: decoding of their store entries and a client of their HTTP API."""
 
 import json
+from collections.abc import Callable
+from typing import TypeVar
 
 from carawayroute.fleet.exceptions import (
     FormatError,
@@ -12,9 +14,14 @@
 from carawayrouted.platform import wire_names
 from carawayrouted.platform.decoding import (
     MAX_TIME_MS,
+    MAX_UINT32,
+    Fields,
     check_header_safe,
+    check_list,
+    check_number,
     check_text,
     check_unicast,
+    check_whole,
     decode_object,
 )
 from carawayrouted.platform.http import HttpPool, NotListeningError, RequestNotSentError
@@ -35,6 +42,10 @@
 MAX_ACCELERATORS = 10_000
 # Runners have two.
 MAX_LABELS = 64
+MAX_CHECKPOINT_BYTES = 16_384
+MAX_END_NUMBER = 2**53
+
+Decoded = TypeVar("Decoded")
 
 
 def decode_runner(runner_id: str, value: bytes) -> Runner:
@@ -74,10 +85,64 @@
     return next((label for label in labels if RACK_LABEL_SEPARATOR in label), "")
 
 
-def _integer(value: object) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"{value!r} is not a whole number")
-    return value
+def decode_report(body: bytes) -> RunnerReport:
+    """Decode a runner's answer to a status poll.
+
+    :raises FormatError: it is malformed or has a value out of range.
+    """
+    fields = decode_object(body)
+    return RunnerReport(
+        _clock_ms(fields),
+        fields.whole("born", 0, MAX_TIME_MS, default=0),
+        [_running_task(row) for row in fields.items("running")],
+        [_ended_task(row) for row in fields.items("finished")],
+    )
+
+
+def _running_task(row: object) -> RunningTask:
+    task, run, checkpoint, percent = check_list(row, "a running task", least=4)[:4]
+    return RunningTask(
+        check_text(task, "task"),
+        check_whole(run, "run", 0, MAX_UINT32),
+        check_text(checkpoint, "checkpoint", MAX_CHECKPOINT_BYTES),
+        _percent(percent),
+    )
+
+
+def _ended_task(row: object) -> EndedTask:
+    number, task, run, outcome, checkpoint = check_list(row, "an ended task", least=5)[:5]
+    return EndedTask(
+        check_whole(number, "number", 0, MAX_END_NUMBER),
+        check_text(task, "task"),
+        check_whole(run, "run", 0, MAX_UINT32),
+        check_text(outcome, "outcome"),
+        check_text(checkpoint, "checkpoint", MAX_CHECKPOINT_BYTES),
+    )
+
+
+def _percent(value: object) -> int:
+    percent = check_number(value, "percent", -MAX_UINT32, MAX_UINT32)
+    return round(min(100.0, max(0.0, percent)))
+
+
+def decode_clock(body: bytes) -> int:
+    """Decode the runner's clock in ms from its answer to an order.
+
+    :raises FormatError: the answer is malformed, or the clock is missing or out of range.
+    """
+    return _clock_ms(decode_object(body))
+
+
+def _clock_ms(fields: Fields) -> int:
+    return fields.whole("clock_ms", 0, MAX_TIME_MS)
+
+
+def decode_refusal(body: bytes) -> str:
+    """Decode the reason of a refusal.
+
+    :raises FormatError: the answer is malformed or names no reason.
+    """
+    return decode_object(body).text("reason", least_bytes=1)
 
 
 class HttpRunners:
@@ -94,8 +159,13 @@
         self.polls = 0
 
     async def _post(
-        self, runner: Runner, path: str, fields: dict, timeout_ms: float = ORDER_TIMEOUT_MS
-    ) -> dict:
+        self,
+        runner: Runner,
+        path: str,
+        fields: dict,
+        decode: Callable[[bytes], Decoded],
+        timeout_ms: float = ORDER_TIMEOUT_MS,
+    ) -> Decoded:
         headers = {"Content-Type": "application/json", wire_names.INSTANCE_HEADER: runner.id}
         body = json.dumps(fields, separators=(",", ":")).encode()
         url = f"http://{runner.address}/v1/{path}"
@@ -114,13 +184,12 @@
         if reply.status == 400:
             raise RunnerRefusedError("invalid")
         try:
-            found = json.loads(reply.body)
             if reply.status == 409:
-                raise RunnerRefusedError(str(found.get("reason")))
+                raise RunnerRefusedError(decode_refusal(reply.body))
             if reply.status != 200:
                 raise RunnerUnansweredError(f"the runner answered with status {reply.status}")
-            return found
-        except (ValueError, AttributeError) as error:
+            return decode(reply.body)
+        except FormatError as error:
             raise RunnerUnansweredError(f"the answer cannot be read: {error}") from error
 
     async def hold(
@@ -133,16 +202,7 @@
             fields["deadline_ms"] = lease_until_ms
         if wait_ms:
             fields["wait_ms"] = wait_ms
-        found = await self._post(runner, "hold", fields, POLL_TIMEOUT_MS + wait_ms)
-        try:
-            return RunnerReport(
-                _integer(found["clock_ms"]),
-                found.get("born", 0),
-                [RunningTask(row[0], row[1], row[2], row[3]) for row in found["running"]],
-                [EndedTask(row[0], row[1], row[2], row[3], row[4]) for row in found["finished"]],
-            )
-        except (KeyError, TypeError, ValueError, IndexError) as error:
-            raise RunnerUnansweredError(f"the report cannot be read: {error!r}") from error
+        return await self._post(runner, "hold", fields, decode_report, POLL_TIMEOUT_MS + wait_ms)
 
     async def start(
         self,
@@ -167,16 +227,9 @@
             fields["last_checkpoint"] = checkpoint
         if ticket:
             fields["ticket"] = ticket
-        return self._clock(await self._post(runner, "run-start", fields))
+        return await self._post(runner, "run-start", fields, decode_clock)
 
     async def stop(self, runner: Runner, term: int, task: str, run: int) -> int:
         """Stop a run and return the runner's clock in ms."""
         fields = {"task": task, "run_id": run, "fencing_token": term}
-        return self._clock(await self._post(runner, "run-stop", fields))
-
-    @staticmethod
-    def _clock(found: dict) -> int:
-        clock_ms = found.get("clock_ms")
-        if not isinstance(clock_ms, int):
-            raise RunnerUnansweredError("the answer lacks clock_ms")
-        return clock_ms
+        return await self._post(runner, "run-stop", fields, decode_clock)
--- a/tests/odd_builders.py
+++ b/tests/odd_builders.py
@@ -107,3 +107,11 @@
     """Return a runner's entry in which the value at a path is a given JSON text."""
     fields = {**runner_fields(make_runner("w1", "r1-0")), "born": 1}
     return with_fragment(fields, path, fragment)
+
+
+REPORT = {
+    "clock_ms": 482_113,
+    "born": 1,
+    "running": [["5c0e7a21d94b36f8.0.1.17", 2, "00000bb87a21d94b", 41, 7.5]],
+    "finished": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+}
