Ignore reported ends of tasks that a job does not have

What callers saw: nothing here yet; shown by a test.

Cause: the numbers in a reported task's id were taken with int(), which accepts signs, and its occurrence was not compared with the job's. Such an end gave the job a step with the number -1, whose progress could not be encoded, or an occurrence that it does not have, so that it never completed.

Change: TaskId.parse accepts ASCII digits only; the end of an occurrence beyond the job's changes nothing, as that of a step or a task beyond them did before.

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -570,6 +570,8 @@
             return False
         if job.ended_ms is not None or task.step >= len(job.record.steps):
             return True
+        if task.occurrence >= job.occurrences:
+            return True
         stage = job.stage(task.occurrence, task.step)
         if task.index >= stage.step.count or stage.step.long_running or stage.done[task.index]:
             return True
--- a/packages/library/carawayroute/fleet/types.py
+++ b/packages/library/carawayroute/fleet/types.py
@@ -1,5 +1,9 @@
 """Data types of the fleet: configuration, runners and runner reports."""
 
+import re
+
+TASK_ID = re.compile(r"([^.]+)\.([0-9]+)\.([0-9]+)\.([0-9]+)")
+
 
 class Queue:
     """A queue of jobs.
@@ -226,7 +230,10 @@
 
         :raises ValueError: the text is not a task id.
         """
-        job_id, occurrence, step, index = text.split(".")
+        match = TASK_ID.fullmatch(text)
+        if match is None:
+            raise ValueError(f"{text[:100]!r} is not the id of a task")
+        job_id, occurrence, step, index = match.groups()
         return TaskId(job_id, int(occurrence), int(step), int(index))
 
 
