Refuse configurations with odd values instead of ending their follower

Cause: decode_configuration converted fields with int() and float(). A version of 1e999 raised OverflowError and deep nesting RecursionError, which ended the follower of the configuration; a stretch of NaN, negative numbers, and numbers that records cannot hold were accepted.

Change: types and ranges are checked with platform/decoding.py. The configuration is refused as a whole and the one before stays in force, as before for malformed ones. Fractions are dropped as before; a missing value and null are the same.

Why it works: the decoder raises FormatError only, which the node handles.

--- a/packages/daemon/carawayrouted/platform/decoding.py
+++ b/packages/daemon/carawayrouted/platform/decoding.py
@@ -87,6 +87,9 @@
     def __init__(self, values: dict) -> None:
         self._values = values
 
+    def __len__(self) -> int:
+        return len(self._values)
+
     def __contains__(self, name: str) -> bool:
         return self._values.get(name) is not None
 
@@ -137,7 +140,8 @@
 
     def object(self, name: str) -> "Fields":
         """Return the fields of an object, none if it is missing."""
-        return check_object(self._values.get(name, {}) or {}, name)
+        value = self._values.get(name)
+        return check_object({} if value is None else value, name)
 
     def address(self, name: str) -> tuple[str, int]:
         """Return the host and port of an address."""
--- a/tests/odd_builders.py
+++ b/tests/odd_builders.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import Iterator
 
-from fleet_builders import runner_fields
+from fleet_builders import configuration_bytes, runner_fields
 from hypothesis import strategies as st
 
 from carawayroute_standins.fleet.taskrunner import make_runner
@@ -115,3 +115,6 @@
     "running": [["5c0e7a21d94b36f8.0.1.17", 2, "00000bb87a21d94b", 41, 7.5]],
     "finished": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
 }
+
+
+CONFIGURATION = json.loads(configuration_bytes())
