Answer odd requests of callers with 400 or 401; limit their deadline

What callers saw: a body nested 3,000 levels deep, or a key with bytes that are not UTF-8, got no answer of ours (the server's 500).

Cause: decode_job let RecursionError pass, and took any value for a boolean; the key was encoded without the surrogates that the server puts for such bytes. A deadline of NaN or infinity reached the timers.

Change: the body is checked with platform/decoding.py; each failure is BadJobError. A deadline that is not a finite number counts as none, others are limited to 0 to 600 s. An empty key names no team, whatever the configuration says. null counts as a missing value.

Why it works: everything that a request carries is read by a getter with a type and a range.

--- a/packages/daemon/carawayrouted/platform/callers.py
+++ b/packages/daemon/carawayrouted/platform/callers.py
@@ -18,11 +18,20 @@
     OutcomeUnknownError,
     StateUnknownError,
 )
+from carawayroute.fleet.exceptions import FormatError
 from carawayroute.fleet.types import Configuration, Queue, Team
 from carawayroute_schema import records_pb2 as pb
 from carawayrouted.closing import OpenRequests
 from carawayrouted.exceptions import StoppingError
 from carawayrouted.platform import wire_names
+from carawayrouted.platform.decoding import (
+    MAX_TIME_MS,
+    Fields,
+    check_object,
+    check_whole,
+    decode_object,
+    parse_decimal,
+)
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 MAX_SPEC_BYTES = 4_000
@@ -32,6 +41,7 @@
 MAX_OCCURRENCES = 10_000
 MAX_NUMBER = 2**31 - 1
 DEFAULT_WAIT_MS = 3_000
+MAX_WAIT_MS = 600_000
 KEY_SCHEME = "Bearer "
 
 log = structlog.get_logger()
@@ -149,7 +159,10 @@
         header = request.headers.get("Authorization", "")
         if not header.startswith(KEY_SCHEME):
             return None
-        given = header[len(KEY_SCHEME) :].strip().encode()
+        # The server decodes bytes that are not UTF-8 to surrogates.
+        given = header[len(KEY_SCHEME) :].strip().encode(errors="surrogateescape")
+        if not given:
+            return None
         found = None
         for key, team in configuration.teams_by_key.items():
             if hmac.compare_digest(key.encode(), given):
@@ -158,10 +171,8 @@
 
 
 def _wait_ms(request: web.BaseRequest) -> float:
-    try:
-        return float(request.headers.get(wire_names.DEADLINE_HEADER, DEFAULT_WAIT_MS))
-    except ValueError:
-        return DEFAULT_WAIT_MS
+    text = request.headers.get(wire_names.DEADLINE_HEADER, "")
+    return parse_decimal(text, 0, MAX_WAIT_MS, DEFAULT_WAIT_MS)
 
 
 async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
@@ -190,59 +201,52 @@
     :raises BadJobError: the body is not a valid job.
     """
     try:
-        fields = json.loads(body)
-        spec = fields["spec"]
-        steps = fields["steps"]
-        if not isinstance(spec, str) or len(spec.encode()) > MAX_SPEC_BYTES:
-            raise BadJobError("spec is not text or exceeds the length limit")
-        if not isinstance(steps, list) or not 0 < len(steps) <= MAX_STEPS:
-            raise BadJobError("steps is not a list, is empty or exceeds the length limit")
+        fields = decode_object(body)
         job = pb.Job(
             id=job_id,
-            spec=spec,
-            steps=[_decode_step(number, step) for number, step in enumerate(steps)],
-            occurrences=_number(fields, "repeat_count", MAX_OCCURRENCES),
-            first_due_ms=_number(fields, "start_at_ms", 2**53),
-            interval_ms=_number(fields, "interval_ms", 2**53),
+            spec=fields.text("spec", max_bytes=MAX_SPEC_BYTES),
+            steps=[
+                _decode_step(number, check_object(step, f"step {number}"))
+                for number, step in enumerate(fields.items("steps", most=MAX_STEPS))
+            ],
+            occurrences=fields.whole("repeat_count", 0, MAX_OCCURRENCES, default=0),
+            first_due_ms=fields.whole("start_at_ms", 0, MAX_TIME_MS, default=0),
+            interval_ms=fields.whole("interval_ms", 0, MAX_TIME_MS, default=0),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise BadJobError(f"{type(error).__name__}: {error}") from error
+    except FormatError as error:
+        raise BadJobError(str(error)) from error
+    if not job.steps:
+        raise BadJobError("the job has no steps")
     if sum(step.count for step in job.steps) > MAX_TASKS:
         raise BadJobError("the job has too many tasks")
     return job
 
 
-def _decode_step(number: int, fields: dict) -> pb.Step:
-    depends_on = fields.get("depends_on", [])
-    if any(type(one) is not int or not 0 <= one < number for one in depends_on):
-        raise BadJobError(f"step {number} depends on a step that does not precede it")
-    count = _number(fields, "count", MAX_TASKS)
-    if count < 1:
-        raise BadJobError(f"step {number} has no tasks")
+def _decode_step(number: int, fields: Fields) -> pb.Step:
+    # A step depends on each earlier one once.
+    depends_on = [
+        check_whole(one, f"a dependency of step {number}", 0, number - 1)
+        for one in fields.items("depends_on", default=[], most=number)
+    ]
     return pb.Step(
-        count=count,
-        cpu_millis=_number(fields, "cpu"),
-        memory_mb=_number(fields, "mem_mb"),
-        accelerators=_number(fields, "gpu"),
-        estimate_ms=_number(fields, "estimate_ms"),
+        count=fields.whole("count", 1, MAX_TASKS),
+        cpu_millis=_amount(fields, "cpu"),
+        memory_mb=_amount(fields, "mem_mb"),
+        accelerators=_amount(fields, "gpu"),
+        estimate_ms=_amount(fields, "estimate_ms"),
         depends_on=depends_on,
-        gang=bool(fields.get("gang")),
-        same_rack=bool(fields.get("same_rack")),
-        checkpoints=bool(fields.get("saves_progress")),
-        most_per_runner=_number(fields, "anti_affinity"),
-        data_rack=fields.get("affinity") or "",
-        label=fields.get("constraints") or "",
-        long_running=bool(fields.get("long_running")),
-        fills=bool(fields.get("fills")),
-        may_miss=_number(fields, "may_miss"),
-        speculative=bool(fields.get("speculative")),
+        gang=fields.flag("gang"),
+        same_rack=fields.flag("same_rack"),
+        checkpoints=fields.flag("saves_progress"),
+        most_per_runner=_amount(fields, "anti_affinity"),
+        data_rack=fields.text("affinity", default=""),
+        label=fields.text("constraints", default=""),
+        long_running=fields.flag("long_running"),
+        fills=fields.flag("fills"),
+        may_miss=_amount(fields, "may_miss"),
+        speculative=fields.flag("speculative"),
     )
 
 
-def _number(fields: dict, name: str, maximum: int = MAX_NUMBER) -> int:
-    value = fields.get(name, 0)
-    if isinstance(value, float) and value.is_integer():
-        value = int(value)
-    if type(value) is not int or not 0 <= value <= maximum:
-        raise BadJobError(f"{name} is not a whole number from 0 to {maximum}")
-    return value
+def _amount(fields: Fields, name: str) -> int:
+    return fields.whole(name, 0, MAX_NUMBER, default=0)
