Emulate runner processes, deadly tasks, changing capacities and odd entries

An address of the emulated fleet now carries one process after another: calls name the process that they mean, and any other answers 421 (RunnerRefusedError "boot"); a crash ends all that runs, breaks connections after 9 ms and refuses them from 0.33 s on, and the next process, under the same id or another one, knows nothing of before. Members of a working gang whose runner has crashed end as broken on the other runners. Specs of tasks may name members that crash their runner; starts whose answer is lost may be carried out seconds later; capacities of all three resources may change, and the listing shows it after a lag; odd_entries.py holds entries as another writer might leave them.

--- a/packages/standins/carawayroute_standins/fleet/http.py
+++ b/packages/standins/carawayroute_standins/fleet/http.py
@@ -20,6 +20,7 @@
 from carawayroute_standins.fleet.topics import StoreClient
 
 DEFAULT_READ_KB = 1_024
+INSTANCE_HEADER = "X-Carawayroute-Expected-Instance"
 
 
 def split_records(body: bytes) -> list[tuple[str, bytes]]:
@@ -140,6 +141,7 @@
                 fields["last_seen"],
                 fields.get("deadline_ms", 0),
                 fields.get("wait_ms", 0),
+                request.headers.get(INSTANCE_HEADER, ""),
             )
         except (RunnerRefusedError, RunnerUnansweredError) as error:
             return self._refused(request, error)
@@ -166,6 +168,7 @@
                 fields["run_id"],
                 fields["spec"],
                 fields["deadline_ms"],
+                request.headers.get(INSTANCE_HEADER, ""),
             )
         except (RunnerRefusedError, RunnerUnansweredError) as error:
             return self._refused(request, error)
@@ -175,7 +178,10 @@
         fields = await request.json()
         try:
             clock_ms = await self._runner.stop(
-                fields["fencing_token"], fields["task"], fields["run_id"]
+                fields["fencing_token"],
+                fields["task"],
+                fields["run_id"],
+                request.headers.get(INSTANCE_HEADER, ""),
             )
         except (RunnerRefusedError, RunnerUnansweredError) as error:
             return self._refused(request, error)
@@ -184,6 +190,8 @@
     def _refused(self, request: web.Request, error: Exception) -> web.Response:
         if isinstance(error, RunnerUnansweredError):
             return _abort_connection(request)
+        if error.reason == "boot":
+            return web.Response(status=421)
         fields = {"clock_ms": self._runner.clock_ms(), "reason": error.reason}
         return web.Response(status=409, text=json.dumps(fields), content_type="application/json")
 
--- a/packages/standins/carawayroute_standins/fleet/taskrunner.py
+++ b/packages/standins/carawayroute_standins/fleet/taskrunner.py
@@ -1,7 +1,9 @@
 """Emulated task runner: capacity, leases, fencing, gangs, and ends that await acknowledgement."""
 
 import asyncio
-import json
+import copy
+import hashlib
+from collections.abc import Callable
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.exceptions import (
@@ -11,36 +13,18 @@
 )
 from carawayroute.fleet.types import Capacity, EndedTask, Runner, RunnerReport, RunningTask, TaskId
 from carawayroute.misc import wait_event
+from carawayroute_standins.fleet.taskspec import TaskSpec
 from carawayroute_standins.journal import Journal
 
 ORDER_LATENCY_MS = 1
+# The connections of a process that crashed break after this time.
+CONNECTION_BREAK_MS = 9
+# New connections to its address are reset until this time after the crash, then refused.
+REFUSING_AFTER_MS = 330
 NO_ANSWER_TIMEOUT_MS = 500
 TICK_MS = 20
-
-
-class TaskSpec:
-    """The behaviour of an emulated task, decoded from the JSON spec of its job.
-
-    :param run_ms: run time of the task.
-    :param gang: number of members that must be present, or 0 for a single task.
-    :param failures: number of runs that fail before one succeeds.
-    """
-
-    __slots__ = ("accelerators", "failures", "gang", "run_ms")
-
-    def __init__(self, spec: str) -> None:
-        fields = json.loads(spec)
-        self.run_ms = fields["run_ms"]
-        self.gang = fields.get("gang", 0)
-        self.failures = fields.get("failures", 0)
-        self.accelerators = fields.get("accelerators", 1)
-
-    @staticmethod
-    def encode(run_ms: int, gang: int = 0, failures: int = 0, accelerators: int = 1) -> str:
-        """Return the JSON spec of a task."""
-        return json.dumps(
-            {"run_ms": run_ms, "gang": gang, "failures": failures, "accelerators": accelerators}
-        )
+# Modes in which no process runs.
+ENDED_MODES = ("dead", "gone", "crashed")
 
 
 class GangRegistry:
@@ -77,6 +61,7 @@
 class _Run:
     __slots__ = (
         "checkpoint",
+        "demand",
         "done_ms",
         "ended",
         "model",
@@ -94,6 +79,7 @@
         self.task = TaskId.parse(task_name)
         self.number = number
         self.work = work
+        self.demand = work.demand(self.task.step)
         self.working = False
         self.ended = False
         self.done_ms = 0.0
@@ -113,11 +99,20 @@
 class TaskRunner:
     """Runs tasks on the orders of the planner with the highest term seen so far.
 
+    The runner is one address; processes, each with an id and the time of its start, follow one
+    another there.
+
     :param clock_rate: rate of the runner's own clock relative to the emulator's.
+    :param guarding: whether starts that exceed the capacity are refused.
     :ivar mode: ``up``, ``cut`` (no answer, runs on), ``dead`` (no answer, runs nothing), ``gone``
-        (its process has ended: connections are refused), ``refusing`` (connections are refused,
-        runs on), ``resetting`` (connections are reset, runs on), ``hung`` (tasks stand still),
-        ``failing`` (every task fails at once).
+        (its process has ended: connections are refused), ``crashed`` (the same, but at first
+        connections are reset), ``refusing`` (connections are refused, runs on), ``resetting``
+        (connections are reset, runs on), ``hung`` (tasks stand still), ``failing`` (every task
+        fails at once).
+    :ivar capacity: the capacity in force, which the listing may not show yet.
+    :ivar on_deadly_task: called after a task has crashed the process.
+    :ivar lost_starts: number of next starts whose answer is lost.
+    :ivar late_start_ms: delay in ms before a start whose answer is lost takes effect.
     """
 
     def __init__(
@@ -130,8 +125,11 @@
         stop_ms: int = 200,
         max_lease_ms: int = 10_000,
         gang_wait_ms: int = 3_000,
+        guarding: bool = True,
     ) -> None:
         self.listed = listed
+        self.capacity = listed.capacity.copy()
+        self.guarding = guarding
         self.clock = clock
         self.journal = journal
         self.gangs = gangs
@@ -143,39 +141,93 @@
         self.unanswered_ms: list[float] = []
         self._failures_by_task: dict[str, int] = {}
         self._ended_event = asyncio.Event()
-        self.boot_ms = 0
-        self.restart_empty()
+        self.on_deadly_task: Callable[[TaskRunner], None] = lambda runner: None
+        self.lost_starts = 0
+        self.late_start_ms = 0
+        self._processes = 0
+        self._crashed_ms = 0.0
+        self._runs: dict[tuple[str, int], _Run] = {}
+        self._start_process(listed.id)
 
     def restart_empty(self) -> None:
         """Restart under the same id with no tasks, leases or fencing state."""
-        for run in list(getattr(self, "_runs", {}).values()):
+        self._end_process()
+        self._start_process(self.listed.id)
+
+    def crash(self, task: str = "", run: int = 0) -> None:
+        """End the process with all tasks on it until `restart`.
+
+        :param task: the task that crashes the process, if one does.
+        """
+        self.journal.record(
+            "runner_crashed", runner=self.listed.id, boot_ms=self.boot_ms, task=task, run=run
+        )
+        self._end_process()
+        self.mode = "crashed"
+        self._crashed_ms = self.clock.now_ms()
+
+    def restart(self, runner_id: str = "") -> None:
+        """Start a new process, by default under the same id."""
+        self._start_process(runner_id or self.listed.id)
+        self.mode = "up"
+
+    def _end_process(self) -> None:
+        self._processes += 1
+        for run in list(self._runs.values()):
             run.ended = True
             self.journal.record(
                 "task_lost", task=run.task_name, run=run.number, runner=self.listed.id
             )
-        self.boot_ms += 1
+            self.gangs.leave(run, "lost")
+        self._runs = {}
+        self._wake_polls()
+
+    def _start_process(self, runner_id: str) -> None:
+        self.boot_ms = max(self.listed.boot_ms + 1, self.clock.wall_ms())
+        self.listed = copy.copy(self.listed)
+        self.listed.id = runner_id
+        self.listed.boot_ms = self.boot_ms
+        self.listed.draining = False
         self._term = 0
         self._started_ms = self.clock.now_ms()
         self._lease_until_ms = 0.0
-        self._runs: dict[tuple[str, int], _Run] = {}
         self._fenced_run_by_task: dict[str, int] = {}
         self._ended: list[EndedTask] = []
         self._last_end_number = 0
+        self._record_capacity("runner_started")
+
+    def _record_capacity(self, what: str) -> None:
+        self.journal.record(
+            what,
+            runner=self.listed.id,
+            service=self.listed.service,
+            guarding=self.guarding,
+            cpu_millis=self.capacity.cpu_millis,
+            memory_mb=self.capacity.memory_mb,
+            accelerators=self.capacity.accelerators,
+        )
+
+    def set_capacity(self, capacity: Capacity) -> None:
+        """Change the capacity; what runs goes on."""
+        self.capacity = capacity.copy()
+        self._record_capacity("capacity_changed")
 
     def clock_ms(self) -> int:
         """Return the time of the runner's own clock in ms."""
         return int(1_000 + (self.clock.now_ms() - self._started_ms) * self._clock_rate)
 
-    def free(self) -> int:
-        """Return the number of free accelerators."""
-        held = sum(run.work.accelerators for run in self._runs.values())
-        return self.listed.capacity.accelerators - held
+    def free(self) -> Capacity:
+        """Return the capacity that is not in use; what is being stopped counts as used."""
+        left = self.capacity.copy()
+        for run in self._runs.values():
+            left.subtract(run.demand)
+        return left
 
     async def run(self) -> None:
         """Advance the running tasks every `TICK_MS` until cancelled."""
         while True:
             await self.clock.sleep_ms(TICK_MS)
-            if self.mode in ("dead", "gone"):
+            if self.mode in ENDED_MODES:
                 continue
             if self._runs and self.clock_ms() > self._lease_until_ms:
                 for run in list(self._runs.values()):
@@ -219,14 +271,26 @@
             outcome=outcome,
         )
         self.gangs.leave(run, outcome)
+        self._wake_polls()
+
+    def _wake_polls(self) -> None:
         self._ended_event.set()
         self._ended_event = asyncio.Event()
 
     # ------------------------------------------------------------------ orders
 
-    async def _admit(self, term: int) -> None:
+    async def _admit(self, term: int, instance: str) -> None:
+        """Carry a call to the process, which checks whom it names and its term.
+
+        :param instance: id of the runner that the call names, empty for any.
+        """
         if self.mode in ("gone", "refusing"):
             raise RunnerNotListeningError("connection refused")
+        if self.mode == "crashed":
+            if self.clock.now_ms() - self._crashed_ms >= REFUSING_AFTER_MS:
+                raise RunnerNotListeningError("connection refused")
+            await self.clock.sleep_ms(ORDER_LATENCY_MS)
+            raise RunnerUnansweredError("connection reset")
         if self.mode == "resetting":
             await self.clock.sleep_ms(ORDER_LATENCY_MS)
             raise RunnerUnansweredError("connection reset")
@@ -234,23 +298,39 @@
             self.unanswered_ms.append(self.clock.now_ms())
             await self.clock.sleep_ms(NO_ANSWER_TIMEOUT_MS)
             raise RunnerUnansweredError(self.mode)
+        process = self._processes
         await self.clock.sleep_ms(ORDER_LATENCY_MS)
+        await self._check_process(process)
+        if instance and instance != self.listed.id:
+            raise RunnerRefusedError("boot")
         if term < self._term:
             raise RunnerRefusedError("fence")
         self._term = term
 
+    async def _check_process(self, process: int) -> None:
+        """Fail a call whose connection was to an earlier process."""
+        if process != self._processes:
+            await self.clock.sleep_ms(CONNECTION_BREAK_MS)
+            raise RunnerUnansweredError("connection broken")
+
     def _extend_lease(self, lease_until_ms: int) -> None:
         most_ms = self.clock_ms() + self._most_lease_ms
         self._lease_until_ms = max(self._lease_until_ms, min(lease_until_ms, most_ms))
 
     async def hold(
-        self, term: int, acknowledged: int, lease_until_ms: int, wait_ms: int
+        self,
+        term: int,
+        acknowledged: int,
+        lease_until_ms: int,
+        wait_ms: int,
+        instance: str = "",
     ) -> RunnerReport:
         """Extend the lease, discard acknowledged ends, and return a report.
 
         :param wait_ms: how long to wait for an end if none is pending.
+        :param instance: id of the runner that the call names, empty for any.
         """
-        await self._admit(term)
+        await self._admit(term, instance)
         if lease_until_ms:
             self._extend_lease(lease_until_ms)
         kept = []
@@ -267,20 +347,56 @@
                 kept.append(ended)
         self._ended = kept
         if not self._ended and wait_ms:
+            process = self._processes
             await wait_event(self._ended_event, wait_ms)
-            await self._admit(term)
+            await self._check_process(process)
+            await self._admit(term, instance)
         running = [
             RunningTask(run.task_name, run.number, run.checkpoint, run.percent)
             for run in self._runs.values()
         ]
         return RunnerReport(self.clock_ms(), self.boot_ms, running, list(self._ended))
 
-    async def start(self, term: int, task: str, run: int, spec: str, lease_until_ms: int) -> int:
+    async def start(
+        self,
+        term: int,
+        task: str,
+        run: int,
+        spec: str,
+        lease_until_ms: int,
+        instance: str = "",
+    ) -> int:
         """Start a task and return the runner's clock.
 
-        :raises RunnerRefusedError: with the reason fence, old, late or room.
+        :param instance: id of the runner that the call names, empty for any.
+        :raises RunnerRefusedError: with the reason fence, old, late, room or boot.
         """
-        await self._admit(term)
+        if self.lost_starts:
+            self.lost_starts -= 1
+            order = (instance, term, task, run, spec, lease_until_ms)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_start_ms / 1000, self._start_late, *order)
+            await self.clock.sleep_ms(NO_ANSWER_TIMEOUT_MS)
+            raise RunnerUnansweredError("the answer was lost")
+        await self._admit(term, instance)
+        return self._start(term, task, run, spec, lease_until_ms)
+
+    def _start_late(
+        self, instance: str, term: int, task: str, run: int, spec: str, lease_until_ms: int
+    ) -> None:
+        """Carry out a start whose answer was lost, if the process at the address accepts it."""
+        named = not instance or instance == self.listed.id
+        if self.mode in ENDED_MODES or not named or term < self._term:
+            return
+        self._term = term
+        try:
+            self._start(term, task, run, spec, lease_until_ms, late=True)
+        except RunnerRefusedError:
+            return
+
+    def _start(
+        self, term: int, task: str, run: int, spec: str, lease_until_ms: int, late: bool = False
+    ) -> int:
         if (task, run) in self._runs:
             return self.clock_ms()
         if run <= self._fenced_run_by_task.get(task, 0):
@@ -289,17 +405,39 @@
             raise RunnerRefusedError("late")
         self._extend_lease(lease_until_ms)
         started = _Run(self, task, run, TaskSpec(spec))
-        if started.work.accelerators > self.free():
+        if self.guarding and not self.free().count_fitting(started.demand, 1):
             raise RunnerRefusedError("room")
         started.started_ms = self.clock.now_ms()
         self._runs[task, run] = started
-        self.journal.record("task_started", task=task, run=run, runner=self.listed.id, term=term)
+        self.journal.record(
+            "task_started",
+            task=task,
+            run=run,
+            runner=self.listed.id,
+            term=term,
+            late=late,
+            cpu_millis=started.demand.cpu_millis,
+            memory_mb=started.demand.memory_mb,
+            accelerators=started.demand.accelerators,
+        )
         self.gangs.join(started)
+        if started.task.index in started.work.deadly:
+            loop = asyncio.get_running_loop()
+            loop.call_later(started.work.deadly_after_ms / 1000, self._crash_by, started)
         return self.clock_ms()
 
-    async def stop(self, term: int, task: str, run: int) -> int:
-        """Stop a run, or prevent it from starting later; return the runner's clock."""
-        await self._admit(term)
+    def _crash_by(self, run: _Run) -> None:
+        """Crash as a task does, unless it has ended before."""
+        if not run.ended:
+            self.crash(run.task_name, run.number)
+            self.on_deadly_task(self)
+
+    async def stop(self, term: int, task: str, run: int, instance: str = "") -> int:
+        """Stop a run, or prevent it from starting later; return the runner's clock.
+
+        :param instance: id of the runner that the call names, empty for any.
+        """
+        await self._admit(term, instance)
         self._fenced_run_by_task[task] = max(run, self._fenced_run_by_task.get(task, 0))
         found = self._runs.get((task, run))
         if found is not None:
@@ -309,18 +447,20 @@
 
 
 class InMemoryRunnerClient:
-    """In-memory `RunnerClient` of one instance.
+    """In-memory `RunnerClient` of one instance; connects to addresses and names the runner's id.
 
+    :param runners: the emulated runners at all times, each at its own address.
     :ivar cut_off: ids of the runners that the instance cannot reach.
     """
 
-    def __init__(self, runners_by_id: dict[str, TaskRunner], clock: Clock) -> None:
-        self._runners_by_id = runners_by_id
+    def __init__(self, runners: list[TaskRunner], clock: Clock) -> None:
+        self._runners = runners
         self._clock = clock
         self.cut_off: set[str] = set()
 
     async def _connect(self, runner: Runner) -> TaskRunner:
-        found = self._runners_by_id.get(runner.id)
+        address = runner.address
+        found = next((one for one in self._runners if one.listed.address == address), None)
         if found is None or runner.id in self.cut_off:
             await self._clock.sleep_ms(NO_ANSWER_TIMEOUT_MS)
             raise RunnerUnansweredError("no answer")
@@ -331,7 +471,7 @@
     ) -> RunnerReport:
         """Extend the lease and return a report."""
         found = await self._connect(runner)
-        return await found.hold(term, acknowledged, lease_until_ms, wait_ms)
+        return await found.hold(term, acknowledged, lease_until_ms, wait_ms, runner.id)
 
     async def start(
         self,
@@ -346,12 +486,18 @@
     ) -> int:
         """Start a task."""
         found = await self._connect(runner)
-        return await found.start(term, task, run, spec, lease_until_ms)
+        return await found.start(term, task, run, spec, lease_until_ms, runner.id)
 
     async def stop(self, runner: Runner, term: int, task: str, run: int) -> int:
         """Stop a run."""
         found = await self._connect(runner)
-        return await found.stop(term, task, run)
+        return await found.stop(term, task, run, runner.id)
+
+
+def _address(name: str) -> str:
+    """Return an address that no other name has."""
+    host = hashlib.blake2b(name.encode(), digest_size=3).digest()
+    return ".".join(["127", *(str(part) for part in host)]) + ":9000"
 
 
 def make_runner(name: str, rack: str, accelerators: int = 8, service: str = "render") -> Runner:
@@ -359,7 +505,7 @@
     return Runner(
         name,
         service,
-        f"127.0.0.1:{name}",
+        _address(name),
         "south-a",
         Capacity(64_000, 256_000, accelerators),
         frozenset({"a", rack}),
--- a/packages/standins/carawayroute_standins/fleet/world.py
+++ b/packages/standins/carawayroute_standins/fleet/world.py
@@ -6,12 +6,13 @@
 from carawayroute.fleet.entry import NoSuchJobError
 from carawayroute.fleet.node import FleetNode, FleetSettings
 from carawayroute.fleet.ports import PlatformFormat
-from carawayroute.fleet.types import Queue, Team
+from carawayroute.fleet.types import Capacity, Queue, Team
 from carawayroute.misc import TaskGroup
 from carawayroute_schema import records_pb2 as pb
 from carawayroute_standins.fleet.bandwidth import Network
 from carawayroute_standins.fleet.peers import InMemoryPeers
 from carawayroute_standins.fleet.taskrunner import (
+    ENDED_MODES,
     GangRegistry,
     InMemoryRunnerClient,
     TaskRunner,
@@ -25,6 +26,11 @@
 POLL_INTERVAL_MS = 20
 CALLER_DEADLINE_MS = 3_000
 STORE_REGION = "south"
+# A runner writes its entry this often.
+HEARTBEAT_MS = 1_500
+# A process that has crashed is followed by another one after this time, and unlisted after that.
+RUNNER_BACK_MS = 3_300
+RUNNER_UNLISTED_MS = 3_600
 
 
 class FleetWorld:
@@ -34,8 +40,11 @@
     :param list_runner: encodes a runner's listing in that format.
     :param region_by_instance: regions of the instances that are not in the store's region.
     :param data_centre_by_instance: data centres of instances, by default one for each region.
+    :param guarding: whether runners refuse starts that exceed their capacity.
     :ivar network: links to the instances, unlimited by default.
     :ivar unreachable_peers: instances without connections to their peers.
+    :ivar crash_back_ms: time from a crash by a task to the next process at the runner's address.
+    :ivar crash_new_ids: whether that process has another id.
     """
 
     def __init__(
@@ -48,6 +57,7 @@
         runners_per_rack: int = 4,
         region_by_instance: dict[str, str] | None = None,
         data_centre_by_instance: dict[str, str] | None = None,
+        guarding: bool = True,
     ) -> None:
         self.clock = Clock(wall_offset_ms=1_000_000.0)
         self.journal = Journal(self.clock)
@@ -63,6 +73,10 @@
         self.nodes_by_name: dict[str, FleetNode] = {}
         self.runner_clients_by_name: dict[str, InMemoryRunnerClient] = {}
         self.runners_by_id: dict[str, TaskRunner] = {}
+        self._runners: list[TaskRunner] = []
+        self._guarding = guarding
+        self.crash_back_ms = RUNNER_BACK_MS
+        self.crash_new_ids = True
         self.store.put(formats.configuration_topic, formats.configuration_key, configuration)
         number = 0
         for rack in range(racks):
@@ -82,9 +96,11 @@
             self.gangs,
             stop_ms=STOP_MS,
             max_lease_ms=MAX_LEASE_MS,
-            **options,
+            **{"guarding": self._guarding, **options},
         )
         self.runners_by_id[name] = runner
+        self._runners.append(runner)
+        runner.on_deadly_task = self._follow_deadly_task
         self.tasks.start(runner.run(), name)
         self.list(name)
         return runner
@@ -99,9 +115,89 @@
         """Remove a runner's listing from the store."""
         self.store.put(self.formats.runners_topic, name, b"")
 
+    def _follow_deadly_task(self, runner: TaskRunner) -> None:
+        name = runner.listed.id
+        new_id = self._next_id(name) if self.crash_new_ids else ""
+        self._follow_crash(name, self.crash_back_ms, new_id, RUNNER_UNLISTED_MS)
+
+    @staticmethod
+    def _next_id(name: str) -> str:
+        """Return the id of the process after one: w1-2 after w1, w1-3 after w1-2."""
+        base, _, number = name.partition("-")
+        return f"{base}-{int(number or 1) + 1}"
+
+    def crash_runner(
+        self,
+        name: str,
+        back_ms: float | None = RUNNER_BACK_MS,
+        new_id: str = "",
+        unlisted_ms: float = RUNNER_UNLISTED_MS,
+    ) -> None:
+        """End a runner's process and all tasks on it; another process follows at its address.
+
+        :param back_ms: time from the crash to the next process, which lists itself, ``None`` if
+            there is none.
+        :param new_id: id of that process, by default the same.
+        :param unlisted_ms: time from the crash until the ended process is no longer listed.
+        """
+        self.runners_by_id[name].crash()
+        self._follow_crash(name, back_ms, new_id, unlisted_ms)
+
+    def _follow_crash(
+        self, name: str, back_ms: float | None, new_id: str, unlisted_ms: float
+    ) -> None:
+        runner = self.runners_by_id[name]
+        crashed = runner.listed
+
+        async def unlist() -> None:
+            await self.clock.sleep_ms(unlisted_ms)
+            if runner.listed is crashed or runner.listed.id != name:
+                self.unlist(name)
+
+        async def come_back(after_ms: float) -> None:
+            await self.clock.sleep_ms(after_ms)
+            runner.restart(new_id)
+            del self.runners_by_id[name]
+            self.runners_by_id[runner.listed.id] = runner
+            self.list(runner.listed.id)
+
+        self.tasks.start(unlist(), f"unlist {name}")
+        if back_ms is not None:
+            self.tasks.start(come_back(back_ms), f"restart {name}")
+
+    def resize_runner(self, name: str, capacity: Capacity, lag_ms: float = 0.0) -> None:
+        """Change a runner's capacity; its listing shows it after a lag."""
+        runner = self.runners_by_id[name]
+        runner.set_capacity(capacity)
+
+        async def show() -> None:
+            await self.clock.sleep_ms(lag_ms)
+            runner.listed.capacity = capacity.copy()
+            if runner.mode not in ENDED_MODES:
+                self.list(runner.listed.id, runner.listed.draining)
+
+        self.tasks.start(show(), f"resize {name}")
+
+    def put_odd_entry(self, key: str, value: bytes, mended_ms: float | None = HEARTBEAT_MS) -> None:
+        """Write an odd entry among those of the runners, under a runner's key or another one.
+
+        :param mended_ms: time until a runner whose key this is writes its entry again, ``None`` if
+            it does not.
+        """
+        self.store.put(self.formats.runners_topic, key, value)
+
+        async def mend() -> None:
+            await self.clock.sleep_ms(mended_ms)
+            runner = self.runners_by_id.get(key)
+            if runner is not None and runner.mode not in ENDED_MODES:
+                self.list(key, runner.listed.draining)
+
+        if mended_ms is not None and key in self.runners_by_id:
+            self.tasks.start(mend(), f"mend {key}")
+
     def start_instance(self, name: str) -> FleetNode:
         """Start an instance."""
-        orders = InMemoryRunnerClient(self.runners_by_id, self.clock)
+        orders = InMemoryRunnerClient(self._runners, self.clock)
         region = self.network.region(name)
         node = FleetNode(
             FleetSettings(
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -13,7 +13,8 @@
 from carawayroute.fleet.types import Capacity, Configuration, Queue, Runner, Team
 from carawayroute_schema import records_pb2 as pb
 from carawayroute_standins.fleet.judge import find_violations
-from carawayroute_standins.fleet.taskrunner import TaskSpec, make_runner
+from carawayroute_standins.fleet.taskrunner import make_runner
+from carawayroute_standins.fleet.taskspec import DEADLY_AFTER_MS, TaskSpec
 from carawayroute_standins.fleet.world import FleetWorld
 from carawayroute_standins.journal import Journal, JournalEntry
 from carawayroute_standins.virtual import run_virtual
@@ -45,16 +46,25 @@
     run_ms: int = 1_000,
     failures: int = 0,
     accepted_ms: int = 0,
+    deadly: tuple[int, ...] = (),
+    deadly_after_ms: int = DEADLY_AFTER_MS,
 ) -> pb.Job:
     """Return a job whose tasks run for ``run_ms`` in the emulator.
 
     :param failures: number of runs that fail before one succeeds.
+    :param deadly: indices of the tasks of each step that crash their runner.
+    :param deadly_after_ms: time from the start of such a task to the crash.
     """
     steps = steps or [step()]
     gang = steps[0].count if steps[0].gang else 0
+    demands = [
+        (0 if one.fills else one.cpu_millis, one.memory_mb, one.accelerators) for one in steps
+    ]
     return pb.Job(
         id=job_id,
-        spec=TaskSpec.encode(run_ms, gang, failures, steps[0].accelerators),
+        spec=TaskSpec.encode(
+            run_ms, gang, failures, steps[0].accelerators, deadly, deadly_after_ms, demands
+        ),
         steps=steps,
         queue=queue.name,
         service=queue.service,
@@ -91,8 +101,13 @@
     return Candidate(runner, Capacity(64_000, 256_000, left))
 
 
-def configuration_bytes(version: int = 1, guaranteed: int = 32, routes: int = 0) -> bytes:
-    """Return a configuration as the platform stores it, with extra routes if asked for."""
+def configuration_bytes(
+    version: int = 1, guaranteed: int = 32, routes: int = 0, guarding: bool = True
+) -> bytes:
+    """Return a configuration as the platform stores it, with extra routes if asked for.
+
+    :param guarding: whether runners refuse starts that exceed their capacity.
+    """
     routes_fields = [
         {
             "name": queue.name,
@@ -116,7 +131,7 @@
     fields = {
         "version": version,
         "routes": routes_fields,
-        "services": [{"name": "render", "rejects_overload": True}],
+        "services": [{"name": "render", "rejects_overload": guarding}],
         "limits": {"max_body_bytes": 4_096},
         "tenants": [
             {"name": "owner", "api_keys": ["key-owner"], "guaranteed": {"gpu": guaranteed}},
@@ -135,7 +150,7 @@
     """Return a runner's entry as the platform stores it."""
     return {
         "service": runner.service,
-        "address": "127.0.0.1:9000",
+        "address": runner.address,
         "zone": runner.data_centre,
         "version": "v1",
         "slots": 8,
@@ -149,6 +164,7 @@
         "labels": sorted(runner.labels),
         "clock_ms": 1,
         "sequence": 1,
+        "born": runner.boot_ms,
     }
 
 
@@ -157,9 +173,13 @@
     return json.dumps(runner_fields(runner)).encode()
 
 
-def world(**options) -> FleetWorld:
-    """Return a running fleet."""
-    return FleetWorld(StoreFormat(), runner_bytes, configuration_bytes(), **options)
+def world(guarding: bool = True, **options) -> FleetWorld:
+    """Return a running fleet.
+
+    :param guarding: whether runners refuse starts that exceed their capacity.
+    """
+    settings = configuration_bytes(guarding=guarding)
+    return FleetWorld(StoreFormat(), runner_bytes, settings, guarding=guarding, **options)
 
 
 def run_scenario(scenario, **options):
--- a/tests/test_fleet_standins.py
+++ b/tests/test_fleet_standins.py
@@ -5,21 +5,43 @@
 
 import pytest
 from aiohttp.test_utils import TestClient, TestServer
-from fleet_builders import journal_of_calls
+from fleet_builders import journal_of_calls, world
 from test_adapters import AppServer
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.exceptions import StoreUnansweredError
+from carawayroute.fleet.exceptions import (
+    RunnerNotListeningError,
+    RunnerRefusedError,
+    RunnerUnansweredError,
+    StoreUnansweredError,
+)
+from carawayroute.fleet.types import Capacity, Runner
 from carawayroute_standins.fleet import topics
 from carawayroute_standins.fleet.bandwidth import Network
-from carawayroute_standins.fleet.http import StoreServer
+from carawayroute_standins.fleet.http import RunnerServer, StoreServer
 from carawayroute_standins.fleet.judge import find_violations
+from carawayroute_standins.fleet.odd_entries import odd_entries
+from carawayroute_standins.fleet.taskrunner import (
+    GangRegistry,
+    InMemoryRunnerClient,
+    TaskRunner,
+    make_runner,
+)
+from carawayroute_standins.fleet.taskspec import TaskSpec
 from carawayroute_standins.fleet.topics import TopicStore
+from carawayroute_standins.fleet.world import FleetWorld
+from carawayroute_standins.journal import Journal
 from carawayroute_standins.virtual import run_virtual
+from carawayrouted.platform.formats import StoreFormat
 from carawayrouted.platform.http import HttpPool
+from carawayrouted.platform.runners import HttpRunners
 from carawayrouted.platform.store import HttpStore
 
 TOPIC = "keyed.t"
+TASK = "0000000000000001.0.0.{}"
+LEASE_MS = 60_000
+# Longer than a call to a runner takes.
+SOON_MS = 2
 
 
 def run_store(scenario):
@@ -32,6 +54,72 @@
     run_virtual(run())
 
 
+class RunnerCalls:
+    """Calls of one planner to the runners of a fleet without instances.
+
+    :ivar answers: what `poll` saw, with the time of each change.
+    """
+
+    def __init__(self, fleet: FleetWorld) -> None:
+        self.fleet = fleet
+        self.clock = fleet.clock
+        self.client = InMemoryRunnerClient(list(fleet.runners_by_id.values()), fleet.clock)
+        self.answers: list[tuple[int, str]] = []
+
+    def listed(self, name: str) -> Runner:
+        """Return the listing of the process that runs now."""
+        return self.fleet.runners_by_id[name].listed
+
+    async def start(self, runner: Runner, index: int = 0, run: int = 1, **work) -> str:
+        """Start a task and return an empty string or what the runner answered instead."""
+        spec = TaskSpec.encode(work.pop("run_ms", 5_000), **work)
+        try:
+            await self.client.start(runner, 1, TASK.format(index), run, spec, "", LEASE_MS)
+        except RunnerRefusedError as error:
+            return error.reason
+        except RunnerUnansweredError as error:
+            return str(error)
+        return ""
+
+    async def poll(self, runner: Runner, until_ms: float, wait_ms: int = 0) -> None:
+        """Poll until a time and note the first answer and each change."""
+        while self.clock.now_ms() < until_ms:
+            try:
+                report = await self.client.hold(runner, 1, 0, 0, wait_ms)
+                answer = f"{len(report.running)} running"
+            except RunnerNotListeningError:
+                answer = "refused"
+            except RunnerRefusedError as error:
+                answer = error.reason
+            except RunnerUnansweredError:
+                answer = "broken"
+            if not self.answers or self.answers[-1][1] != answer:
+                self.answers.append((round(self.clock.now_ms()), answer))
+            await self.clock.sleep_ms(SOON_MS)
+
+    def entries(self, *kinds: str) -> list[str]:
+        """Return the kinds of the journal's entries in order, limited to some."""
+        return [entry.what for entry in self.fleet.journal.entries if entry.what in kinds]
+
+
+def run_runners(scenario, **options):
+    """Run a scenario with runners and no instances in virtual time."""
+
+    async def run():
+        fleet = world(instances=0, **options)
+        try:
+            await scenario(RunnerCalls(fleet))
+        finally:
+            await fleet.close()
+
+    run_virtual(run())
+
+
+def listed_names(fleet: FleetWorld) -> set[str]:
+    """Return the ids of the runners that the store lists."""
+    return set(fleet.store.topic(StoreFormat.runners_topic).newest_by_key)
+
+
 def test_read_returns_whole_records_up_to_its_limit():
     async def scenario(store):
         for number in range(100):
@@ -180,3 +268,189 @@
 )
 def test_judge_finds_accepted_jobs_that_are_called_unknown(calls, count):
     assert len(find_violations(journal_of_calls(*calls))) == count
+
+
+def test_crashed_runner_is_followed_by_another_process_at_its_address():
+    async def scenario(calls):
+        fleet, old = calls.fleet, calls.listed("w1")
+        assert await calls.start(old) == ""
+        fleet.crash_runner("w1", new_id="w1-2")
+        crashed_ms = calls.clock.now_ms()
+        await calls.poll(old, crashed_ms + 3_000)
+        assert "w1" in listed_names(fleet) and "w1-2" not in listed_names(fleet)
+        await calls.poll(old, crashed_ms + 3_400)
+        new = calls.listed("w1-2")
+        assert {"w1", "w1-2"} <= listed_names(fleet)
+        assert (new.address, new.id != old.id) == (old.address, True)
+        assert new.boot_ms > old.boot_ms
+        await calls.clock.sleep_ms(400)
+        assert "w1" not in listed_names(fleet)
+        assert [answer for _, answer in calls.answers] == ["broken", "refused", "boot"]
+        refused_ms, boot_ms = (at_ms - crashed_ms for at_ms, _ in calls.answers[1:])
+        assert 330 <= refused_ms < 340 and 3_300 <= boot_ms < 3_310
+        report = await calls.client.hold(new, 1, 0, 0, 0)
+        assert (report.running, report.ended, report.boot_ms) == ([], [], new.boot_ms)
+        assert report.clock_ms < 2_000
+        lost = ["task_started", "runner_crashed", "task_lost", "runner_started"]
+        assert calls.entries(*lost)[-4:] == lost
+
+    run_runners(scenario)
+
+
+def test_crash_breaks_a_poll_that_is_under_way():
+    async def scenario(calls):
+        started_ms = calls.clock.now_ms()
+        poll = asyncio.create_task(calls.poll(calls.listed("w1"), started_ms + 200, 1_000))
+        await calls.clock.sleep_ms(100)
+        calls.fleet.crash_runner("w1")
+        await poll
+        assert calls.answers == [(round(started_ms) + 109, "broken")]
+
+    run_runners(scenario)
+
+
+def test_runner_that_starts_again_under_its_id_knows_nothing():
+    async def scenario(calls):
+        listed = calls.listed("w1")
+        assert await calls.start(listed) == ""
+        await calls.client.hold(listed, 9, 0, 0, 0)
+        assert await calls.start(listed, 1) == "fence"
+        calls.fleet.crash_runner("w1", back_ms=500, unlisted_ms=1_000)
+        await calls.clock.sleep_ms(2_000)
+        assert "w1" in listed_names(calls.fleet)
+        # A call on the listing from before names the same id.
+        assert await calls.start(listed, run=1) == ""
+        assert calls.listed("w1").boot_ms > listed.boot_ms
+
+    run_runners(scenario)
+
+
+def test_runner_lost_for_good_is_unlisted():
+    async def scenario(calls):
+        calls.fleet.crash_runner("w1", back_ms=None)
+        await calls.clock.sleep_ms(10_000)
+        assert "w1" not in listed_names(calls.fleet)
+        await calls.poll(calls.listed("w1"), calls.clock.now_ms() + 1)
+        assert [answer for _, answer in calls.answers] == ["refused"]
+
+    run_runners(scenario)
+
+
+def test_deadly_task_crashes_its_runner_with_all_that_runs_on_it():
+    async def scenario(calls):
+        old = calls.listed("w1")
+        assert await calls.start(old, 0, deadly=(1,)) == ""
+        await calls.clock.sleep_ms(100)
+        assert calls.entries("runner_crashed", "task_lost") == []
+        assert await calls.start(old, 1, deadly=(1,)) == ""
+        await calls.clock.sleep_ms(20)
+        (crash,) = calls.fleet.journal.all("runner_crashed")
+        assert (crash.fields["runner"], crash.fields["task"]) == ("w1", TASK.format(1))
+        lost = {entry.fields["task"] for entry in calls.fleet.journal.all("task_lost")}
+        assert lost == {TASK.format(0), TASK.format(1)}
+        await calls.clock.sleep_ms(4_000)
+        assert calls.listed("w1-2").address == old.address
+        assert await calls.start(old, 1, 2) == "boot"
+
+    run_runners(scenario)
+
+
+def test_gang_whose_member_crashes_its_runner_breaks_elsewhere():
+    async def scenario(calls):
+        for index, name in enumerate(("w1", "w2")):
+            await calls.start(calls.listed(name), index, gang=2, deadly=(1,), deadly_after_ms=300)
+        await calls.clock.sleep_ms(400)
+        (ended,) = calls.fleet.journal.all("task_ended")
+        assert (ended.fields["task"], ended.fields["outcome"]) == (TASK.format(0), "broken")
+
+    run_runners(scenario)
+
+
+@pytest.mark.parametrize("new_id, started", [("w1-2", 0), ("", 1)])
+def test_start_whose_answer_is_lost_is_carried_out_late_by_the_process_that_it_names(
+    new_id, started
+):
+    async def scenario(calls):
+        runner, listed = calls.fleet.runners_by_id["w1"], calls.listed("w1")
+        runner.lost_starts, runner.late_start_ms = 1, 3_000
+        assert await calls.start(listed) == "the answer was lost"
+        calls.fleet.crash_runner("w1", back_ms=1_000, new_id=new_id)
+        await calls.clock.sleep_ms(2_000)
+        assert calls.entries("task_started") == []
+        await calls.clock.sleep_ms(1_000)
+        late = calls.fleet.journal.all("task_started")
+        assert [entry.fields["late"] for entry in late] == [True] * started
+
+    run_runners(scenario)
+
+
+@pytest.mark.parametrize(
+    "need, guarding, answer",
+    [
+        ((8_000, 1, 1), True, ""),
+        ((8_001, 1, 1), True, "room"),
+        ((1, 32_001, 1), True, "room"),
+        ((1, 1, 2), True, "room"),
+        ((8_001, 32_001, 2), False, ""),
+    ],
+)
+def test_capacity_that_shrinks_is_guarded_at_once_and_listed_after_a_lag(need, guarding, answer):
+    async def scenario(calls):
+        fleet, before = calls.fleet, calls.listed("w1")
+        assert await calls.start(before, demands=[(24_000, 96_000, 3)]) == ""
+        fleet.resize_runner("w1", Capacity(32_000, 128_000, 4), lag_ms=500)
+        fleet.resize_runner("w2", Capacity(1, 1, 1))
+        assert calls.listed("w1").capacity.accelerators == 8
+        assert await calls.start(before, 1, demands=[need]) == answer
+        await calls.clock.sleep_ms(600)
+        entry = fleet.store.topic(StoreFormat.runners_topic).newest_by_key["w1"]
+        listed = StoreFormat().decode_runner("w1", entry.value)
+        assert (listed.capacity.cpu_millis, listed.capacity.memory_mb) == (32_000, 128_000)
+        assert len(calls.entries("task_lost", "task_ended")) == 0
+
+    run_runners(scenario, guarding=guarding)
+
+
+def test_odd_entry_stands_under_a_runners_key_until_it_writes_its_own_again():
+    async def scenario(calls):
+        fleet = calls.fleet
+        newest = fleet.store.topic(StoreFormat.runners_topic).newest_by_key
+        before = newest["w1"].value
+        odd = odd_entries(before)
+        assert len(odd) > 20 and before not in odd.values()
+        fleet.put_odd_entry("w1", odd["deeply nested"])
+        fleet.put_odd_entry("odd-1", odd["port 0"])
+        assert newest["w1"].value == odd["deeply nested"]
+        await calls.clock.sleep_ms(1_600)
+        assert newest["w1"].value == before
+        assert newest["odd-1"].value == odd["port 0"]
+
+    run_runners(scenario)
+
+
+def test_call_over_http_that_names_another_process_is_answered_with_421():
+    async def run():
+        clock = Clock()
+        runner = TaskRunner(make_runner("w1", "r1-0"), clock, Journal(clock), GangRegistry())
+        pool = HttpPool()
+        try:
+            async with AppServer(RunnerServer(runner).app()) as site:
+                listed = runner.listed
+                listed.address = site.address
+                client = HttpRunners(pool)
+                await client.start(listed, 1, TASK.format(0), 1, TaskSpec.encode(100), "", LEASE_MS)
+                runner.crash()
+                runner.restart("w1-2")
+                for call in (
+                    client.hold(listed, 1, 0, 0, 0),
+                    client.stop(listed, 1, TASK.format(0), 1),
+                    client.start(listed, 1, TASK.format(0), 2, TaskSpec.encode(1), "", LEASE_MS),
+                ):
+                    with pytest.raises(RunnerRefusedError, match="boot"):
+                        await call
+                report = await client.hold(runner.listed, 1, 0, 0, 0)
+                assert (report.boot_ms, report.running) == (runner.boot_ms, [])
+        finally:
+            await pool.close()
+
+    asyncio.run(run())
