--- a/packages/standins/carawayroute_standins/fleet/judge.py
+++ b/packages/standins/carawayroute_standins/fleet/judge.py
@@ -3,6 +3,11 @@
 What callers were told is compared with what they were told before, not with the fleet's own state.
 """
 
+from carawayroute_standins.fleet.attempts import (
+    find_failed_without_cause,
+    find_starts_beyond_budget,
+)
+from carawayroute_standins.fleet.room import find_starts_beyond_capacity
 from carawayroute_standins.journal import Journal
 
 # An accepted job is known to every instance after this time.
@@ -21,13 +26,19 @@
 def find_violations(journal: Journal) -> list[str]:
     """Return all violations.
 
-    These are tasks that ran twice or again once done, partial gangs, and accepted jobs that an
-    instance denied.
+    These are tasks that ran twice or again once done, partial gangs, accepted jobs that an instance
+    denied, jobs told as failed without cause, and starts beyond a runner's capacity or after too
+    many failures or crashes.
 
     A start after an end as done is a violation if that end is acknowledged before or after it,
     whether or not the runner's lease expired in between.
     """
-    found = find_denied_jobs(journal)
+    found = [
+        *find_denied_jobs(journal),
+        *find_failed_without_cause(journal),
+        *find_starts_beyond_capacity(journal),
+        *find_starts_beyond_budget(journal),
+    ]
     acknowledged_ends = _acknowledged_ends(journal)
     done: set[str] = set()
     running: dict[str, tuple[int, str]] = {}
--- a/packages/standins/carawayroute_standins/fleet/taskrunner.py
+++ b/packages/standins/carawayroute_standins/fleet/taskrunner.py
@@ -137,7 +137,7 @@
         self._stop_ms = stop_ms
         self._most_lease_ms = max_lease_ms
         self._gang_wait_ms = gang_wait_ms
-        self.mode = "up"
+        self._mode = "up"
         self.unanswered_ms: list[float] = []
         self._failures_by_task: dict[str, int] = {}
         self._ended_event = asyncio.Event()
@@ -149,6 +149,16 @@
         self._runs: dict[tuple[str, int], _Run] = {}
         self._start_process(listed.id)
 
+    @property
+    def mode(self) -> str:
+        """Return how the runner behaves."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode: str) -> None:
+        self._mode = mode
+        self.journal.record("runner_mode", runner=self.listed.id, mode=mode)
+
     def restart_empty(self) -> None:
         """Restart under the same id with no tasks, leases or fencing state."""
         self._end_process()
@@ -168,8 +178,8 @@
 
     def restart(self, runner_id: str = "") -> None:
         """Start a new process, by default under the same id."""
+        self._mode = "up"
         self._start_process(runner_id or self.listed.id)
-        self.mode = "up"
 
     def _end_process(self) -> None:
         self._processes += 1
@@ -201,6 +211,8 @@
             what,
             runner=self.listed.id,
             service=self.listed.service,
+            labels=sorted(self.listed.labels),
+            mode=self.mode,
             guarding=self.guarding,
             cpu_millis=self.capacity.cpu_millis,
             memory_mb=self.capacity.memory_mb,
--- a/packages/standins/carawayroute_standins/fleet/world.py
+++ b/packages/standins/carawayroute_standins/fleet/world.py
@@ -9,6 +9,7 @@
 from carawayroute.fleet.types import Capacity, Queue, Team
 from carawayroute.misc import TaskGroup
 from carawayroute_schema import records_pb2 as pb
+from carawayroute_standins.fleet.accepted import record_accepted
 from carawayroute_standins.fleet.bandwidth import Network
 from carawayroute_standins.fleet.peers import InMemoryPeers
 from carawayroute_standins.fleet.taskrunner import (
@@ -110,10 +111,12 @@
         listed = self.runners_by_id[name].listed
         listed.draining = draining
         self.store.put(self.formats.runners_topic, name, self._list_runner(listed))
+        self.journal.record("runner_listed", runner=name, draining=draining)
 
     def unlist(self, name: str) -> None:
         """Remove a runner's listing from the store."""
         self.store.put(self.formats.runners_topic, name, b"")
+        self.journal.record("runner_unlisted", runner=name)
 
     def _follow_deadly_task(self, runner: TaskRunner) -> None:
         name = runner.listed.id
@@ -258,7 +261,7 @@
         """Submit a job to an instance, by default the first by name."""
         name = at or sorted(self.nodes_by_name)[0]
         await self.nodes_by_name[name].service.submit(queue, team, job, CALLER_DEADLINE_MS)
-        self.journal.record("job_accepted", job=job.id, entry=name)
+        record_accepted(self.journal, job, name)
 
     async def state(self, job_id: str, at: str = "") -> str:
         """Return a job's state as reported by an instance, by default the first by name."""
--- a/tests/test_fleet_standins.py
+++ b/tests/test_fleet_standins.py
@@ -5,7 +5,8 @@
 
 import pytest
 from aiohttp.test_utils import TestClient, TestServer
-from fleet_builders import journal_of_calls, world
+from fleet_builders import job, journal_of_calls, step, world
+from journal_builders import JournalBuilder
 from test_adapters import AppServer
 
 from carawayroute.clock import Clock
@@ -17,10 +18,15 @@
 )
 from carawayroute.fleet.types import Capacity, Runner
 from carawayroute_standins.fleet import topics
+from carawayroute_standins.fleet.attempts import (
+    find_failed_without_cause,
+    find_starts_beyond_budget,
+)
 from carawayroute_standins.fleet.bandwidth import Network
 from carawayroute_standins.fleet.http import RunnerServer, StoreServer
 from carawayroute_standins.fleet.judge import find_violations
 from carawayroute_standins.fleet.odd_entries import odd_entries
+from carawayroute_standins.fleet.room import find_idle_jobs, find_starts_beyond_capacity
 from carawayroute_standins.fleet.taskrunner import (
     GangRegistry,
     InMemoryRunnerClient,
@@ -454,3 +460,254 @@
             await pool.close()
 
     asyncio.run(run())
+
+
+def starts_of(task: str, count: int, outcome: str, first: int = 1, **options) -> JournalBuilder:
+    """Return a journal of runs of a task of an accepted job that may fail twice.
+
+    :param outcome: how all runs but the last one end, or ``crash``.
+    """
+    journal = JournalBuilder("w1").accept(job())
+    for run in range(first, first + count):
+        journal.start(task, run, "w1")
+        if run < first + count - 1:
+            if outcome == "crash":
+                journal.crash(task, run, "w1").runner("w1", Capacity(64_000, 256_000, 8))
+            else:
+                journal.end(task, run, "w1", outcome, **options)
+    return journal
+
+
+@pytest.mark.parametrize(
+    "runs, outcome, acknowledged, count",
+    [
+        (2, "failed", True, 0),
+        (3, "failed", True, 1),
+        (3, "failed", False, 0),
+        (5, "stopped", True, 0),
+        (5, "crash", True, 0),
+        (6, "crash", True, 1),
+        (7, "crash", True, 1),
+    ],
+)
+def test_judge_finds_starts_after_too_many_failures_or_crashes(runs, outcome, acknowledged, count):
+    journal = starts_of(TASK.format(0), runs, outcome, acknowledged=acknowledged).journal
+    assert len(find_starts_beyond_budget(journal)) == count
+    assert len(find_violations(journal)) == count
+
+
+def test_judge_counts_crashes_for_the_task_that_caused_them():
+    guilty, neighbour = TASK.format(0), TASK.format(1)
+    journal = JournalBuilder("w1").accept(job())
+    for run in range(1, 8):
+        journal.start(neighbour, run, "w1").start(guilty, run, "w1")
+        journal.crash(guilty, run, "w1").lose(neighbour, run, "w1")
+    found = find_starts_beyond_budget(journal.journal)
+    assert [text.partition(" ")[0] for text in found] == [guilty]
+
+
+def test_judge_does_not_count_starts_that_a_runner_carried_out_late():
+    journal = starts_of(TASK.format(0), 5, "crash").crash(TASK.format(0), 5, "w1")
+    journal.start(TASK.format(0), 6, "w1", late=True)
+    assert find_starts_beyond_budget(journal.journal) == []
+
+
+def test_judge_takes_ends_acknowledged_later_into_account():
+    task = TASK.format(0)
+    journal = starts_of(task, 3, "failed", acknowledged=False)
+    for run in (1, 2):
+        journal._add("end_acknowledged", task=task, run=run, runner="w1", outcome="failed")
+    assert len(find_starts_beyond_budget(journal.journal)) == 1
+
+
+SMALL = Capacity(4_000, 16_000, 4)
+
+
+@pytest.mark.parametrize(
+    "guarding, after_ms, late, count",
+    [
+        (False, 4_499, False, 0),
+        (False, 4_501, False, 1),
+        (False, 4_501, True, 0),
+        (True, 4_501, False, 0),
+    ],
+)
+@pytest.mark.parametrize("name", ["cpu_millis", "memory_mb", "accelerators"])
+def test_judge_finds_starts_beyond_a_capacity_that_has_shrunk(
+    guarding, after_ms, late, count, name
+):
+    journal = JournalBuilder("w1", guarding=guarding).accept(job(steps=[step(9)]))
+    shrunk = Capacity(64_000, 256_000, 8)
+    setattr(shrunk, name, getattr(SMALL, name) // 4)
+    journal.start(TASK.format(0), 1, "w1").resize("w1", shrunk).wait(after_ms)
+    journal.start(TASK.format(1), 1, "w1", late=late)
+    if name != "accelerators":
+        journal.start(TASK.format(2), 1, "w1", late=late)
+    found = find_starts_beyond_capacity(journal.journal)
+    over = {"cpu_millis": 2, "memory_mb": 0, "accelerators": 1}[name]
+    assert len(found) == over * count
+
+
+def test_judge_counts_what_is_being_stopped_and_grants_what_grew_again():
+    journal = JournalBuilder("w1", guarding=False).accept(job(steps=[step(9)]))
+    for index in range(8):
+        journal.start(TASK.format(index), 1, "w1")
+    assert find_violations(journal.journal) == []
+    journal.resize("w1", SMALL).wait(6_000).resize("w1", Capacity(64_000, 256_000, 9))
+    journal.start(TASK.format(8), 1, "w1")
+    assert find_violations(journal.journal) == []
+    journal.start(TASK.format(9), 1, "w1")
+    (found,) = find_violations(journal.journal)
+    assert found.startswith(TASK.format(9))
+
+
+def told_failed(*endings: tuple[str, ...], steps=None) -> list[str]:
+    """Return the violations of a journal in which a job is told as failed after some runs.
+
+    :param endings: of each run, how the task of each index ended: an outcome, or ``lost``.
+    """
+    one = job(steps=steps)
+    journal = JournalBuilder("w1").accept(one)
+    for run, outcomes in enumerate(endings, 1):
+        for index, outcome in enumerate(outcomes):
+            journal.start(TASK.format(index), run, "w1")
+            if outcome == "lost":
+                journal.lose(TASK.format(index), run, "w1")
+            else:
+                journal.end(TASK.format(index), run, "w1", outcome)
+    return find_failed_without_cause(journal.tell(one, "failed").journal)
+
+
+@pytest.mark.parametrize(
+    "endings, gang, count",
+    [
+        ((), False, 1),
+        ((("failed",),), False, 1),
+        ((("failed",), ("failed",)), False, 0),
+        ((("lost",),), False, 1),
+        ((("lost",), ("lost",)), False, 0),
+        ((("lost",), ("failed",)), False, 1),
+        ((("failed", "done"), ("done", "failed")), False, 1),
+        ((("failed", "broken"), ("broken", "failed")), True, 0),
+        ((("lost", "broken"), ("broken", "lost")), True, 1),
+        ((("lost", "broken"), ("lost", "broken")), True, 0),
+        ((("stopped",), ("lapsed",), ("broken",)), False, 1),
+    ],
+)
+def test_judge_finds_jobs_told_as_failed_without_cause(endings, gang, count):
+    assert len(told_failed(*endings, steps=[step(2, gang=gang)])) == count
+
+
+def test_judge_does_not_take_a_runner_that_leaves_for_a_crash():
+    one = job()
+    journal = JournalBuilder("w1").accept(one)
+    for run in (1, 2):
+        journal.list("w1", draining=True).start(TASK.format(0), run, "w1")
+        journal.lose(TASK.format(0), run, "w1")
+    assert len(find_failed_without_cause(journal.tell(one, "failed").journal)) == 1
+
+
+def test_judge_does_not_ask_for_the_cause_of_other_states():
+    one = job()
+    journal = JournalBuilder("w1").accept(one).tell(one, "completed").tell(one, "cancelled")
+    assert find_failed_without_cause(journal.journal) == []
+
+
+class IdleCase:
+    """A journal in which a job waits, judged over 10 s by default."""
+
+    def __init__(self, *steps, runners: tuple[str, ...] = ("w1", "w2")) -> None:
+        self.job = job(steps=list(steps) or [step()])
+        self.journal = JournalBuilder(*runners).accept(self.job)
+
+    def occupy(self, tasks: int, runner: str) -> None:
+        """Run tasks of another job, each with one accelerator."""
+        other = job("0000000000000002", [step(tasks)])
+        self.journal.accept(other)
+        for index in range(tasks):
+            self.journal.start(f"{other.id}.0.0.{index}", 1, runner)
+
+    def idle(self, since_ms: float = 0.0, until_ms: float = 10_000) -> bool:
+        """Return whether the judge finds the job."""
+        found = find_idle_jobs(self.journal.journal, since_ms, until_ms)
+        assert all(text.startswith(self.job.id) for text in found)
+        return bool(found)
+
+
+def test_judge_finds_a_job_that_waits_beside_room():
+    case = IdleCase()
+    assert case.idle()
+    assert case.idle(since_ms=7_000)
+    assert not case.idle(until_ms=2_999)
+    assert not case.idle(since_ms=7_001)
+
+
+def test_judge_finds_a_job_whose_run_was_lost_and_is_not_begun_again():
+    case = IdleCase()
+    case.journal.start(TASK.format(0), 1, "w1").wait(5_000)
+    assert not case.idle()
+    case.journal.lose(TASK.format(0), 1, "w1").runner("w1", SMALL)
+    assert case.idle()
+    case.journal.wait(2_900).start(TASK.format(0), 2, "w1")
+    assert not case.idle()
+
+
+@pytest.mark.parametrize("gang, used, idle", [(True, 4, True), (True, 5, False), (False, 7, True)])
+def test_judge_wants_room_twice_over(gang, used, idle):
+    case = IdleCase(step(6, gang=gang))
+    case.occupy(used, "w1")
+    assert case.idle() == idle
+
+
+@pytest.mark.parametrize("used, idle", [(7, True), (8, False)])
+def test_judge_wants_under_half_of_the_capacity_in_use(used, idle):
+    case = IdleCase()
+    case.occupy(used, "w1")
+    assert case.idle() == idle
+
+
+def test_judge_wants_room_on_runners_with_the_label_of_the_step():
+    assert IdleCase(step(label="a")).idle()
+    assert not IdleCase(step(label="b")).idle()
+
+
+@pytest.mark.parametrize(
+    "change", [lambda one: one.mode("w1", "cut"), lambda one: one.list("w1", draining=True)]
+)
+def test_judge_counts_no_room_on_runners_that_are_unreachable_or_leave(change):
+    case = IdleCase(runners=("w1",))
+    change(case.journal)
+    assert not case.idle()
+
+
+def test_judge_waits_for_the_steps_before_and_for_the_time_of_an_occurrence():
+    case = IdleCase(step(), step(depends_on=[0]))
+    case.journal.start(TASK.format(0), 1, "w1").wait(4_000)
+    assert not case.idle()
+    case.journal.end(TASK.format(0), 1, "w1", "done")
+    assert case.idle()
+    scheduled = IdleCase()
+    scheduled.job.occurrences, scheduled.job.first_due_ms = 1, 8_000
+    scheduled.journal = JournalBuilder("w1").accept(scheduled.job)
+    assert not scheduled.idle()
+
+
+@pytest.mark.parametrize("state, idle", [("running", True), ("cancelled", False)])
+def test_judge_does_not_wait_for_jobs_that_have_ended(state, idle):
+    case = IdleCase()
+    case.journal.tell(case.job, state)
+    assert case.idle() == idle
+
+
+def test_judge_sees_starts_on_a_fleet_beyond_a_capacity_that_has_shrunk():
+    """The emulated fleet's own journal has what the judges need."""
+
+    async def scenario(calls):
+        fleet = calls.fleet
+        fleet.resize_runner("w1", SMALL)
+        await calls.clock.sleep_ms(5_000)
+        assert await calls.start(calls.listed("w1"), demands=[(1_000, 1_000, 5)]) == ""
+        (found,) = find_starts_beyond_capacity(fleet.journal)
+        assert found == f"{TASK.format(0)} brought w1 to 5 of 4 accelerators"
+
+    run_runners(scenario, guarding=False)
