Share the emulated runners' crashes and entries between the fleet in one loop and processes

RunnerPool holds what FleetWorld did with runners and their entries, so that the cluster of real processes can do the same.

--- a/packages/standins/carawayroute_standins/fleet/world.py
+++ b/packages/standins/carawayroute_standins/fleet/world.py
@@ -12,8 +12,8 @@
 from carawayroute_standins.fleet.accepted import record_accepted
 from carawayroute_standins.fleet.bandwidth import Network
 from carawayroute_standins.fleet.peers import InMemoryPeers
+from carawayroute_standins.fleet.pool import RunnerPool
 from carawayroute_standins.fleet.taskrunner import (
-    ENDED_MODES,
     GangRegistry,
     InMemoryRunnerClient,
     TaskRunner,
@@ -27,11 +27,6 @@
 POLL_INTERVAL_MS = 20
 CALLER_DEADLINE_MS = 3_000
 STORE_REGION = "south"
-# A runner writes its entry this often.
-HEARTBEAT_MS = 1_500
-# A process that has crashed is followed by another one after this time, and unlisted after that.
-RUNNER_BACK_MS = 3_300
-RUNNER_UNLISTED_MS = 3_600
 
 
 class FleetWorld:
@@ -44,8 +39,7 @@
     :param guarding: whether runners refuse starts that exceed their capacity.
     :ivar network: links to the instances, unlimited by default.
     :ivar unreachable_peers: instances without connections to their peers.
-    :ivar crash_back_ms: time from a crash by a task to the next process at the runner's address.
-    :ivar crash_new_ids: whether that process has another id.
+    :ivar pool: the runners, which may crash, change their capacity or find odd entries.
     """
 
     def __init__(
@@ -67,17 +61,16 @@
         self._data_centre_by_instance = data_centre_by_instance or {}
         self.store = TopicStore(self.clock, self.network)
         self.formats = formats
-        self._list_runner = list_runner
         self.gangs = GangRegistry()
         self.tasks = TaskGroup()
         self.unreachable_peers: set[str] = set()
         self.nodes_by_name: dict[str, FleetNode] = {}
         self.runner_clients_by_name: dict[str, InMemoryRunnerClient] = {}
-        self.runners_by_id: dict[str, TaskRunner] = {}
-        self._runners: list[TaskRunner] = []
+        self.pool = RunnerPool(
+            self.store, formats.runners_topic, list_runner, self.clock, self.journal, self.tasks
+        )
+        self.runners_by_id = self.pool.by_id
         self._guarding = guarding
-        self.crash_back_ms = RUNNER_BACK_MS
-        self.crash_new_ids = True
         self.store.put(formats.configuration_topic, formats.configuration_key, configuration)
         number = 0
         for rack in range(racks):
@@ -99,108 +92,28 @@
             max_lease_ms=MAX_LEASE_MS,
             **{"guarding": self._guarding, **options},
         )
-        self.runners_by_id[name] = runner
-        self._runners.append(runner)
-        runner.on_deadly_task = self._follow_deadly_task
-        self.tasks.start(runner.run(), name)
-        self.list(name)
+        self.pool.add(runner)
         return runner
 
     def list(self, name: str, draining: bool = False) -> None:
         """Write a runner's listing to the store."""
-        listed = self.runners_by_id[name].listed
-        listed.draining = draining
-        self.store.put(self.formats.runners_topic, name, self._list_runner(listed))
-        self.journal.record("runner_listed", runner=name, draining=draining)
+        self.pool.list(name, draining)
 
     def unlist(self, name: str) -> None:
         """Remove a runner's listing from the store."""
-        self.store.put(self.formats.runners_topic, name, b"")
-        self.journal.record("runner_unlisted", runner=name)
-
-    def _follow_deadly_task(self, runner: TaskRunner) -> None:
-        name = runner.listed.id
-        new_id = self._next_id(name) if self.crash_new_ids else ""
-        self._follow_crash(name, self.crash_back_ms, new_id, RUNNER_UNLISTED_MS)
-
-    @staticmethod
-    def _next_id(name: str) -> str:
-        """Return the id of the process after one: w1-2 after w1, w1-3 after w1-2."""
-        base, _, number = name.partition("-")
-        return f"{base}-{int(number or 1) + 1}"
-
-    def crash_runner(
-        self,
-        name: str,
-        back_ms: float | None = RUNNER_BACK_MS,
-        new_id: str = "",
-        unlisted_ms: float = RUNNER_UNLISTED_MS,
-    ) -> None:
-        """End a runner's process and all tasks on it; another process follows at its address.
-
-        :param back_ms: time from the crash to the next process, which lists itself, ``None`` if
-            there is none.
-        :param new_id: id of that process, by default the same.
-        :param unlisted_ms: time from the crash until the ended process is no longer listed.
-        """
-        self.runners_by_id[name].crash()
-        self._follow_crash(name, back_ms, new_id, unlisted_ms)
-
-    def _follow_crash(
-        self, name: str, back_ms: float | None, new_id: str, unlisted_ms: float
-    ) -> None:
-        runner = self.runners_by_id[name]
-        crashed = runner.listed
+        self.pool.unlist(name)
 
-        async def unlist() -> None:
-            await self.clock.sleep_ms(unlisted_ms)
-            if runner.listed is crashed or runner.listed.id != name:
-                self.unlist(name)
-
-        async def come_back(after_ms: float) -> None:
-            await self.clock.sleep_ms(after_ms)
-            runner.restart(new_id)
-            del self.runners_by_id[name]
-            self.runners_by_id[runner.listed.id] = runner
-            self.list(runner.listed.id)
-
-        self.tasks.start(unlist(), f"unlist {name}")
-        if back_ms is not None:
-            self.tasks.start(come_back(back_ms), f"restart {name}")
+    def crash_runner(self, name: str, *schedule, **options) -> None:
+        """End a runner's process; see `RunnerPool.crash`."""
+        self.pool.crash(name, *schedule, **options)
 
     def resize_runner(self, name: str, capacity: Capacity, lag_ms: float = 0.0) -> None:
         """Change a runner's capacity; its listing shows it after a lag."""
-        runner = self.runners_by_id[name]
-        runner.set_capacity(capacity)
-
-        async def show() -> None:
-            await self.clock.sleep_ms(lag_ms)
-            runner.listed.capacity = capacity.copy()
-            if runner.mode not in ENDED_MODES:
-                self.list(runner.listed.id, runner.listed.draining)
-
-        self.tasks.start(show(), f"resize {name}")
-
-    def put_odd_entry(self, key: str, value: bytes, mended_ms: float | None = HEARTBEAT_MS) -> None:
-        """Write an odd entry among those of the runners, under a runner's key or another one.
-
-        :param mended_ms: time until a runner whose key this is writes its entry again, ``None`` if
-            it does not.
-        """
-        self.store.put(self.formats.runners_topic, key, value)
-
-        async def mend() -> None:
-            await self.clock.sleep_ms(mended_ms)
-            runner = self.runners_by_id.get(key)
-            if runner is not None and runner.mode not in ENDED_MODES:
-                self.list(key, runner.listed.draining)
-
-        if mended_ms is not None and key in self.runners_by_id:
-            self.tasks.start(mend(), f"mend {key}")
+        self.pool.resize(name, capacity, lag_ms)
 
     def start_instance(self, name: str) -> FleetNode:
         """Start an instance."""
-        orders = InMemoryRunnerClient(self._runners, self.clock)
+        orders = InMemoryRunnerClient(self.pool.runners, self.clock)
         region = self.network.region(name)
         node = FleetNode(
             FleetSettings(
--- a/tests/test_fleet_standins.py
+++ b/tests/test_fleet_standins.py
@@ -280,7 +280,7 @@
     async def scenario(calls):
         fleet, old = calls.fleet, calls.listed("w1")
         assert await calls.start(old) == ""
-        fleet.crash_runner("w1", new_id="w1-2")
+        fleet.pool.crash("w1", new_id="w1-2")
         crashed_ms = calls.clock.now_ms()
         await calls.poll(old, crashed_ms + 3_000)
         assert "w1" in listed_names(fleet) and "w1-2" not in listed_names(fleet)
@@ -308,7 +308,7 @@
         started_ms = calls.clock.now_ms()
         poll = asyncio.create_task(calls.poll(calls.listed("w1"), started_ms + 200, 1_000))
         await calls.clock.sleep_ms(100)
-        calls.fleet.crash_runner("w1")
+        calls.fleet.pool.crash("w1")
         await poll
         assert calls.answers == [(round(started_ms) + 109, "broken")]
 
@@ -321,7 +321,7 @@
         assert await calls.start(listed) == ""
         await calls.client.hold(listed, 9, 0, 0, 0)
         assert await calls.start(listed, 1) == "fence"
-        calls.fleet.crash_runner("w1", back_ms=500, unlisted_ms=1_000)
+        calls.fleet.pool.crash("w1", back_ms=500, unlisted_ms=1_000)
         await calls.clock.sleep_ms(2_000)
         assert "w1" in listed_names(calls.fleet)
         # A call on the listing from before names the same id.
@@ -333,7 +333,7 @@
 
 def test_runner_lost_for_good_is_unlisted():
     async def scenario(calls):
-        calls.fleet.crash_runner("w1", back_ms=None)
+        calls.fleet.pool.crash("w1", back_ms=None)
         await calls.clock.sleep_ms(10_000)
         assert "w1" not in listed_names(calls.fleet)
         await calls.poll(calls.listed("w1"), calls.clock.now_ms() + 1)
@@ -380,7 +380,7 @@
         runner, listed = calls.fleet.runners_by_id["w1"], calls.listed("w1")
         runner.lost_starts, runner.late_start_ms = 1, 3_000
         assert await calls.start(listed) == "the answer was lost"
-        calls.fleet.crash_runner("w1", back_ms=1_000, new_id=new_id)
+        calls.fleet.pool.crash("w1", back_ms=1_000, new_id=new_id)
         await calls.clock.sleep_ms(2_000)
         assert calls.entries("task_started") == []
         await calls.clock.sleep_ms(1_000)
@@ -404,8 +404,8 @@
     async def scenario(calls):
         fleet, before = calls.fleet, calls.listed("w1")
         assert await calls.start(before, demands=[(24_000, 96_000, 3)]) == ""
-        fleet.resize_runner("w1", Capacity(32_000, 128_000, 4), lag_ms=500)
-        fleet.resize_runner("w2", Capacity(1, 1, 1))
+        fleet.pool.resize("w1", Capacity(32_000, 128_000, 4), lag_ms=500)
+        fleet.pool.resize("w2", Capacity(1, 1, 1))
         assert calls.listed("w1").capacity.accelerators == 8
         assert await calls.start(before, 1, demands=[need]) == answer
         await calls.clock.sleep_ms(600)
@@ -424,8 +424,8 @@
         before = newest["w1"].value
         odd = odd_entries(before)
         assert len(odd) > 20 and before not in odd.values()
-        fleet.put_odd_entry("w1", odd["deeply nested"])
-        fleet.put_odd_entry("odd-1", odd["port 0"])
+        fleet.pool.put_odd_entry("w1", odd["deeply nested"])
+        fleet.pool.put_odd_entry("odd-1", odd["port 0"])
         assert newest["w1"].value == odd["deeply nested"]
         await calls.clock.sleep_ms(1_600)
         assert newest["w1"].value == before
@@ -704,7 +704,7 @@
 
     async def scenario(calls):
         fleet = calls.fleet
-        fleet.resize_runner("w1", SMALL)
+        fleet.pool.resize("w1", SMALL)
         await calls.clock.sleep_ms(5_000)
         assert await calls.start(calls.listed("w1"), demands=[(1_000, 1_000, 5)]) == ""
         (found,) = find_starts_beyond_capacity(fleet.journal)
