--- a/packages/standins/carawayroute_standins/fleet/pool.py
+++ b/packages/standins/carawayroute_standins/fleet/pool.py
@@ -128,14 +128,16 @@
 
         async def show() -> None:
             await self._clock.sleep_ms(lag_ms)
-            runner.listed.capacity = runner.capacity.copy()
-            self._list_again(runner)
+            runner.listed.capacity = runner.capacity
+            await self._list_again(runner)
 
         self._tasks.start(show(), f"resize {name}")
 
-    def _list_again(self, runner: TaskRunner) -> None:
-        if runner.mode not in ENDED_MODES:
-            self.list(runner.listed.id, runner.listed.draining)
+    async def _list_again(self, runner: TaskRunner) -> None:
+        """Write a runner's entry as its next heartbeat does, once it is up."""
+        while runner.mode in ENDED_MODES:
+            await self._clock.sleep_ms(HEARTBEAT_MS)
+        self.list(runner.listed.id, runner.listed.draining)
 
     def put_odd_entry(self, key: str, value: bytes, mended_ms: float | None = HEARTBEAT_MS) -> None:
         """Write an odd entry under a runner's key or another one.
@@ -149,7 +151,7 @@
         async def mend() -> None:
             await self._clock.sleep_ms(mended_ms)
             if key in self.by_id:
-                self._list_again(self.by_id[key])
+                await self._list_again(self.by_id[key])
 
         if mended_ms is not None and key in self.by_id:
             self._tasks.start(mend(), f"mend {key}")
--- a/packages/standins/carawayroute_standins/fleet/taskrunner.py
+++ b/packages/standins/carawayroute_standins/fleet/taskrunner.py
@@ -128,7 +128,7 @@
         guarding: bool = True,
     ) -> None:
         self.listed = listed
-        self.capacity = listed.capacity.copy()
+        self.capacity = listed.capacity
         self.guarding = guarding
         self.clock = clock
         self.journal = journal
@@ -198,6 +198,7 @@
         self.listed.id = runner_id
         self.listed.boot_ms = self.boot_ms
         self.listed.draining = False
+        self.listed.capacity = self.capacity
         self._term = 0
         self._started_ms = self.clock.now_ms()
         self._lease_until_ms = 0.0
@@ -228,7 +229,11 @@
         """Return the time of the runner's own clock in ms."""
         return int(1_000 + (self.clock.now_ms() - self._started_ms) * self._clock_rate)
 
-    def free(self) -> Capacity:
+    def free(self) -> int:
+        """Return the number of free accelerators."""
+        return self._free_capacity().accelerators
+
+    def _free_capacity(self) -> Capacity:
         """Return the capacity that is not in use; what is being stopped counts as used."""
         left = self.capacity.copy()
         for run in self._runs.values():
@@ -417,7 +422,7 @@
             raise RunnerRefusedError("late")
         self._extend_lease(lease_until_ms)
         started = _Run(self, task, run, TaskSpec(spec))
-        if self.guarding and not self.free().count_fitting(started.demand, 1):
+        if self.guarding and not self._has_room(started.demand):
             raise RunnerRefusedError("room")
         started.started_ms = self.clock.now_ms()
         self._runs[task, run] = started
@@ -438,6 +443,12 @@
             loop.call_later(started.work.deadly_after_ms / 1000, self._crash_by, started)
         return self.clock_ms()
 
+    def _has_room(self, demand: Capacity) -> bool:
+        fits = self._free_capacity().count_fitting(
+            Capacity(demand.cpu_millis, demand.memory_mb, 0), 1
+        )
+        return bool(fits) and demand.accelerators <= self.free()
+
     def _crash_by(self, run: _Run) -> None:
         """Crash as a task does, unless it has ended before."""
         if not run.ended:
--- a/packages/standins/carawayroute_standins/relay.py
+++ b/packages/standins/carawayroute_standins/relay.py
@@ -44,11 +44,17 @@
         self._streams.clear()
 
     async def start(self) -> None:
-        """Listen on a free port and set `address`."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen on a free port and set `address`, or on the same port as before."""
+        port = int(self.address.rpartition(":")[2] or 0)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def close_port(self) -> None:
+        """Reset every open connection and refuse new ones until `start`."""
+        self._server.close()
+        self.reset()
+
     async def stop(self) -> None:
         """Stop listening and close every connection."""
         self._server.close()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -9,7 +9,11 @@
 - no task runs twice at the same time or after its acknowledged end,
 - no task of a refused job runs,
 - every instance knows every accepted job, and the job ends once the faults are over,
-- the final state of a job does not change.
+- the final state of a job does not change,
+- a job one task of which crashes each of its runners ends as failed, at every instance, before it
+  has crashed too many; another job is failed only if runners crashed under one of its tasks,
+- no start brings a runner over its capacity some time after it shrank,
+- no job waits beside free runners once the faults are over.
 
 The clocks of the processes are not faulted, as setting them needs privileges; only the clocks of
 the runners run slow.
@@ -26,9 +30,16 @@
 import aiohttp
 import fire
 import structlog
-from fleet_cluster import CALLER_HEADERS, FAR_REGION, FleetCluster, job_body
+from fleet_builders import runner_bytes
+from fleet_cluster import CALLER_HEADERS, FAR_REGION, FleetCluster, job_body, job_record
 
+from carawayroute.fleet.types import Capacity
+from carawayroute_standins.fleet.accepted import record_accepted
 from carawayroute_standins.fleet.judge import find_violations
+from carawayroute_standins.fleet.odd_entries import odd_entries
+from carawayroute_standins.fleet.pool import HEARTBEAT_MS
+from carawayroute_standins.fleet.room import find_idle_jobs
+from carawayroute_standins.fleet.taskrunner import ENDED_MODES, TaskRunner, make_runner
 
 OUTPUT_DIR = pathlib.Path(__file__).resolve().parent.parent / "out" / "soak"
 # Most tasks end between two faults; some run longer than the timeout of an unresponsive runner.
@@ -46,6 +57,17 @@
 LINK_BYTES_PER_MS = 500
 SLOW_LINK_BYTES_PER_MS = 20
 FINAL_STATES = ("completed", "failed", "cancelled")
+# Faults of runners and of their entries, besides those that every run injects.
+RUNNER_FAULTS = ("deadly_jobs", "crash_runner", "shrink_runner", "write_odd_entry", "lose_starts")
+# Those that are injected by default, also in CI.
+DEFAULT_RUNNER_FAULTS: tuple[str, ...] = ()
+DEADLY_PROBABILITY = 0.08
+DEADLY_AFTER_MS = (10, 10, 300)
+# A process that crashed is back after this time at least.
+MIN_BACK_MS = 400
+UNLISTED_AFTER_MS = (300, 4_000)
+# From the end of the faults: a silent runner's lease must expire. Jobs may be idle until then.
+CALM_AFTER_MS = 11_000
 
 
 class SoakRun:
@@ -56,14 +78,22 @@
     :param folder: directory for the logs and settings of the processes.
     :param instances: number of instances.
     :param far: number of those that are in another region than the store, behind a small link.
+    :param runner_faults: those of `RUNNER_FAULTS` that are injected.
     :ivar accepted: number of cancellations that may have taken effect, by id of an accepted job.
+    :ivar deadly: jobs one task of which crashes each runner that starts it.
     :ivar refused: jobs whose every submission was answered with a refusal.
     :ivar violations: each with the second at which it was seen.
     :ivar faults: each with the second at which it began.
     """
 
     def __init__(
-        self, seed: int, seconds: float, folder: pathlib.Path, instances: int, far: int = 0
+        self,
+        seed: int,
+        seconds: float,
+        folder: pathlib.Path,
+        instances: int,
+        far: int = 0,
+        runner_faults: tuple[str, ...] = DEFAULT_RUNNER_FAULTS,
     ) -> None:
         self.rng = random.Random(seed)
         self.seconds = seconds
@@ -71,6 +101,11 @@
         self.cluster.use_relays = True
         self.instances = instances
         self.far = far
+        self.runner_faults = runner_faults
+        if runner_faults:
+            self.cluster.guarding = self.rng.random() < 0.5
+            self.cluster.pool.deadly_new_ids = self.rng.random() < 0.5
+        self.deadly: set[str] = set()
         self.accepted: dict[str, int] = {}
         self.refused: set[str] = set()
         self.final_by_id: dict[str, str] = {}
@@ -91,7 +126,12 @@
         # Not cancelled: aiohttp can drop a cancellation, and a last answer may accept a job.
         self._faults_ended = True
         await asyncio.gather(*callers)
+        calm_ms = self.cluster.clock.wall_ms() + CALM_AFTER_MS
         await self._wait_for_jobs()
+        for text in find_idle_jobs(
+            self.cluster.journal, calm_ms, max(calm_ms, self.cluster.clock.wall_ms())
+        ):
+            self._record_violation(text)
         return self.violations
 
     def _record_violation(self, text: str) -> None:
@@ -114,6 +154,7 @@
                     name = self._random_instance()
                     # May take effect before its answer, or without one after the callers ended.
                     self.accepted[job_id] += 1
+                    self.cluster.journal.record("job_cancelled", job=job_id, entry=name)
                     status, _ = await self._call(session, "DELETE", job_id, name)
                     self._check_known(status, job_id, name)
                     if status in (410, 429, 503):
@@ -138,7 +179,13 @@
         run_ms = self.rng.randint(100, MAX_SHORT_RUN_MS)
         if self.rng.random() < LONG_RUN_PROBABILITY:
             run_ms = LONG_RUN_MS
-        job = job_body(run_ms, count, gang=count > 1)
+        deadly: tuple[int, ...] = ()
+        after_ms = 0
+        if "deadly_jobs" in self.runner_faults and self.rng.random() < DEADLY_PROBABILITY:
+            deadly, after_ms = (self.rng.randrange(count),), self.rng.choice(DEADLY_AFTER_MS)
+            run_ms = max(run_ms, 2 * after_ms)
+            self.deadly.add(job_id)
+        job = job_body(run_ms, count, count > 1, deadly, after_ms)
         statuses = []
         for _ in range(self.rng.choice((1, 3))):
             status, _ = await self._call(session, "POST", job_id, self._random_instance(), job)
@@ -148,6 +195,7 @@
             await asyncio.sleep(0.2)
         if 200 in statuses:
             self.accepted.setdefault(job_id, 0)
+            record_accepted(self.cluster.journal, job_record(job_id, job), "")
         elif all(status in (429, 503) for status in statuses):
             self.refused.add(job_id)
 
@@ -167,12 +215,25 @@
             )
         if state in FINAL_STATES:
             self.final_by_id[job_id] = state
-            if state == "failed" or (state == "cancelled" and not self.accepted[job_id]):
-                self._record_violation(
-                    f"job {job_id} is {state}, though no task fails and nobody cancelled it"
-                )
+            self.cluster.journal.record("state_told", job=job_id, entry=name, state=state)
+            self._check_final(job_id, state)
         return state
 
+    def _check_final(self, job_id: str, state: str) -> None:
+        """Record a violation if nothing allows a job's final state."""
+        if state == "cancelled" and self.accepted[job_id]:
+            return
+        if job_id in self.deadly:
+            if state == "completed":
+                self._record_violation(f"job {job_id} is completed, though a task crashes runners")
+        # Faults of runners may crash two under a task; find_violations checks that they did.
+        elif state == "failed" and self.runner_faults:
+            return
+        elif state != "completed":
+            self._record_violation(
+                f"job {job_id} is {state}, though no task fails and nobody cancelled it"
+            )
+
     def _check_known(self, status: int, job_id: str, name: str) -> None:
         """Record a violation if an instance answered that an accepted job does not exist."""
         if status == 410:
@@ -205,6 +266,15 @@
         ]
         if self.far:
             fault_types.append(self._slow_link)
+        faults_by_name = {
+            "crash_runner": self._crash_runner,
+            "shrink_runner": self._shrink_runner,
+            "write_odd_entry": self._write_odd_entry,
+            "lose_starts": self._lose_starts,
+        }
+        fault_types += [
+            faults_by_name[name] for name in self.runner_faults if name in faults_by_name
+        ]
         deadline_s = time.monotonic() + self.seconds
         while time.monotonic() < deadline_s:
             fault_type = self.rng.choice(fault_types)
@@ -287,7 +357,7 @@
 
     async def _degrade_connection(self, duration_s: float) -> None:
         relays = [*self.cluster.store_relays_by_name.values()]
-        relays += [*self.cluster.runner_relays_by_id.values()] * 2
+        relays += self.cluster.runner_relays * 2
         relay = self.rng.choice(relays)
         fault = self.rng.choice(("delay", "reset", "silence", "towards", "back", "refuse"))
         if fault == "delay":
@@ -305,12 +375,61 @@
         await asyncio.sleep(duration_s)
         relay.heal()
 
+    def _random_runner(self) -> TaskRunner | None:
+        """Return a runner that has no other fault, ``None`` if there is none."""
+        runners = [runner for runner in self.cluster.pool.runners if runner.mode == "up"]
+        return self.rng.choice(runners) if runners else None
+
     async def _lose_runner(self, duration_s: float) -> None:
-        model = self.rng.choice(list(self.cluster.models_by_id.values()))
-        model.restart_empty()
-        model.mode = "dead"
+        runner = self.rng.choice(self.cluster.pool.runners)
+        if runner.mode == "crashed":
+            return
+        runner.restart_empty()
+        runner.mode = "dead"
         await asyncio.sleep(duration_s)
-        model.mode = "up"
+        if runner.mode == "dead":
+            runner.mode = "up"
+
+    async def _crash_runner(self, duration_s: float) -> None:
+        pool, runner = self.cluster.pool, self._random_runner()
+        if runner is not None:
+            name = runner.listed.id
+            new_id = pool.next_id(name) if self.rng.random() < 0.5 else ""
+            back_ms = max(MIN_BACK_MS, duration_s * 1_000)
+            pool.crash(name, back_ms, new_id, self.rng.uniform(*UNLISTED_AFTER_MS))
+            await asyncio.sleep(duration_s)
+
+    async def _shrink_runner(self, duration_s: float) -> None:
+        """Shrink a runner for longer than other faults, as its old capacity counts for a time."""
+        pool, runner = self.cluster.pool, self._random_runner()
+        if runner is None:
+            return
+        before = make_runner("", "").capacity
+        small = Capacity(
+            self.rng.randrange(before.cpu_millis // 2),
+            self.rng.randrange(before.memory_mb // 2),
+            self.rng.randrange(before.accelerators // 2),
+        )
+        pool.resize(runner.listed.id, small, self.rng.uniform(0, HEARTBEAT_MS))
+        await asyncio.sleep(3 * duration_s)
+        while runner.mode in ENDED_MODES:
+            await asyncio.sleep(0.1)
+        pool.resize(runner.listed.id, before, self.rng.uniform(0, HEARTBEAT_MS))
+
+    async def _write_odd_entry(self, duration_s: float) -> None:
+        pool = self.cluster.pool
+        key = self.rng.choice([*pool.by_id, "odd-entry"])
+        entry = runner_bytes(self.rng.choice(pool.runners).listed)
+        pool.put_odd_entry(key, self.rng.choice(list(odd_entries(entry).values())))
+        await asyncio.sleep(HEARTBEAT_MS / 1_000)
+
+    async def _lose_starts(self, duration_s: float) -> None:
+        runner = self._random_runner()
+        if runner is not None:
+            runner.lost_starts = self.rng.randrange(1, 4)
+            runner.late_start_ms = self.rng.choice((0, 100, 3_000))
+            await asyncio.sleep(duration_s)
+            runner.lost_starts = 0
 
     # ------------------------------------------------------------------ end
 
@@ -334,12 +453,23 @@
                 await asyncio.sleep(0.2)
             for job_id in sorted(remaining):
                 self._record_violation(f"job {job_id} was accepted but has not ended")
+            for job_id in sorted(self.deadly.intersection(self.accepted)):
+                for name in self.cluster.ports_by_name:
+                    state = await self._check_job(session, job_id, name)
+                    if state not in FINAL_STATES:
+                        self._record_violation(f"job {job_id} has not ended at instance {name}")
 
 
 async def _run_seed(
-    seed: int, seconds: float, instances: int, mutant: str, folder: pathlib.Path, far: int
+    seed: int,
+    seconds: float,
+    instances: int,
+    mutant: str,
+    folder: pathlib.Path,
+    far: int,
+    runner_faults: tuple[str, ...],
 ) -> SoakRun:
-    soak = SoakRun(seed, seconds, folder, instances, far)
+    soak = SoakRun(seed, seconds, folder, instances, far, runner_faults)
     if mutant:
         soak.cluster.program = (str(pathlib.Path(__file__).with_name("soak_mutants.py")), mutant)
     try:
@@ -350,13 +480,19 @@
 
 
 def run_seed(
-    seed: int, seconds: float = 20.0, instances: int = 3, mutant: str = "", far: int = 0
+    seed: int,
+    seconds: float = 20.0,
+    instances: int = 3,
+    mutant: str = "",
+    far: int = 0,
+    runner_faults: tuple[str, ...] = DEFAULT_RUNNER_FAULTS,
 ) -> SoakRun:
     """Run one seed and return its result; its logs are kept if there were violations.
 
     :param seconds: how long faults are injected.
     :param mutant: name of a mutant of soak_mutants, or empty for the unchanged program.
     :param far: number of instances that are in another region than the store.
+    :param runner_faults: those of `RUNNER_FAULTS` that are injected.
     """
     folder = OUTPUT_DIR / f"{mutant or 'seed'}-{seed}"
     shutil.rmtree(folder, ignore_errors=True)
@@ -364,7 +500,7 @@
     log_settings = structlog.get_config()
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
     try:
-        soak = asyncio.run(_run_seed(seed, seconds, instances, mutant, folder, far))
+        soak = asyncio.run(_run_seed(seed, seconds, instances, mutant, folder, far, runner_faults))
     finally:
         structlog.configure(**log_settings)
     if soak.violations:
@@ -375,7 +511,12 @@
 
 
 def main(
-    seeds: object = 0, seconds: float = 20.0, instances: int = 3, mutant: str = "", far: int = 0
+    seeds: object = 0,
+    seconds: float = 20.0,
+    instances: int = 3,
+    mutant: str = "",
+    far: int = 0,
+    faults: object = DEFAULT_RUNNER_FAULTS,
 ) -> None:
     """Run seeds one after the other; exit with status 1 if any had violations.
 
@@ -384,15 +525,20 @@
     :param instances: number of instances.
     :param mutant: name of a mutant of soak_mutants, or empty for the unchanged program.
     :param far: number of instances that are in another region than the store.
+    :param faults: comma-separated names of `RUNNER_FAULTS`, or ``all``.
     """
+    names = RUNNER_FAULTS if faults == "all" else faults
+    runner_faults = (names,) if isinstance(names, str) else tuple(names)
     seeds_to_run = seeds if isinstance(seeds, tuple) else (seeds or random.randrange(1, 1 << 31),)
     failed_count = 0
     for seed in seeds_to_run:
-        soak = run_seed(int(seed), seconds, instances, mutant, far)
+        soak = run_seed(int(seed), seconds, instances, mutant, far, runner_faults)
         failed_count += bool(soak.violations)
         print(
-            f"seed {seed}: {len(soak.accepted)} jobs, {len(soak.faults)} faults, "
-            f"{len(soak.violations)} broken",
+            f"seed {seed}: {len(soak.accepted)} jobs, {len(soak.deadly)} deadly, "
+            f"{len(soak.cluster.journal.all('runner_crashed'))} crashes, "
+            f"{list(soak.final_by_id.values()).count('failed')} failed, "
+            f"{len(soak.faults)} faults, {len(soak.violations)} broken",
             *soak.violations[:5],
             sep="\n  ",
             flush=True,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -130,7 +130,7 @@
 def test_run_leaves_the_log_settings_as_they_were(monkeypatch, tmp_path):
     """Tests of log lines that ran after a soak in the same process saw none."""
 
-    async def run_seed(seed, seconds, instances, mutant, folder, far):
+    async def run_seed(seed, seconds, instances, mutant, folder, far, runner_faults):
         return soak.SoakRun(seed, seconds, folder, instances)
 
     monkeypatch.setattr(soak, "_run_seed", run_seed)
