--- a/tests/test_fleet_standins.py
+++ b/tests/test_fleet_standins.py
@@ -6,6 +6,7 @@
 import pytest
 from aiohttp.test_utils import TestClient, TestServer
 from fleet_builders import job, journal_of_calls, step, world
+from fleet_cluster import RunnerSite
 from journal_builders import JournalBuilder
 from test_adapters import AppServer
 
@@ -17,6 +18,7 @@
     StoreUnansweredError,
 )
 from carawayroute.fleet.types import Capacity, Runner
+from carawayroute_standins.cluster import free_port_range
 from carawayroute_standins.fleet import topics
 from carawayroute_standins.fleet.attempts import (
     find_failed_without_cause,
@@ -711,3 +713,36 @@
         assert found == f"{TASK.format(0)} brought w1 to 5 of 4 accelerators"
 
     run_runners(scenario, guarding=False)
+
+
+@pytest.mark.parametrize("relayed", [False, True])
+def test_ports_of_a_crashed_runner_refuse_connections_until_the_next_process(relayed):
+    async def run():
+        clock = Clock()
+        runner = TaskRunner(make_runner("w1", "r1-0"), clock, Journal(clock), GangRegistry())
+        site = RunnerSite(runner, free_port_range(), relayed)
+        pool = HttpPool()
+        client = HttpRunners(pool)
+        try:
+            await site.open()
+            listed = runner.listed
+            listed.address = site.address
+            poll = asyncio.create_task(client.hold(listed, 1, 0, 0, 1_000))
+            await asyncio.sleep(0.1)
+            runner.crash()
+            await site.close()
+            with pytest.raises(RunnerUnansweredError):
+                await poll
+            with pytest.raises(RunnerNotListeningError):
+                await client.hold(listed, 1, 0, 0, 0)
+            runner.restart("w1-2")
+            await site.open()
+            with pytest.raises(RunnerRefusedError, match="boot"):
+                await client.hold(listed, 1, 0, 0, 0)
+        finally:
+            await pool.close()
+            await site.close()
+            if site.relay is not None:
+                await site.relay.stop()
+
+    asyncio.run(run())
