--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -106,7 +106,7 @@
 ) -> bytes:
     """Return a configuration as the platform stores it, with extra routes if asked for.
 
-    :param guarding: whether runners refuse starts that exceed their capacity.
+    :param guarding: whether the runners refuse what exceeds their capacity.
     """
     routes_fields = [
         {
