--- a/packages/standins/carawayroute_standins/fleet/world.py
+++ b/packages/standins/carawayroute_standins/fleet/world.py
@@ -6,11 +6,13 @@
 from carawayroute.fleet.entry import NoSuchJobError
 from carawayroute.fleet.node import FleetNode, FleetSettings
 from carawayroute.fleet.ports import PlatformFormat
-from carawayroute.fleet.types import Queue, Team
+from carawayroute.fleet.types import Capacity, Queue, Team
 from carawayroute.misc import TaskGroup
 from carawayroute_schema import records_pb2 as pb
+from carawayroute_standins.fleet.accepted import record_accepted
 from carawayroute_standins.fleet.bandwidth import Network
 from carawayroute_standins.fleet.peers import InMemoryPeers
+from carawayroute_standins.fleet.pool import RunnerPool
 from carawayroute_standins.fleet.taskrunner import (
     GangRegistry,
     InMemoryRunnerClient,
@@ -34,8 +36,10 @@
     :param list_runner: encodes a runner's listing in that format.
     :param region_by_instance: regions of the instances that are not in the store's region.
     :param data_centre_by_instance: data centres of instances, by default one for each region.
+    :param guarding: whether runners refuse starts that exceed their capacity.
     :ivar network: links to the instances, unlimited by default.
     :ivar unreachable_peers: instances without connections to their peers.
+    :ivar pool: the runners, which may crash, change their capacity or find odd entries.
     """
 
     def __init__(
@@ -48,6 +52,7 @@
         runners_per_rack: int = 4,
         region_by_instance: dict[str, str] | None = None,
         data_centre_by_instance: dict[str, str] | None = None,
+        guarding: bool = True,
     ) -> None:
         self.clock = Clock(wall_offset_ms=1_000_000.0)
         self.journal = Journal(self.clock)
@@ -56,13 +61,16 @@
         self._data_centre_by_instance = data_centre_by_instance or {}
         self.store = TopicStore(self.clock, self.network)
         self.formats = formats
-        self._list_runner = list_runner
         self.gangs = GangRegistry()
         self.tasks = TaskGroup()
         self.unreachable_peers: set[str] = set()
         self.nodes_by_name: dict[str, FleetNode] = {}
         self.runner_clients_by_name: dict[str, InMemoryRunnerClient] = {}
-        self.runners_by_id: dict[str, TaskRunner] = {}
+        self.pool = RunnerPool(
+            self.store, formats.runners_topic, list_runner, self.clock, self.journal, self.tasks
+        )
+        self.runners_by_id = self.pool.by_id
+        self._guarding = guarding
         self.store.put(formats.configuration_topic, formats.configuration_key, configuration)
         number = 0
         for rack in range(racks):
@@ -82,26 +90,30 @@
             self.gangs,
             stop_ms=STOP_MS,
             max_lease_ms=MAX_LEASE_MS,
-            **options,
+            **{"guarding": self._guarding, **options},
         )
-        self.runners_by_id[name] = runner
-        self.tasks.start(runner.run(), name)
-        self.list(name)
+        self.pool.add(runner)
         return runner
 
     def list(self, name: str, draining: bool = False) -> None:
         """Write a runner's listing to the store."""
-        listed = self.runners_by_id[name].listed
-        listed.draining = draining
-        self.store.put(self.formats.runners_topic, name, self._list_runner(listed))
+        self.pool.list(name, draining)
 
     def unlist(self, name: str) -> None:
         """Remove a runner's listing from the store."""
-        self.store.put(self.formats.runners_topic, name, b"")
+        self.pool.unlist(name)
+
+    def crash_runner(self, name: str, *schedule, **options) -> None:
+        """End a runner's process; see `RunnerPool.crash`."""
+        self.pool.crash(name, *schedule, **options)
+
+    def resize_runner(self, name: str, capacity: Capacity, lag_ms: float = 0.0) -> None:
+        """Change a runner's capacity; its listing shows it after a lag."""
+        self.pool.resize(name, capacity, lag_ms)
 
     def start_instance(self, name: str) -> FleetNode:
         """Start an instance."""
-        orders = InMemoryRunnerClient(self.runners_by_id, self.clock)
+        orders = InMemoryRunnerClient(self.pool.runners, self.clock)
         region = self.network.region(name)
         node = FleetNode(
             FleetSettings(
@@ -162,7 +174,7 @@
         """Submit a job to an instance, by default the first by name."""
         name = at or sorted(self.nodes_by_name)[0]
         await self.nodes_by_name[name].service.submit(queue, team, job, CALLER_DEADLINE_MS)
-        self.journal.record("job_accepted", job=job.id, entry=name)
+        record_accepted(self.journal, job, name)
 
     async def state(self, job_id: str, at: str = "") -> str:
         """Return a job's state as reported by an instance, by default the first by name."""
