BUDGET: record crashes of runners by task

What was missing: no record says under which tasks runners have crashed, so that no planner could know it. Records without the fields read as zeros. Nothing counts crashes yet.

--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -43,10 +43,13 @@
     :ivar ordered_runs: number of the latest run of each task for which a start request may have
         been sent.
     :ivar failed_run: latest run of a gang that was counted as failed.
+    :ivar crashes: crashes of runners with a run of each task on the runner.
+    :ivar start_crashes: those crashes that came soon after each task's start.
     """
 
     __slots__ = (
         "checkpoints",
+        "crashes",
         "demand",
         "done",
         "failed_run",
@@ -57,6 +60,7 @@
         "ordered_runs",
         "runners",
         "runs",
+        "start_crashes",
         "step",
     )
 
@@ -76,6 +80,8 @@
         self.done = bytearray(count)
         self.failures = [0] * count
         self.failed_run = 0
+        self.crashes = [0] * count
+        self.start_crashes = [0] * count
         self.runners = [""] * count
         self.checkpoints: dict[int, str] = {}
 
@@ -151,6 +157,8 @@
             runners=list(places_by_name)[1:],
             checkpoints=self.checkpoints,
             failed_run=self.failed_run,
+            crashes=self.crashes if any(self.crashes) else (),
+            start_crashes=self.start_crashes if any(self.start_crashes) else (),
         )
 
     def record_failure(self, index: int, run: int) -> int:
@@ -172,7 +180,11 @@
         :raises RecordError: the record does not have one element per task.
         """
         count = self.step.count
-        if not len(record.runs) == len(record.done) == len(record.places) == count:
+        complete = (record.runs, record.done, record.places)
+        optional = (record.crashes, record.start_crashes)
+        if any(len(items) != count for items in complete) or any(
+            len(items) not in (0, count) for items in optional
+        ):
             raise RecordError(f"progress of job {self.job.id} does not match its steps")
         self.runs = list(record.runs)
         # The planner that wrote the record may have sent the start requests since.
@@ -180,6 +192,9 @@
         self.done = bytearray(record.done)
         self.failures = list(record.failures)
         self.failed_run = record.failed_run
+        # Records without crashes, and those of earlier versions, omit these counts.
+        self.crashes = list(record.crashes) or [0] * count
+        self.start_crashes = list(record.start_crashes) or [0] * count
         self.runners = [record.runners[place - 1] if place else "" for place in record.places]
         self.checkpoints = dict(record.checkpoints)
 
--- /dev/null
+++ b/tests/test_fleet_crashes.py
@@ -0,0 +1,43 @@
+"""Tests of runners whose processes end, and of tasks that crash their runners."""
+
+import pytest
+from fleet_builders import job, job_table_of, step
+
+from carawayroute.fleet.jobs import RecordError
+from carawayroute_schema import records_pb2 as pb
+
+ID = "00000000000000{:02x}"
+
+
+def stage_of(count=2):
+    """Return the only stage of a new job."""
+    table = job_table_of(job(ID.format(1), [step(count)]))
+    return table.jobs_by_id[ID.format(1)].stage(0, 0)
+
+
+def test_crashes_outlive_the_planner_in_the_record():
+    """BUDGET: the next planner has to know how many runners a task has crashed."""
+    stage = stage_of()
+    stage.crashes[1] = 3
+    stage.start_crashes[1] = 2
+    loaded = stage_of()
+    loaded.apply(pb.StepProgress.FromString(stage.to_record().SerializeToString()))
+    assert (loaded.crashes, loaded.start_crashes) == ([0, 3], [0, 2])
+
+
+def test_record_of_an_earlier_version_has_no_crashes():
+    """BUDGET: records without the counts must stay readable."""
+    stage = stage_of()
+    record = stage.to_record()
+    record.ClearField("crashes")
+    record.ClearField("start_crashes")
+    stage.apply(record)
+    assert (stage.crashes, stage.start_crashes) == ([0, 0], [0, 0])
+
+
+def test_record_with_counts_of_another_number_of_tasks_is_refused():
+    stage = stage_of()
+    record = stage.to_record()
+    record.crashes.extend([1, 2, 3])
+    with pytest.raises(RecordError):
+        stage.apply(record)
