LOST: log and count runners whose address answers for another process

What was missing: an answer 421 to a poll was logged as runner_unreachable once, to a stop as stop_unanswered; no line and no counter told that another process listens at the runner's address (hypothesis 2 of docs/incidents/2026-12-05-lost.md). Change: runner_replaced (warning) at the first such answer after a report, and carawayroute_runners_replaced_total by runner. No change of logic.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -113,6 +113,12 @@
             "outcome",
             lambda: node.planner.unmatched_by_outcome if node.planner else {},
         )
+        self.metrics.counts(
+            "runners_replaced",
+            "Runners at whose address another process answered this term's planner.",
+            "runner",
+            lambda: node.planner.replacements_by_runner if node.planner else {},
+        )
 
         self.metrics.counts_by_labels(
             "job_lookups",
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -28,6 +28,8 @@
 NOT_LISTENING_POLLS = 2
 # A runner whose last report is older than this gets no new tasks.
 MAX_REPORT_AGE_MS = 2_600
+# Reason of a refusal by another process than the one that the request names.
+OTHER_PROCESS = "boot"
 
 log = structlog.get_logger()
 
@@ -44,6 +46,7 @@
     :param on_report: called with each report and the clock time at which its poll was sent.
     :param on_fenced: called when the runner knows a newer term.
     :param on_unreachable: called when the runner stops answering.
+    :param on_replaced: called when another process first answers at the runner's address.
     :ivar lease_expiry_ms: clock time by which every lease of the runner has certainly expired.
     :ivar boot_ms: wall clock of the runner's start as last reported, 0 if unknown.
     :ivar acknowledged: number of the last end that is stored, acknowledged with the next poll.
@@ -66,6 +69,7 @@
         on_report: Callable[["RunnerLink", RunnerReport, float], None],
         on_fenced: Callable[["RunnerLink"], None],
         on_unreachable: Callable[["RunnerLink"], None],
+        on_replaced: Callable[["RunnerLink"], None] = lambda link: None,
     ) -> None:
         self.runner = runner
         self._term = term
@@ -76,6 +80,8 @@
         self._on_report = on_report
         self._on_fenced = on_fenced
         self._on_unreachable = on_unreachable
+        self._on_replaced = on_replaced
+        self._replacement_noted = False
         self._order_limiter = OrderLimiter()
         self._refused_polls = 0
         self._refused_since_ms = 0.0
@@ -206,7 +212,12 @@
             if not is_needed():
                 return None
             sent_ms = self._clock.now_ms()
-            clock_ms = await order()
+            try:
+                clock_ms = await order()
+            except RunnerRefusedError as error:
+                if error.reason == OTHER_PROCESS:
+                    self._note_replacement("order")
+                raise
             self._order_limiter.note_answer()
             self._sample_clock(clock_ms, sent_ms)
             return clock_ms
@@ -250,6 +261,8 @@
             if error.reason == "fence":
                 self._on_fenced(self)
             self._handle_failure(error)
+            if error.reason == OTHER_PROCESS:
+                self._note_replacement("poll")
             return
         except RunnerError as error:
             self._handle_failure(error)
@@ -263,6 +276,7 @@
         if self._clock_fell_back_ms is not None and sent_ms >= self._clock_fell_back_ms:
             self._clock_fell_back_ms = None
         self._refused_polls = 0
+        self._replacement_noted = False
         if not self.reachable:
             log.info("runner_reached", runner=self.runner.id, clock_ms=report.clock_ms)
         self.reachable = True
@@ -279,6 +293,21 @@
         self.boot_ms = report.boot_ms
         self._on_report(self, report, sent_ms)
 
+    def _note_replacement(self, call: str) -> None:
+        """Log once that the runner's address answers for another process."""
+        if self._replacement_noted:
+            return
+        self._replacement_noted = True
+        log.warning(
+            "runner_replaced",
+            runner=self.runner.id,
+            address=self.runner.address,
+            call=call,
+            report_age_ms=round(self.report_age_ms()),
+            listed=self.listed,
+        )
+        self._on_replaced(self)
+
     def _handle_failure(self, error: RunnerError) -> None:
         if self.reachable:
             log.warning("runner_unreachable", runner=self.runner.id, error=str(error))
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -164,6 +164,7 @@
     :ivar placing: if false, no scheduling passes are run.
     :ivar given_up_by_evidence: number of runs ended without a reported end.
     :ivar unmatched_by_outcome: number of reported ends that matched no known run.
+    :ivar replacements_by_runner: how often another process answered at a runner's address.
     """
 
     def __init__(
@@ -215,6 +216,7 @@
         self.placing = True
         self.given_up_by_evidence: Counter[str] = Counter()
         self.unmatched_by_outcome: Counter[str] = Counter()
+        self.replacements_by_runner: Counter[str] = Counter()
 
     # ------------------------------------------------------------------ term
 
@@ -320,6 +322,9 @@
     def _on_runner_lost(self, link: RunnerLink) -> None:
         self.runner_health.note_lost(link.runner.id)
 
+    def _on_runner_replaced(self, link: RunnerLink) -> None:
+        self.replacements_by_runner[link.runner.id] += 1
+
     def _inherited_lease_expiry_ms(self) -> float:
         return self._term_start_ms + self._settings.lease_bound_ms
 
@@ -351,6 +356,7 @@
             self._apply_report,
             self._on_fenced,
             self._on_runner_lost,
+            self._on_runner_replaced,
         )
         self.links_by_id[runner.id] = link
         self._link_tasks[runner.id] = self._tasks.start(link.run(), f"runner {runner.id}")
