LOST: end the runs of a process when another one answers at its address

Cause: a run was held as running until its lease had expired for certain, and for 15 s more while its runner was listed. The address answered each poll and stop with 421, as another process listened there, which was handled as an unanswered call.

Change: a poll that another process refuses proves that the link's process has ended; its runs end at once, and an unlisted runner is dropped. A refused order leads to a poll. It proves nothing if a report has overtaken it, or at an address that the list changed within the term, until the runner answers there: the entry may be wrong, so leases are waited for. Reports to polls from before the proof are dropped. A start that is refused after its run has ended changes nothing.

Why it works: each request names the process that it is for, so a start that is carried out late is refused as well; refused connections and entries of the list still prove nothing.

--- a/packages/library/carawayroute/fleet/exceptions.py
+++ b/packages/library/carawayroute/fleet/exceptions.py
@@ -71,8 +71,8 @@
 class RunnerRefusedError(RunnerError):
     """The runner rejected the request, which had no effect.
 
-    :param reason: ``fence``, ``old``, ``late``, ``room``, ``ticket``, ``boot`` (the runner has
-        restarted), ``unhealthy`` or ``invalid``.
+    :param reason: ``fence``, ``old``, ``late``, ``room``, ``ticket``, ``boot`` (another
+        process than the one that the request names answered), ``unhealthy`` or ``invalid``.
     """
 
     def __init__(self, reason: str) -> None:
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -47,6 +47,10 @@
     :param on_fenced: called when the runner knows a newer term.
     :param on_unreachable: called when the runner stops answering.
     :param on_replaced: called when another process first answers at the runner's address.
+    :param on_process_ended: called when the runner's process has certainly ended, as another one
+        answers at its address.
+    :param moved: the platform's list changed the runner's address. Until the runner answers there,
+        other processes at the new address show nothing of the one at the old address.
     :ivar lease_expiry_ms: clock time by which every lease of the runner has certainly expired.
     :ivar boot_ms: wall clock of the runner's start as last reported, 0 if unknown.
     :ivar acknowledged: number of the last end that is stored, acknowledged with the next poll.
@@ -70,6 +74,8 @@
         on_fenced: Callable[["RunnerLink"], None],
         on_unreachable: Callable[["RunnerLink"], None],
         on_replaced: Callable[["RunnerLink"], None] = lambda link: None,
+        on_process_ended: Callable[["RunnerLink"], None] = lambda link: None,
+        moved: bool = False,
     ) -> None:
         self.runner = runner
         self._term = term
@@ -81,7 +87,10 @@
         self._on_fenced = on_fenced
         self._on_unreachable = on_unreachable
         self._on_replaced = on_replaced
+        self._on_process_ended = on_process_ended
+        self._address_confirmed = not moved
         self._replacement_noted = False
+        self._replaced_ms: float | None = None
         self._order_limiter = OrderLimiter()
         self._refused_polls = 0
         self._refused_since_ms = 0.0
@@ -107,13 +116,24 @@
             return False
         return self._clock.now_ms() - self.last_report_ms < MAX_REPORT_AGE_MS
 
+    @property
+    def replaced(self) -> bool:
+        """Return whether another process answers polls at the runner's address.
+
+        All runs that the link's runner was sent have ended then, and none can begin: starts that
+        are carried out late name the process that has ended.
+        """
+        return self._replaced_ms is not None
+
     @property
     def process_ended(self) -> bool:
         """Return whether the runner's process, and so every task on it, has certainly ended.
 
-        Only a runner that announced that it leaves counts: the network may refuse connections to
-        one that runs on.
+        Refused connections count only for a runner that announced that it leaves: the network may
+        refuse connections to one that runs on.
         """
+        if self.replaced:
+            return True
         if not self.runner.draining or self._refused_polls < NOT_LISTENING_POLLS:
             return False
         return self._clock.now_ms() - self._refused_since_ms >= NOT_LISTENING_MS
@@ -262,7 +282,7 @@
                 self._on_fenced(self)
             self._handle_failure(error)
             if error.reason == OTHER_PROCESS:
-                self._note_replacement("poll")
+                self._handle_replacement(sent_ms)
             return
         except RunnerError as error:
             self._handle_failure(error)
@@ -272,11 +292,17 @@
             # boot_ms shows a wall clock that was set back.
             log.info("late_report_dropped", runner=self.runner.id, boot_ms=report.boot_ms)
             return
+        if self._replaced_ms is not None and sent_ms <= self._replaced_ms:
+            # The process has ended since this poll was sent.
+            log.info("late_report_dropped", runner=self.runner.id, boot_ms=report.boot_ms)
+            return
         self._sample_clock(report.clock_ms, sent_ms)
         if self._clock_fell_back_ms is not None and sent_ms >= self._clock_fell_back_ms:
             self._clock_fell_back_ms = None
         self._refused_polls = 0
+        self._address_confirmed = True
         self._replacement_noted = False
+        self._replaced_ms = None
         if not self.reachable:
             log.info("runner_reached", runner=self.runner.id, clock_ms=report.clock_ms)
         self.reachable = True
@@ -293,6 +319,18 @@
         self.boot_ms = report.boot_ms
         self._on_report(self, report, sent_ms)
 
+    def _handle_replacement(self, sent_ms: float) -> None:
+        """Handle a poll that another process refused.
+
+        :param sent_ms: clock time at which the poll was sent.
+        """
+        self._note_replacement("poll")
+        overtaken = self.last_report_ms is not None and self.last_report_ms > sent_ms
+        if self.replaced or overtaken or not self._address_confirmed:
+            return
+        self._replaced_ms = self._clock.now_ms()
+        self._on_process_ended(self)
+
     def _note_replacement(self, call: str) -> None:
         """Log once that the runner's address answers for another process."""
         if self._replacement_noted:
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -20,7 +20,7 @@
 )
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.jobs import PROGRESS_KEY, SPEEDS_KEY, Job, JobTable, Stage
-from carawayroute.fleet.links import RunnerLink
+from carawayroute.fleet.links import OTHER_PROCESS, RunnerLink
 from carawayroute.fleet.packing import Candidate, is_time_critical
 from carawayroute.fleet.ports import RunnerClient, Store
 from carawayroute.fleet.runner_health import STALL_MS, RunnerHealth
@@ -325,6 +325,10 @@
     def _on_runner_replaced(self, link: RunnerLink) -> None:
         self.replacements_by_runner[link.runner.id] += 1
 
+    def _on_process_ended(self, link: RunnerLink) -> None:
+        for key, run in list(self._runs_by_runner.get(link.runner.id, {}).items()):
+            self._give_up(key, run, self._end_evidence(run))
+
     def _inherited_lease_expiry_ms(self) -> float:
         return self._term_start_ms + self._settings.lease_bound_ms
 
@@ -341,6 +345,7 @@
                 log.info("runner_draining", runner=runner.id)
             return
         inherited_expiry_ms = self._inherited_lease_expiry_ms()
+        moved = link is not None
         if link is not None:
             inherited_expiry_ms = max(inherited_expiry_ms, link.lease_expiry_ms)
             self._drop_link(runner.id)
@@ -357,6 +362,8 @@
             self._on_fenced,
             self._on_runner_lost,
             self._on_runner_replaced,
+            self._on_process_ended,
+            moved,
         )
         self.links_by_id[runner.id] = link
         self._link_tasks[runner.id] = self._tasks.start(link.run(), f"runner {runner.id}")
@@ -407,6 +414,8 @@
             return "runner removed" if removed else "runner unknown"
         if link.reachable:
             return ""
+        if link.replaced:
+            return "process replaced"
         if link.process_ended:
             return "process ended"
         expired_ms = self._clock.now_ms() - link.lease_expiry_ms
@@ -712,6 +721,9 @@
                     return
                 # A refused stop had no effect: a start may still be carried out late.
                 log.info("stop_unanswered", task=key[0], runner=run.runner, error=str(error))
+                if isinstance(error, RunnerRefusedError) and error.reason == OTHER_PROCESS:
+                    # Only a poll that is refused as well proves that the process has ended.
+                    await link.poll_now()
                 await self._clock.sleep_ms(backoff.next_ms())
                 continue
             if run.acknowledged_ms is None:
@@ -1047,6 +1059,10 @@
                     self._on_fenced(link)
                     return
                 self.runner_health.note_refusal(run.runner, error.reason)
+                if error.reason == OTHER_PROCESS:
+                    self._tasks.start(link.poll_now(), f"poll {run.runner}")
+                if self.runs_by_key.get((task, run.number)) is not run:
+                    return
                 if not unanswered:
                     stage.ordered_runs[run.index] = ordered_before
                 self._fail_start(run, error.reason, certain=not unanswered)
--- a/tests/replacement_builders.py
+++ b/tests/replacement_builders.py
@@ -1,9 +1,17 @@
 """Builders of runners whose processes end and are replaced by other ones."""
 
+import asyncio
+import json
+
+from fleet_builders import runner_fields
+
 from carawayroute.fleet.exceptions import RunnerRefusedError
+from carawayroute.fleet.types import EndedTask, RunnerReport
 from carawayroute_standins.fleet.judge import starts
 
 OTHER_PROCESS = "boot"
+# A crashed runner's address answers again after this time.
+REBOOT_MS = 3_000
 
 
 async def wait_start(fleet, job_id: str, count: int = 1) -> None:
@@ -21,16 +29,20 @@
     )
 
 
-def refuse_calls(fleet, runner_id: str, *calls: str) -> None:
+def refuse_calls(
+    fleet, runner_id: str, *calls: str, address: str = "", took_ms: float = 1.0
+) -> None:
     """Answer calls to a runner as another process at its address does, from every instance.
 
     :param calls: names of methods of the runner client.
+    :param address: only calls to this address are refused, by default all.
+    :param took_ms: time that a refusal takes.
     """
 
     def wrap(send):
         async def refuse(runner, *arguments):
-            if runner.id == runner_id:
-                await fleet.clock.sleep_ms(1)
+            if runner.id == runner_id and address in ("", runner.address):
+                await fleet.clock.sleep_ms(took_ms)
                 raise RunnerRefusedError(OTHER_PROCESS)
             return await send(runner, *arguments)
 
@@ -46,8 +58,44 @@
     runner = fleet.runners_by_id[runner_id]
     runner.restart_empty()
     runner.mode = "gone"
+    # Breaks the connection of a poll that is under way.
+    runner._ended_event.set()
 
 
 def replace(fleet, runner_id: str) -> None:
     """Let another process answer at the address of a crashed runner."""
     refuse_calls(fleet, runner_id, "hold", "start", "stop")
+
+
+def list_at(fleet, runner_id: str, address: str) -> None:
+    """Write a runner's entry with another address."""
+    fields = {**runner_fields(fleet.runners_by_id[runner_id].listed), "address": address}
+    fleet.store.put(fleet.formats.runners_topic, runner_id, json.dumps(fields).encode())
+
+
+async def crash_and_replace(fleet, runner_id: str, down_ms: float = REBOOT_MS) -> None:
+    """Crash a runner; another process listens at its address some seconds later."""
+    crash(fleet, runner_id)
+    await fleet.clock.sleep_ms(down_ms)
+    replace(fleet, runner_id)
+
+
+class ScriptedRunner:
+    """A runner client whose polls are answered by the test, in any order.
+
+    :ivar polls: for each unanswered poll, the number that it acknowledges and its answer.
+    """
+
+    def __init__(self) -> None:
+        self.polls: list[tuple[int, asyncio.Future]] = []
+
+    async def hold(self, runner, term, acknowledged, lease_until_ms, wait_ms):
+        answer = asyncio.get_running_loop().create_future()
+        self.polls.append((acknowledged, answer))
+        return await answer
+
+
+def report_of(clock_ms, boot_ms, *ends):
+    """Return a report of ends as done, by number."""
+    ended = [EndedTask(number, f"{number:016x}.0.0.0", 1, "done", "") for number in ends]
+    return RunnerReport(clock_ms, boot_ms, [], ended)
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -1,12 +1,32 @@
 """Tests of runners whose processes end, and of tasks that crash their runners."""
 
+import asyncio
+
 import pytest
 from fleet_builders import NORMAL, OWNER, job, job_table_of, run_scenario, step
-from replacement_builders import holder_of, refuse_calls, wait_start
+from replacement_builders import (
+    OTHER_PROCESS,
+    REBOOT_MS,
+    ScriptedRunner,
+    crash,
+    crash_and_replace,
+    holder_of,
+    list_at,
+    refuse_calls,
+    replace,
+    report_of,
+    wait_start,
+)
 from structlog.testing import capture_logs
 
+from carawayroute.clock import Clock
+from carawayroute.fleet.exceptions import RunnerRefusedError
 from carawayroute.fleet.jobs import RecordError
+from carawayroute.fleet.links import RunnerLink
 from carawayroute_schema import records_pb2 as pb
+from carawayroute_standins.fleet.judge import starts
+from carawayroute_standins.fleet.taskrunner import make_runner
+from carawayroute_standins.virtual import run_virtual
 
 ID = "00000000000000{:02x}"
 
@@ -54,6 +74,8 @@
         await wait_start(fleet, ID.format(1))
         planner = fleet.nodes_by_name[fleet.planner_name()].planner
         name = holder_of(fleet, ID.format(1))
+        if call == "hold":
+            crash(fleet, name)
         with capture_logs() as lines:
             refuse_calls(fleet, name, call)
             if call == "stop":
@@ -69,3 +91,190 @@
             assert len(replaced) == 1
 
     run_scenario(scenario)
+
+
+# Time from the first answer of another process until the tasks of the one before run again.
+RESTART_MS = 1_000
+
+
+@pytest.mark.parametrize("listed", [True, False])
+@pytest.mark.parametrize("withdrawn", [False, True])
+def test_tasks_of_a_replaced_process_start_elsewhere_at_once(listed, withdrawn):
+    """LOST: runs on a process that had ended were waited for until their lease expired.
+
+    Found on cornice-sched, deploy/days/deadly.toml with a share of 0.6 of quote-check, seed 602.
+    """
+
+    async def scenario(fleet):
+        gang = [step(4, 3, gang=True)]
+        await fleet.submit(job(ID.format(1), gang, run_ms=7_000), NORMAL, OWNER)
+        await wait_start(fleet, ID.format(1), 4)
+        name = holder_of(fleet, ID.format(1))
+        crash(fleet, name)
+        if withdrawn:
+            other = next(
+                r for r in fleet.runners_by_id.values() if r.listed.id != name and r.free() < 8
+            )
+            for run in list(other._runs.values()):
+                other.end(run, "stopped")
+        await fleet.clock.sleep_ms(REBOOT_MS)
+        if not listed:
+            fleet.unlist(name)
+            await fleet.clock.sleep_ms(300)
+        replace(fleet, name)
+        await fleet.clock.sleep_ms(RESTART_MS)
+        assert len(starts(fleet.journal, ID.format(1))) == 8
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        assert planner.given_up_by_evidence["process replaced"] >= 1
+
+    run_scenario(scenario)
+
+
+def test_adopted_runs_of_a_replaced_process_end_at_once():
+    """LOST: a planner that takes over waited for the lease of a process that had ended."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=7_000), NORMAL, OWNER, at="n3")
+        await wait_start(fleet, ID.format(1))
+        name = holder_of(fleet, ID.format(1))
+        crash(fleet, name)
+        await fleet.kill_instance(fleet.planner_name())
+        await fleet.wait_until(lambda: fleet.planner_name(), 5_000, "another planner")
+        await fleet.clock.sleep_ms(1_000)
+        replace(fleet, name)
+        await fleet.clock.sleep_ms(RESTART_MS)
+        assert len(starts(fleet.journal, ID.format(1))) == 2
+
+    run_scenario(scenario)
+
+
+def test_start_refused_after_its_run_ended_with_the_process_fails_nothing():
+    """LOST: the end of a run was applied again when its start was refused by another process."""
+
+    async def scenario(fleet):
+        refuse_calls(fleet, "w2", "start", took_ms=700.0)
+        with capture_logs() as lines:
+            await fleet.submit(job(ID.format(1), [step(7, 8)], run_ms=500), NORMAL, OWNER)
+            await wait_start(fleet, ID.format(1), 6)
+            crash(fleet, "w2")
+            refuse_calls(fleet, "w2", "hold", "stop")
+            await fleet.wait_state(ID.format(1), "completed", 3_000)
+        assert not [line for line in lines if line["event"] == "background_task_failed"]
+
+    run_scenario(scenario)
+
+
+def test_answer_of_another_process_at_a_changed_address_ends_no_run():
+    """TWICE: an entry with a wrong address must not end the runs of a process that runs on."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=6_000), NORMAL, OWNER)
+        await wait_start(fleet, ID.format(1))
+        name = holder_of(fleet, ID.format(1))
+        refuse_calls(fleet, name, "hold", "start", "stop", address="127.0.0.1:9999")
+        list_at(fleet, name, "127.0.0.1:9999")
+        await fleet.clock.sleep_ms(4_000)
+        list_at(fleet, name, "127.0.0.1:9000")
+        await fleet.wait_state(ID.format(1), "completed", 5_000)
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+
+    run_scenario(scenario)
+
+
+def test_replaced_runner_that_is_not_listed_is_dropped_at_once():
+    """LOST: the link to a process that had ended was polled until its lease expired."""
+
+    async def scenario(fleet):
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        await crash_and_replace(fleet, "w1")
+        fleet.unlist("w1")
+        await fleet.clock.sleep_ms(RESTART_MS)
+        assert "w1" not in planner.links_by_id
+
+    run_scenario(scenario)
+
+
+class RefusingScriptedRunner(ScriptedRunner):
+    """A scripted runner whose polls can be answered by another process."""
+
+    def refuse(self, number=-1):
+        self.polls.pop(number)[1].set_exception(RunnerRefusedError(OTHER_PROCESS))
+
+
+def run_link(scenario):
+    """Run a scenario on a link with a scripted runner that has reported once."""
+
+    async def run():
+        clock = Clock(wall_offset_ms=0.0)
+        client = RefusingScriptedRunner()
+        reports = []
+        link = RunnerLink(
+            make_runner("w1", "r1-0"),
+            1,
+            client,
+            clock,
+            8_000,
+            10_900.0,
+            0.0,
+            lambda link, report, sent_ms: reports.append(report),
+            lambda link: None,
+            lambda link: None,
+        )
+        task = asyncio.ensure_future(link.run())
+        try:
+            await clock.sleep_ms(1)
+            client.polls.pop()[1].set_result(report_of(1_000, 1))
+            await clock.sleep_ms(1)
+            await scenario(link, client, clock)
+        finally:
+            task.cancel()
+        return reports
+
+    return run_virtual(run())
+
+
+def test_late_report_of_a_replaced_process_is_dropped():
+    """LOST: a report that was overtaken by the proof of its process's end made it reachable."""
+
+    async def scenario(link, client, clock):
+        asyncio.ensure_future(link.poll_now())
+        await clock.sleep_ms(20)
+        client.refuse()
+        await clock.sleep_ms(1)
+        assert link.process_ended
+        client.polls.pop()[1].set_result(report_of(1_030, 1, 7))
+        await clock.sleep_ms(1)
+        assert link.process_ended
+        assert not link.reachable
+
+    run_link(scenario)
+
+
+def test_refusal_that_is_overtaken_by_a_report_proves_no_end():
+    """TWICE: a refused poll from before the latest report does not show that its process ended."""
+
+    async def scenario(link, client, clock):
+        asyncio.ensure_future(link.poll_now())
+        await clock.sleep_ms(20)
+        client.polls.pop()[1].set_result(report_of(1_030, 2))
+        await clock.sleep_ms(1)
+        client.refuse()
+        await clock.sleep_ms(1)
+        assert not link.process_ended
+
+    run_link(scenario)
+
+
+def test_process_that_answers_after_its_replacement_is_followed():
+    """LOST: a runner that returns under its id after another process must be usable again."""
+
+    async def scenario(link, client, clock):
+        client.refuse()
+        await clock.sleep_ms(200)
+        assert link.process_ended
+        client.polls.pop()[1].set_result(report_of(10, 2))
+        await clock.sleep_ms(1)
+        assert link.reachable
+        assert not link.process_ended
+
+    run_link(scenario)
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -17,6 +17,7 @@
     step,
     world,
 )
+from replacement_builders import ScriptedRunner, report_of
 from structlog.testing import capture_logs
 
 from carawayroute.clock import Clock
@@ -38,7 +39,6 @@
 from carawayroute.fleet.links import RunnerLink
 from carawayroute.fleet.ports import KeyedRecord, RecordPage
 from carawayroute.fleet.relay import PeerError
-from carawayroute.fleet.types import EndedTask, RunnerReport
 from carawayroute_standins.fleet.judge import find_violations, starts
 from carawayroute_standins.fleet.taskrunner import make_runner
 from carawayroute_standins.virtual import run_virtual
@@ -1131,21 +1131,6 @@
     run_scenario(scenario, racks=1, runners_per_rack=1)
 
 
-class ScriptedRunner:
-    """A runner client whose polls are answered by the test, in any order.
-
-    :ivar polls: for each unanswered poll, the number that it acknowledges and its answer.
-    """
-
-    def __init__(self) -> None:
-        self.polls: list[tuple[int, asyncio.Future]] = []
-
-    async def hold(self, runner, term, acknowledged, lease_until_ms, wait_ms):
-        answer = asyncio.get_running_loop().create_future()
-        self.polls.append((acknowledged, answer))
-        return await answer
-
-
 def run_link(scenario):
     """Run a scenario on a link that acknowledges each report's ends, with a scripted runner."""
 
@@ -1179,12 +1164,6 @@
     run_virtual(run())
 
 
-def report_of(clock_ms, boot_ms, *ends):
-    """Return a report of ends as done, by number."""
-    ended = [EndedTask(number, f"{ID.format(number)}.0.0.0", 1, "done", "") for number in ends]
-    return RunnerReport(clock_ms, boot_ms, [], ended)
-
-
 def test_order_answered_by_a_new_process_stops_acknowledgements():
     """A runner that restarts between two polls is first noticed by the clock in its answers."""
 
