LOST: end the started runs of a process that restarts under its id at once

Cause: a withdrawn run on a runner that restarted under its id was held until the new process took a stop for it, though the run had started, so that it ended with the old process; the gang could not begin anew while the new process refused stops.

Change: the first report of the new process ends each run that had started before its poll was sent and that it does not list. A run of which a start went unanswered keeps the earlier path (stop until acknowledged): the new process may be sent that start late, under the same id.

test_withdrawn_run_of_a_restarted_process_ends_at_once failed without the change; both cases of test_run_whose_start_may_come_late_is_stopped_on_the_restarted_process passed before and guard the limit.

--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -48,7 +48,8 @@
     :param on_unreachable: called when the runner stops answering.
     :param on_replaced: called when another process first answers at the runner's address.
     :param on_process_ended: called when the runner's process has certainly ended, as another one
-        answers at its address.
+        answers at its address; with the first report of a new process under the same id and the
+        clock time at which its poll was sent, or with ``None`` and the time of the proof.
     :param moved: the platform's list changed the runner's address. Until the runner answers there,
         other processes at the new address show nothing of the one at the old address.
     :ivar lease_expiry_ms: clock time by which every lease of the runner has certainly expired.
@@ -74,7 +75,9 @@
         on_fenced: Callable[["RunnerLink"], None],
         on_unreachable: Callable[["RunnerLink"], None],
         on_replaced: Callable[["RunnerLink"], None] = lambda link: None,
-        on_process_ended: Callable[["RunnerLink"], None] = lambda link: None,
+        on_process_ended: Callable[
+            ["RunnerLink", RunnerReport | None, float], None
+        ] = lambda link, report, sent_ms: None,
         moved: bool = False,
     ) -> None:
         self.runner = runner
@@ -308,7 +311,8 @@
         self.reachable = True
         self.report_gap_ms = self.report_age_ms()
         self.last_report_ms = self._clock.now_ms()
-        if boot_ms and report.boot_ms != boot_ms:
+        restarted = boot_ms != 0 and report.boot_ms != boot_ms
+        if restarted:
             log.warning("runner_restarted", runner=self.runner.id, boot_ms=report.boot_ms)
             self.acknowledged = 0
             self.last_handled = 0
@@ -317,6 +321,8 @@
             self._clock_fell_back_ms = None
             self._extend_lease_expiry()
         self.boot_ms = report.boot_ms
+        if restarted:
+            self._on_process_ended(self, report, sent_ms)
         self._on_report(self, report, sent_ms)
 
     def _handle_replacement(self, sent_ms: float) -> None:
@@ -329,7 +335,7 @@
         if self.replaced or overtaken or not self._address_confirmed:
             return
         self._replaced_ms = self._clock.now_ms()
-        self._on_process_ended(self)
+        self._on_process_ended(self, None, self._replaced_ms)
 
     def _note_replacement(self, call: str) -> None:
         """Log once that the runner's address answers for another process."""
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -96,6 +96,7 @@
         polls sent later show whether the run exists.
     :ivar withdrawn: reason why the planner stops the run, or an empty string.
     :ivar progress_ms: time of the last poll that showed a new percentage.
+    :ivar start_unanswered: a start request went unanswered, and may be carried out late.
     :ivar sampled: its run time is not used for speed estimates (any more); also set for adopted
         runs, whose start was not observed.
     """
@@ -110,6 +111,7 @@
         "runner",
         "sampled",
         "stage",
+        "start_unanswered",
         "started_ms",
         "withdrawn",
     )
@@ -126,6 +128,13 @@
         self.percent = -1
         self.progress_ms: float | None = None
         self.sampled = False
+        self.start_unanswered = False
+
+    def started_by(self, at_ms: float) -> bool:
+        """Return whether the run has started before a time, and cannot be started once more."""
+        if self.started_ms is None or self.start_unanswered:
+            return False
+        return self.started_ms < at_ms
 
 
 class PlannerSettings:
@@ -325,9 +334,20 @@
     def _on_runner_replaced(self, link: RunnerLink) -> None:
         self.replacements_by_runner[link.runner.id] += 1
 
-    def _on_process_ended(self, link: RunnerLink) -> None:
+    def _on_process_ended(
+        self, link: RunnerLink, report: RunnerReport | None, sent_ms: float
+    ) -> None:
+        """End the runs of a runner's process that has ended.
+
+        :param report: first report of a new process under the same id, which may still be sent
+            starts that went unanswered; ``None`` if the process has another id.
+        :param sent_ms: clock time at which the report's poll was sent.
+        """
         for key, run in list(self._runs_by_runner.get(link.runner.id, {}).items()):
-            self._give_up(key, run, self._end_evidence(run))
+            if report is None:
+                self._give_up(key, run, "process replaced")
+            elif run.started_by(sent_ms) and not report.shows(*key):
+                self._give_up(key, run, "process restarted", sent_ms)
 
     def _inherited_lease_expiry_ms(self) -> float:
         return self._term_start_ms + self._settings.lease_bound_ms
@@ -1027,7 +1047,6 @@
         deadline_ms = self._clock.now_ms() + START_TIMEOUT_MS
         backoff = Backoff(RETRY_MS, PASS_INTERVAL_MS)
         ordered_before = stage.ordered_runs[run.index]
-        unanswered = False
 
         def is_needed() -> bool:
             return not run.withdrawn and self.runs_by_key.get((task, run.number)) is run
@@ -1047,7 +1066,7 @@
                 if clock_ms is None:
                     continue
             except RunnerUnansweredError as error:
-                unanswered = True
+                run.start_unanswered = True
                 log.info("start_unanswered", task=task, runner=run.runner, error=str(error))
                 await self._clock.sleep_ms(backoff.next_ms())
                 continue
@@ -1063,9 +1082,9 @@
                     self._tasks.start(link.poll_now(), f"poll {run.runner}")
                 if self.runs_by_key.get((task, run.number)) is not run:
                     return
-                if not unanswered:
+                if not run.start_unanswered:
                     stage.ordered_runs[run.index] = ordered_before
-                self._fail_start(run, error.reason, certain=not unanswered)
+                self._fail_start(run, error.reason, certain=not run.start_unanswered)
                 return
             run.acknowledged_ms = self._clock.now_ms()
             run.started_ms = run.acknowledged_ms
--- a/packages/library/carawayroute/fleet/types.py
+++ b/packages/library/carawayroute/fleet/types.py
@@ -274,3 +274,8 @@
         self.boot_ms = boot_ms
         self.running = running
         self.ended = ended
+
+    def shows(self, task: str, run: int) -> bool:
+        """Return whether the report lists a run as running or ended."""
+        items = (*self.running, *self.ended)
+        return any(item.task == task and item.run == run for item in items)
--- a/tests/replacement_builders.py
+++ b/tests/replacement_builders.py
@@ -30,20 +30,26 @@
 
 
 def refuse_calls(
-    fleet, runner_id: str, *calls: str, address: str = "", took_ms: float = 1.0
+    fleet,
+    runner_id: str,
+    *calls: str,
+    address: str = "",
+    took_ms: float = 1.0,
+    reason: str = OTHER_PROCESS,
 ) -> None:
     """Answer calls to a runner as another process at its address does, from every instance.
 
     :param calls: names of methods of the runner client.
     :param address: only calls to this address are refused, by default all.
     :param took_ms: time that a refusal takes.
+    :param reason: reason of the refusals.
     """
 
     def wrap(send):
         async def refuse(runner, *arguments):
             if runner.id == runner_id and address in ("", runner.address):
                 await fleet.clock.sleep_ms(took_ms)
-                raise RunnerRefusedError(OTHER_PROCESS)
+                raise RunnerRefusedError(reason)
             return await send(runner, *arguments)
 
         return refuse
@@ -62,6 +68,14 @@
     runner._ended_event.set()
 
 
+def end_other_runs(fleet, runner_id: str) -> None:
+    """End the runs of another runner, as if they had been stopped there."""
+    runners = [one for one in fleet.runners_by_id.values() if one.listed.id != runner_id]
+    busy = next(one for one in runners if one.free() < one.listed.capacity.accelerators)
+    for run in list(busy._runs.values()):
+        busy.end(run, "stopped")
+
+
 def replace(fleet, runner_id: str) -> None:
     """Let another process answer at the address of a crashed runner."""
     refuse_calls(fleet, runner_id, "hold", "start", "stop")
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -1,6 +1,7 @@
 """Tests of runners whose processes end, and of tasks that crash their runners."""
 
 import asyncio
+import contextlib
 
 import pytest
 from fleet_builders import NORMAL, OWNER, job, job_table_of, run_scenario, step
@@ -10,6 +11,7 @@
     ScriptedRunner,
     crash,
     crash_and_replace,
+    end_other_runs,
     holder_of,
     list_at,
     refuse_calls,
@@ -20,7 +22,11 @@
 from structlog.testing import capture_logs
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.exceptions import RunnerRefusedError
+from carawayroute.fleet.exceptions import (
+    RunnerError,
+    RunnerRefusedError,
+    RunnerUnansweredError,
+)
 from carawayroute.fleet.jobs import RecordError
 from carawayroute.fleet.links import RunnerLink
 from carawayroute_schema import records_pb2 as pb
@@ -112,11 +118,7 @@
         name = holder_of(fleet, ID.format(1))
         crash(fleet, name)
         if withdrawn:
-            other = next(
-                r for r in fleet.runners_by_id.values() if r.listed.id != name and r.free() < 8
-            )
-            for run in list(other._runs.values()):
-                other.end(run, "stopped")
+            end_other_runs(fleet, name)
         await fleet.clock.sleep_ms(REBOOT_MS)
         if not listed:
             fleet.unlist(name)
@@ -148,6 +150,58 @@
     run_scenario(scenario)
 
 
+def test_withdrawn_run_of_a_restarted_process_ends_at_once():
+    """LOST: the run of a restarted process was held until the new process took a stop for it."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), [step(4, 3, gang=True)], run_ms=7_000), NORMAL, OWNER)
+        await wait_start(fleet, ID.format(1), 4)
+        await fleet.clock.sleep_ms(200)
+        name = holder_of(fleet, ID.format(1))
+        refuse_calls(fleet, name, "stop", reason="unhealthy")
+        crash(fleet, name)
+        end_other_runs(fleet, name)
+        await fleet.clock.sleep_ms(REBOOT_MS)
+        fleet.runners_by_id[name].mode = "up"
+        await fleet.clock.sleep_ms(RESTART_MS)
+        assert len(starts(fleet.journal, ID.format(1))) == 8
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        assert set(planner.given_up_by_evidence) == {"process restarted"}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("late_ms", [500, 4_000])
+def test_run_whose_start_may_come_late_is_stopped_on_the_restarted_process(late_ms):
+    """TWICE: a start without an answer may be carried out late by a process of the same id."""
+
+    async def scenario(fleet):
+        client = fleet.runner_clients_by_name[fleet.planner_name()]
+        start = client.start
+        late = []
+
+        async def carry_out(*arguments):
+            await fleet.clock.sleep_ms(late_ms)
+            with contextlib.suppress(RunnerError):
+                await start(*arguments)
+
+        async def lose_start(runner, *arguments):
+            if late:
+                return await start(runner, *arguments)
+            late.append(runner.id)
+            fleet.tasks.start(carry_out(runner, *arguments), "late start")
+            crash(fleet, runner.id)
+            raise RunnerUnansweredError("lost")
+
+        client.start = lose_start
+        await fleet.submit(job(ID.format(1), run_ms=7_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(400)
+        fleet.runners_by_id[late[0]].mode = "up"
+        await fleet.wait_state(ID.format(1), "completed", 12_000)
+
+    run_scenario(scenario)
+
+
 def test_start_refused_after_its_run_ended_with_the_process_fails_nothing():
     """LOST: the end of a run was applied again when its start was refused by another process."""
 
