BUDGET: count crashes of runners by task and give up tasks that crash them

Cause: only ends that a runner reports as failed counted; a crashed runner reports nothing, and its runs were given up as lapsed, which counts nothing.

Change: when a runner's process is proved to have ended without having said that it leaves, each run on it that may have begun counts a crash for its task, and a start crash unless the process was heard of for longer than 1 s since the run's start or the task has survived a start before. After three start crashes, or five crashes without a survived start, the job fails with a reason. The counts are in the job's record, and so are runs that were given up before the proof came, so that the next planner counts them as well. Departures, lapses on a process that lives on and starts that were not sent count nothing.

The time is measured to the process's last answer, with 1 s instead of 2 s: a deadly task crashes its runner within some 10 ms, so that no later answer exists, and fewer neighbours are blamed.

Not solved here: sound tasks that start together with a deadly one on the same runner, and again after it, are blamed like it; placing suspects alone is another change. A crash that no planner proved before it ended (its runner unlisted at the take-over) is not counted.

Why it works: a placement is stored before it is ordered, by the same writer and with the counts.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -119,6 +119,17 @@
             "runner",
             lambda: node.planner.replacements_by_runner if node.planner else {},
         )
+        self.metrics.counts(
+            "runners_crashed",
+            "Runners whose processes ended unannounced in this term.",
+            "evidence",
+            lambda: node.planner.crashes.crashes_by_evidence if node.planner else {},
+        )
+        gauge(
+            "tasks_given_up",
+            "Tasks given up in this term because runners crashed under them.",
+            lambda: node.planner.crashes.given_up if node.planner else 0,
+        )
 
         self.metrics.counts_by_labels(
             "job_lookups",
--- a/packages/daemon/carawayrouted/platform/runners.py
+++ b/packages/daemon/carawayrouted/platform/runners.py
@@ -5,6 +5,7 @@
 from carawayroute.fleet.exceptions import (
     FormatError,
     RunnerNotListeningError,
+    RunnerNotSentError,
     RunnerRefusedError,
     RunnerUnansweredError,
 )
@@ -95,7 +96,7 @@
         except NotListeningError as error:
             raise RunnerNotListeningError(str(error)) from error
         except RequestNotSentError as error:
-            raise RunnerUnansweredError(f"cannot connect: {error}") from error
+            raise RunnerNotSentError(f"cannot connect: {error}") from error
         except TimeoutError as error:
             raise RunnerUnansweredError(str(error)) from error
         if reply.status == 421:
--- /dev/null
+++ b/packages/library/carawayroute/fleet/crashes.py
@@ -0,0 +1,174 @@
+"""Counts crashes of runners by task, and decides when a task is given up.
+
+A run that has begun may have crashed its runner by its start, unless the runner's process was heard
+of for longer than :data:`START_CRASH_MS` after that start. A deadly task crashes every runner that
+starts it, so one that has survived a start is not deadly. Other runs that go down with a runner
+count a crash, but no start crash.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import structlog
+
+from carawayroute.fleet.jobs import Job, JobRunKey, LostRun, Stage
+
+# Deadly tasks crash their runner some 10 ms after their start.
+START_CRASH_MS = 1_000
+# A task is given up after this many crashes soon after its start, or after this many in all if it
+# has never survived a start.
+MAX_START_CRASHES = 3
+MAX_CRASHES = 5
+
+log = structlog.get_logger()
+
+
+class CrashableRun(Protocol):
+    """A run on a runner that may crash.
+
+    :ivar started_ms: time at which the run is known to have been running, ``None`` if never.
+    :ivar may_have_begun: a start request for the run may have reached the runner.
+    :ivar crash_counted: a crash of the runner was counted for this run.
+    """
+
+    stage: Stage
+    index: int
+    number: int
+    started_ms: float | None
+    may_have_begun: bool
+    crash_counted: bool
+
+
+def is_start_crash(started_ms: float | None, last_answer_ms: float | None) -> bool:
+    """Return whether a run may have crashed its runner by its start.
+
+    :param started_ms: time of the run's start, ``None`` if unknown.
+    :param last_answer_ms: time of the process's last answer, ``None`` if there was none.
+    """
+    if started_ms is None or last_answer_ms is None:
+        return True
+    return last_answer_ms - started_ms <= START_CRASH_MS
+
+
+def note_running(stage: Stage, index: int, ran_ms: float) -> None:
+    """Note that a runner reports a task for some time after its start."""
+    if ran_ms > START_CRASH_MS and not stage.survived[index]:
+        stage.survived[index] = 1
+        stage.start_crashes[index] = 0
+
+
+def give_up_reason(stage: Stage, index: int) -> str:
+    """Return why a task must not be started again, empty if it may be."""
+    if stage.start_crashes[index] >= MAX_START_CRASHES:
+        return f"task {stage.task(index)} crashed {stage.start_crashes[index]} runners"
+    if stage.crashes[index] >= MAX_CRASHES and not stage.survived[index]:
+        return f"{stage.crashes[index]} runners crashed with task {stage.task(index)}"
+    return ""
+
+
+class CrashLedger:
+    """Counts crashes for the tasks that the crashed runners ran.
+
+    Runs that were given up before it is known whether their runner's process has ended are kept
+    until another process answers in its place, or the runner reports again.
+
+    :param on_counted: called with each job for whose tasks crashes were counted.
+    :ivar crashes_by_evidence: number of crashed runners.
+    :ivar given_up: number of tasks given up.
+    """
+
+    def __init__(self, on_counted: Callable[[Job], None]) -> None:
+        self._on_counted = on_counted
+        self._lost_by_runner: dict[str, list[tuple[Job, JobRunKey]]] = {}
+        self.crashes_by_evidence: Counter[str] = Counter()
+        self.given_up = 0
+
+    def load(self, jobs: Iterable[Job]) -> None:
+        """Take over the lost runs that an earlier planner has stored."""
+        for job in jobs:
+            for key, lost in job.lost_by_run.items():
+                self._lost_by_runner.setdefault(lost.runner, []).append((job, key))
+
+    def note_lost(self, run: CrashableRun, lost: LostRun) -> None:
+        """Keep a run that was given up without a proof of its process's end."""
+        stage = run.stage
+        key = (stage.occurrence, stage.number, run.index, run.number)
+        stage.job.lost_by_run[key] = lost
+        self._lost_by_runner.setdefault(lost.runner, []).append((stage.job, key))
+
+    def process_reported(self, runner_id: str, boot_ms: int) -> None:
+        """Settle the lost runs of a runner that reports.
+
+        :param boot_ms: start of the process that reports; those of another process crashed.
+        """
+        if runner_id not in self._lost_by_runner:
+            return
+        for job, key in self._lost_by_runner[runner_id]:
+            lost = job.lost_by_run.get(key)
+            if lost is not None and lost.boot_ms in (0, boot_ms):
+                del job.lost_by_run[key]
+        if any(key in job.lost_by_run for job, key in self._lost_by_runner[runner_id]):
+            self.process_crashed(runner_id, "process restarted", (), None)
+        else:
+            del self._lost_by_runner[runner_id]
+
+    def process_left(self, runner_id: str) -> None:
+        """Forget the lost runs of a runner whose process has ended as announced."""
+        for job, key in self._lost_by_runner.pop(runner_id, ()):
+            job.lost_by_run.pop(key, None)
+
+    def process_crashed(
+        self,
+        runner_id: str,
+        evidence: str,
+        runs: Iterable[CrashableRun],
+        last_answer_ms: float | None,
+    ) -> None:
+        """Count a crash for each run on a runner's process that has ended unannounced.
+
+        :param runs: runs on the process that have not been given up.
+        :param last_answer_ms: time of the process's last answer.
+        """
+        blamed: list[str] = []
+        neighbours: list[str] = []
+        jobs: dict[str, Job] = {}
+
+        def count(stage: Stage, index: int, at_start: bool) -> None:
+            if stage.job.closed or stage.done[index]:
+                return
+            at_start = at_start and not stage.survived[index]
+            (blamed if at_start else neighbours).append(stage.task(index))
+            jobs[stage.job.id] = stage.job
+            self._count(stage, index, at_start)
+
+        for run in runs:
+            if run.may_have_begun and not run.crash_counted:
+                run.crash_counted = True
+                count(run.stage, run.index, is_start_crash(run.started_ms, last_answer_ms))
+        for job, key in self._lost_by_runner.pop(runner_id, ()):
+            lost = job.lost_by_run.pop(key, None)
+            if lost is not None:
+                count(job.stage(key[0], key[1]), key[2], lost.recently_started)
+        self.crashes_by_evidence[evidence] += 1
+        log.warning(
+            "runner_crashed",
+            runner=runner_id,
+            evidence=evidence,
+            blamed=blamed,
+            neighbours=neighbours,
+        )
+        for job in jobs.values():
+            self._on_counted(job)
+
+    def _count(self, stage: Stage, index: int, at_start: bool) -> None:
+        stage.crashes[index] += 1
+        stage.start_crashes[index] += at_start
+        job = stage.job
+        reason = give_up_reason(stage, index)
+        if not reason or job.failed:
+            return
+        job.failed = True
+        job.reason = reason
+        self.given_up += 1
+        log.warning("task_given_up", job=job.id, task=stage.task(index), reason=reason)
--- a/packages/library/carawayroute/fleet/exceptions.py
+++ b/packages/library/carawayroute/fleet/exceptions.py
@@ -64,6 +64,10 @@
     """The runner did not answer; the request may have taken effect, or may still do so."""
 
 
+class RunnerNotSentError(RunnerUnansweredError):
+    """No connection was made, so the runner did not get the request."""
+
+
 class RunnerNotListeningError(RunnerUnansweredError):
     """The connection was refused: the runner's process and all tasks that it ran have ended."""
 
--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -1,6 +1,6 @@
 """State of all jobs, rebuilt by each instance from the records in the store."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from google.protobuf.message import DecodeError
 
@@ -45,6 +45,8 @@
     :ivar failed_run: latest run of a gang that was counted as failed.
     :ivar crashes: crashes of runners with a run of each task on the runner.
     :ivar start_crashes: those crashes that came soon after each task's start.
+    :ivar survived: 1 for each task that was running on a runner well after its start, which a task
+        that crashes its runners never is.
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         "runs",
         "start_crashes",
         "step",
+        "survived",
     )
 
     def __init__(self, job: "Job", occurrence: int, number: int) -> None:
@@ -82,6 +85,7 @@
         self.failed_run = 0
         self.crashes = [0] * count
         self.start_crashes = [0] * count
+        self.survived = bytearray(count)
         self.runners = [""] * count
         self.checkpoints: dict[int, str] = {}
 
@@ -159,6 +163,7 @@
             failed_run=self.failed_run,
             crashes=self.crashes if any(self.crashes) else (),
             start_crashes=self.start_crashes if any(self.start_crashes) else (),
+            survived=bytes(self.survived) if any(self.survived) else b"",
         )
 
     def record_failure(self, index: int, run: int) -> int:
@@ -181,7 +186,7 @@
         """
         count = self.step.count
         complete = (record.runs, record.done, record.places)
-        optional = (record.crashes, record.start_crashes)
+        optional = (record.crashes, record.start_crashes, record.survived)
         if any(len(items) != count for items in complete) or any(
             len(items) not in (0, count) for items in optional
         ):
@@ -192,17 +197,38 @@
         self.done = bytearray(record.done)
         self.failures = list(record.failures)
         self.failed_run = record.failed_run
-        # Records without crashes, and those of earlier versions, omit these counts.
+        # Records without crashes, and those of earlier versions, omit these lists.
         self.crashes = list(record.crashes) or [0] * count
         self.start_crashes = list(record.start_crashes) or [0] * count
+        self.survived = bytearray(record.survived) or bytearray(count)
         self.runners = [record.runners[place - 1] if place else "" for place in record.places]
         self.checkpoints = dict(record.checkpoints)
 
 
+class LostRun:
+    """A run that was taken as ended while it is open whether its runner's process has ended.
+
+    :param boot_ms: start of the process as it reported it, 0 if unknown.
+    :param recently_started: the process was last heard of soon after the run's start.
+    """
+
+    __slots__ = ("boot_ms", "recently_started", "runner")
+
+    def __init__(self, runner: str, boot_ms: int, recently_started: bool) -> None:
+        self.runner = runner
+        self.boot_ms = boot_ms
+        self.recently_started = recently_started
+
+
+# Occurrence, step, task and number of a run.
+JobRunKey = tuple[int, int, int, int]
+
+
 class Job:
     """An accepted job.
 
     :ivar abandoned: runs that were taken as ended although their runners reported no end.
+    :ivar lost_by_run: those runs, also of long-running tasks, that may have crashed their runners.
     :ivar begun: a runner has started one of its tasks.
     :ivar cancel_stored: the store has a cancellation of the job.
     :ivar end_stated: a progress record states which end was stored first.
@@ -221,6 +247,7 @@
         "ended_ms",
         "failed",
         "id",
+        "lost_by_run",
         "reason",
         "record",
         "stages_by_key",
@@ -230,7 +257,8 @@
     def __init__(self, record: pb.Job) -> None:
         self.id = record.id
         self.record = record
-        self.abandoned: set[tuple[int, int, int, int]] = set()
+        self.abandoned: set[JobRunKey] = set()
+        self.lost_by_run: dict[JobRunKey, LostRun] = {}
         self.begun = False
         self.cancelled = False
         self.failed = False
@@ -256,7 +284,9 @@
 
     def reinstate(self, task: TaskId, run: int) -> None:
         """Note that the end of a run was reported after all."""
-        self.abandoned.discard((task.occurrence, task.step, task.index, run))
+        key = (task.occurrence, task.step, task.index, run)
+        self.abandoned.discard(key)
+        self.lost_by_run.pop(key, None)
 
     def was_abandoned(self, task: TaskId, run: int) -> bool:
         """Return whether a run was taken as ended although its runner reported no end."""
@@ -368,9 +398,9 @@
         ended = self.ended_ms is not None
         steps = [] if ended else [stage.to_record() for stage in self.stages_by_key.values()]
         abandoned = [
-            pb.AbandonedRun(occurrence=occurrence, step=step, index=index, run=run)
-            for occurrence, step, index, run in sorted(self.abandoned)
-            if not ended or self.is_superseded(TaskId(self.id, occurrence, step, index), run)
+            self._abandoned_record(key)
+            for key in sorted(self.abandoned | self.lost_by_run.keys())
+            if not ended or self.is_superseded(TaskId(self.id, *key[:3]), key[3])
         ]
         return pb.Progress(
             steps=steps,
@@ -384,6 +414,29 @@
             first_end=FIRST_END_BY_STATE.get(self.stored_end, pb.Progress.NOT_STATED),
         )
 
+    def _abandoned_record(self, key: JobRunKey) -> pb.AbandonedRun:
+        occurrence, step, index, run = key
+        record = pb.AbandonedRun(occurrence=occurrence, step=step, index=index, run=run)
+        lost = self.lost_by_run.get(key)
+        if lost is not None:
+            record.runner = lost.runner
+            record.runner_boot_ms = lost.boot_ms
+            record.recently_started = lost.recently_started
+        return record
+
+    def apply_abandoned(self, records: Iterable[pb.AbandonedRun]) -> None:
+        """Replace the abandoned runs by those of a record."""
+        self.abandoned.clear()
+        self.lost_by_run.clear()
+        for item in records:
+            key = (item.occurrence, item.step, item.index, item.run)
+            if item.runner:
+                self.lost_by_run[key] = LostRun(
+                    item.runner, item.runner_boot_ms, item.recently_started
+                )
+            if not self.record.steps[item.step].long_running:
+                self.abandoned.add(key)
+
 
 class JobTable:
     """All jobs by id, as of an offset of the log.
@@ -446,9 +499,7 @@
             job.begun = job.begun or record.begun
             job.failed = record.failed
             job.reason = record.reason
-            job.abandoned = {
-                (item.occurrence, item.step, item.index, item.run) for item in record.abandoned
-            }
+            job.apply_abandoned(record.abandoned)
             if self.note_stored_end(job, offset, record):
                 job.cancelled = job.stored_end == CANCELLED
             for item in record.steps:
@@ -506,6 +557,7 @@
         for job in self.jobs_by_id.values():
             job.stages_by_key.clear()
             job.abandoned.clear()
+            job.lost_by_run.clear()
             job.begun = False
             job.cancelled = False
             job.failed = False
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -58,6 +58,7 @@
     :ivar last_handled: number of the last end that the planner has processed.
     :ivar report_gap_ms: time between the last two reports, -1 before the second one.
     :ivar unmatched_ends: numbers of unacknowledged ends that matched no run known to the planner.
+    :ivar last_answer_ms: time of the last answer of the runner's process, ``None`` without one.
     :ivar listed: whether the platform's list of runners names this runner.
     :ivar withheld: numbers of ends that must never be acknowledged to this process of the runner.
     """
@@ -101,6 +102,7 @@
         self.lease_expiry_ms = initial_lease_expiry_ms
         self.boot_ms = 0
         self.last_report_ms: float | None = None
+        self.last_answer_ms: float | None = None
         self.report_gap_ms = -1.0
         self.reachable = False
         self.acknowledged = 0
@@ -243,6 +245,8 @@
                 raise
             self._order_limiter.note_answer()
             self._sample_clock(clock_ms, sent_ms)
+            if self._clock_fell_back_ms is None:
+                self.last_answer_ms = self._clock.now_ms()
             return clock_ms
 
     async def run(self) -> None:
@@ -323,6 +327,7 @@
         self.boot_ms = report.boot_ms
         if restarted:
             self._on_process_ended(self, report, sent_ms)
+        self.last_answer_ms = self.last_report_ms
         self._on_report(self, report, sent_ms)
 
     def _handle_replacement(self, sent_ms: float) -> None:
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -11,15 +11,18 @@
 from carawayroute.estimates import RunTimeEstimator
 from carawayroute.exceptions import CarawayrouteError
 from carawayroute.fleet import ranking
+from carawayroute.fleet.crashes import CrashLedger, is_start_crash, note_running
 from carawayroute.fleet.exceptions import (
     RunnerError,
+    RunnerNotListeningError,
+    RunnerNotSentError,
     RunnerRefusedError,
     RunnerUnansweredError,
     StoreError,
     StoreFencedError,
 )
 from carawayroute.fleet.follower import TopicFollower
-from carawayroute.fleet.jobs import PROGRESS_KEY, SPEEDS_KEY, Job, JobTable, Stage
+from carawayroute.fleet.jobs import PROGRESS_KEY, SPEEDS_KEY, Job, JobTable, LostRun, Stage
 from carawayroute.fleet.links import OTHER_PROCESS, RunnerLink
 from carawayroute.fleet.packing import Candidate, is_time_critical
 from carawayroute.fleet.ports import RunnerClient, Store
@@ -60,6 +63,8 @@
 # The platform drops a runner from its list after some seconds of silence. A runner that it still
 # lists is waited for this long after its lease expired: its tasks may have ended as done.
 LISTED_RUNNER_WAIT_MS = 15_000
+# Evidence of a run's end that leaves open whether its runner's process has ended.
+UNPROVED_EVIDENCE = ("lease expired", "runner removed", "runner unknown")
 # A report shows up to 500 ends; a runner that cannot be acknowledged gets no work near that number.
 MAX_UNACKNOWLEDGED_ENDS = 400
 
@@ -96,6 +101,8 @@
         polls sent later show whether the run exists.
     :ivar withdrawn: reason why the planner stops the run, or an empty string.
     :ivar progress_ms: time of the last poll that showed a new percentage.
+    :ivar may_have_begun: a start request may have reached the runner.
+    :ivar crash_counted: a crash of the runner was counted for the run's task.
     :ivar start_unanswered: a start request went unanswered, and may be carried out late.
     :ivar sampled: its run time is not used for speed estimates (any more); also set for adopted
         runs, whose start was not observed.
@@ -104,7 +111,9 @@
     __slots__ = (
         "acknowledged_ms",
         "checkpoint",
+        "crash_counted",
         "index",
+        "may_have_begun",
         "number",
         "percent",
         "progress_ms",
@@ -129,6 +138,8 @@
         self.progress_ms: float | None = None
         self.sampled = False
         self.start_unanswered = False
+        self.may_have_begun = False
+        self.crash_counted = False
 
     def started_by(self, at_ms: float) -> bool:
         """Return whether the run has started before a time, and cannot be started once more."""
@@ -136,6 +147,10 @@
             return False
         return self.started_ms < at_ms
 
+    def starts_after(self, at_ms: float) -> bool:
+        """Return whether the run is known to have started at a time or later."""
+        return self.started_ms is not None and self.started_ms >= at_ms
+
 
 class PlannerSettings:
     """Settings of the planner.
@@ -173,6 +188,7 @@
     :ivar placing: if false, no scheduling passes are run.
     :ivar given_up_by_evidence: number of runs ended without a reported end.
     :ivar unmatched_by_outcome: number of reported ends that matched no known run.
+    :ivar crashes: counts crashes of runners by task.
     :ivar replacements_by_runner: how often another process answered at a runner's address.
     """
 
@@ -226,6 +242,7 @@
         self.given_up_by_evidence: Counter[str] = Counter()
         self.unmatched_by_outcome: Counter[str] = Counter()
         self.replacements_by_runner: Counter[str] = Counter()
+        self.crashes = CrashLedger(self._on_crash_counted)
 
     # ------------------------------------------------------------------ term
 
@@ -256,6 +273,7 @@
                 for index in stage.placed():
                     self._adopt(stage, index)
         self._ends_read = True
+        self.crashes.load(self.job_table.open_by_id.values())
         for job in self.job_table.jobs_by_id.values():
             self.state_first_end(job)
         # Reports are compared with the adopted runs, so runners are polled only from here on.
@@ -315,6 +333,7 @@
     def _adopt(self, stage: Stage, index: int) -> None:
         run = Run(stage, index, stage.runs[index], stage.runners[index])
         run.acknowledged_ms = self._term_start_ms
+        run.may_have_begun = True
         run.checkpoint = stage.checkpoint(index)
         run.sampled = True
         self._add_run(run)
@@ -343,11 +362,29 @@
             starts that went unanswered; ``None`` if the process has another id.
         :param sent_ms: clock time at which the report's poll was sent.
         """
-        for key, run in list(self._runs_by_runner.get(link.runner.id, {}).items()):
-            if report is None:
-                self._give_up(key, run, "process replaced")
-            elif run.started_by(sent_ms) and not report.shows(*key):
-                self._give_up(key, run, "process restarted", sent_ms)
+        evidence = "process replaced" if report is None else "process restarted"
+        runs_by_key = {
+            key: run
+            for key, run in self._runs_by_runner.get(link.runner.id, {}).items()
+            if report is None or not run.starts_after(sent_ms) and not report.shows(*key)
+        }
+        if link.runner.draining:
+            self.crashes.process_left(link.runner.id)
+        else:
+            self.crashes.process_crashed(
+                link.runner.id, evidence, runs_by_key.values(), link.last_answer_ms
+            )
+        for key, run in runs_by_key.items():
+            if report is None or run.started_by(sent_ms):
+                self._give_up(key, run, evidence, None if report is None else sent_ms)
+
+    def _on_crash_counted(self, job: Job) -> None:
+        """Store a job's crashes; a job of which a task is given up ends."""
+        if job.closed:
+            self._withdraw_job(job)
+        self.job_table.close_if_finished(job, self._clock.now_ms())
+        self._tasks.start(self._persist([job]), f"persist {job.id}")
+        self._changed.set()
 
     def _inherited_lease_expiry_ms(self) -> float:
         return self._term_start_ms + self._settings.lease_bound_ms
@@ -473,8 +510,15 @@
         stage = run.stage
         if stage.ordered_runs[run.index] >= run.number and not stage.step.long_running:
             stage.job.abandon(stage, run.index, run.number)
+        if evidence in UNPROVED_EVIDENCE and run.may_have_begun and not run.crash_counted:
+            self._note_lost(run, link)
         self._end_run(key, run, "lapsed", run.checkpoint)
 
+    def _note_lost(self, run: Run, link: RunnerLink | None) -> None:
+        boot_ms = link.boot_ms if link is not None else 0
+        at_start = is_start_crash(run.started_ms, link.last_answer_ms if link is not None else None)
+        self.crashes.note_lost(run, LostRun(run.runner, boot_ms, at_start))
+
     # ------------------------------------------------------------------ reports
 
     def _apply_report(self, link: RunnerLink, report: RunnerReport, sent_ms: float) -> None:
@@ -483,6 +527,7 @@
         :param sent_ms: time at which the poll was sent.
         """
         self._reported.set()
+        self.crashes.process_reported(link.runner.id, report.boot_ms)
         for ended in report.ended:
             if ended.number > link.last_handled and not self._apply_end(link, ended):
                 self._withhold_end(link, ended)
@@ -529,10 +574,12 @@
             self._tasks.start(self._stop_stray(link, item), f"stop {item.task}")
             return
         now_ms = self._clock.now_ms()
+        run.may_have_begun = True
         if run.started_ms is None:
             run.started_ms = now_ms
             run.stage.job.begun = True
             self._changed.set()
+        note_running(run.stage, run.index, now_ms - run.started_ms)
         if item.checkpoint and item.checkpoint != run.checkpoint:
             run.checkpoint = item.checkpoint
         if item.percent != run.percent or run.progress_ms is None:
@@ -1088,6 +1135,7 @@
                 return
             run.acknowledged_ms = self._clock.now_ms()
             run.started_ms = run.acknowledged_ms
+            run.may_have_begun = True
             stage.job.begun = True
             return
 
@@ -1095,15 +1143,21 @@
         """Send one start request and return the runner's clock."""
         stage = run.stage
         stage.ordered_runs[run.index] = run.number
-        return await self._orders.start(
-            link.runner,
-            self.term,
-            stage.task(run.index),
-            run.number,
-            stage.job.record.spec,
-            stage.checkpoint(run.index),
-            link.lease_until_ms(),
-        )
+        sent_before = run.may_have_begun
+        run.may_have_begun = sent_before or link.reachable
+        try:
+            return await self._orders.start(
+                link.runner,
+                self.term,
+                stage.task(run.index),
+                run.number,
+                stage.job.record.spec,
+                stage.checkpoint(run.index),
+                link.lease_until_ms(),
+            )
+        except (RunnerNotListeningError, RunnerNotSentError, RunnerRefusedError):
+            run.may_have_begun = sent_before
+            raise
 
     def _fail_start(self, run: Run, reason: str, certain: bool = False) -> None:
         """Withdraw a run that could not be started, with the rest of its gang.
