--- a/packages/daemon/carawayrouted/platform/callers.py
+++ b/packages/daemon/carawayrouted/platform/callers.py
@@ -18,6 +18,7 @@
     OutcomeUnknownError,
     StateUnknownError,
 )
+from carawayroute.fleet.jobs import FAILED
 from carawayroute.fleet.types import Configuration, Queue, Team
 from carawayroute_schema import records_pb2 as pb
 from carawayrouted.closing import OpenRequests
@@ -113,7 +114,7 @@
                 await self._service.submit(queue, team, decode_job(job_id, body), wait_ms)
                 return _reply(200)
             if request.method == "GET":
-                return _reply(200, {"state": await self._service.state(job_id, wait_ms)})
+                return _reply(200, await self._status_fields(job_id, wait_ms))
             if request.method == "DELETE":
                 await self._service.cancel(job_id, wait_ms)
                 return _reply(200)
@@ -130,6 +131,17 @@
             return _reply(503, retry_after_ms=1_000)
         return _reply(405)
 
+    async def _status_fields(self, job_id: str, wait_ms: float) -> dict[str, str]:
+        """Return the fields of a job's status, with the reason if it failed and that is known."""
+        until_s = time.monotonic() + wait_ms / 1000
+        fields = {"state": await self._service.state(job_id, wait_ms)}
+        if fields["state"] == FAILED:
+            left_ms = (until_s - time.monotonic()) * 1000
+            reason = await self._service.explain_failure(job_id, left_ms)
+            if reason:
+                fields["reason"] = reason
+        return fields
+
     def _deny(self, status: int, configuration: Configuration) -> web.Response:
         """Answer a request whose queue or key is unknown."""
         if self._configuration_is_current():
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -17,7 +17,7 @@
     StoreUnansweredError,
 )
 from carawayroute.fleet.follower import TopicFollower
-from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, Job, JobTable
+from carawayroute.fleet.jobs import CANCEL_KEY, FAILED, JOB_KEY, Job, JobTable
 from carawayroute.fleet.lookup import JobStatus, PeerLookup
 from carawayroute.fleet.ranking import LATE_FACTOR
 from carawayroute.fleet.relay import PeerError
@@ -44,6 +44,8 @@
 MAX_REPEAT_CHECK_MS = 400
 # Requests do not refresh the state while the store has been unresponsive for longer than this.
 STORE_UNRESPONSIVE_MS = 1_500
+# How long the answer for a failed job waits for the reason.
+MAX_REASON_WAIT_MS = 500
 # The platform allows a count of pending jobs to be 2 s old.
 MAX_PENDING_AGE_MS = 2_000
 # Part of the caller's deadline that is reserved for sending the response.
@@ -387,6 +389,27 @@
             job = self._known_job(job_id)
         return job.reported_state if job is not None else state
 
+    def failure_reason(self, job_id: str) -> str:
+        """Return why a job has failed, empty if this instance does not know."""
+        job = self._job_table.jobs_by_id.get(job_id)
+        return job.reason if job is not None and job.stored_end == FAILED else ""
+
+    async def explain_failure(self, job_id: str, wait_ms: float) -> str:
+        """Return why a job has failed, asking other instances if this one does not know.
+
+        :param wait_ms: time until the caller's deadline.
+        :return: an empty string if it cannot be told in time.
+        """
+        job = self._job_table.jobs_by_id.get(job_id)
+        if job is not None and job.stored_end == FAILED:
+            return job.reason
+        wait_ms = min(MAX_REASON_WAIT_MS, wait_ms - RESPONSE_MARGIN_MS)
+        try:
+            async with asyncio.timeout(max(0.0, wait_ms) / 1000):
+                return await self._peer_lookup.failure_reason(job_id, wait_ms)
+        except (PeerError, TimeoutError):
+            return ""
+
     async def _refresh(self, job_id: str) -> None:
         """Read the latest records if the state is stale; keep the known state if that fails."""
         age_ms = self._follower.lag_ms()
--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -561,7 +561,8 @@
             job.begun = False
             job.cancelled = False
             job.failed = False
-            job.reason = ""
+            if job.stored_end != FAILED:
+                job.reason = ""
             job.ended_ms = None
             job.cancel_stored = False
             job.end_stored = False
--- a/packages/library/carawayroute/fleet/lookup.py
+++ b/packages/library/carawayroute/fleet/lookup.py
@@ -55,6 +55,9 @@
         :raises StoreError: the store cannot be read.
         """
 
+    def failure_reason(self, job_id: str) -> str:
+        """Return why a job has failed, empty if this instance does not know."""
+
 
 class PeerLookup:
     """Ask peers for jobs: the planner first, then peers of other regions and of this one.
@@ -90,6 +93,15 @@
             return None
         return JobStatus(answer.job_state, answer.job_ended)
 
+    async def failure_reason(self, job_id: str, wait_ms: float) -> str:
+        """Return why a job has failed as a peer knows it.
+
+        :param wait_ms: time until the answer is needed.
+        :raises PeerError: no peer could tell.
+        """
+        call = pb.StoreCall(kind=pb.StoreCall.LOOK_UP_JOB, job_id=job_id)
+        return (await self._first_proof(call, wait_ms, _is_explained)).job_reason
+
     async def count_pending(self, queue: str, wait_ms: float) -> int:
         """Return the number of a queue's pending jobs as a peer knows it.
 
@@ -109,7 +121,12 @@
         # Peers of one region may share the cause that keeps this instance behind.
         return first + interleave(far, near)
 
-    async def _first_proof(self, call: pb.StoreCall, wait_ms: float) -> pb.StoreAnswer:
+    async def _first_proof(
+        self,
+        call: pb.StoreCall,
+        wait_ms: float,
+        is_proof: Callable[[pb.StoreAnswer], bool] = lambda answer: True,
+    ) -> pb.StoreAnswer:
         """Ask a few peers at a time and return the first conclusive answer."""
         call.wait_ms = max(0, int(wait_ms - PEER_ANSWER_MARGIN_MS))
         candidates = self._candidates()[: MAX_ROUNDS * PEERS_PER_ROUND]
@@ -117,7 +134,7 @@
         try:
             while candidates or pending:
                 for address in candidates[:PEERS_PER_ROUND]:
-                    pending.add(asyncio.ensure_future(self._ask(address, call, wait_ms)))
+                    pending.add(asyncio.ensure_future(self._ask(address, call, wait_ms, is_proof)))
                 candidates = candidates[PEERS_PER_ROUND:]
                 done, pending = await asyncio.wait(
                     pending,
@@ -135,7 +152,13 @@
                 task.cancel()
         raise PeerError("no peer could tell")
 
-    async def _ask(self, address: str, call: pb.StoreCall, timeout_ms: float) -> pb.StoreAnswer:
+    async def _ask(
+        self,
+        address: str,
+        call: pb.StoreCall,
+        timeout_ms: float,
+        is_proof: Callable[[pb.StoreAnswer], bool],
+    ) -> pb.StoreAnswer:
         reply = await self._peers.ask(address, call.SerializeToString(), timeout_ms)
         try:
             answer = pb.StoreAnswer.FromString(reply)
@@ -143,12 +166,18 @@
             raise PeerError(f"{address}: {error}") from error
         found = answer.job_state or answer.HasField("pending")
         if answer.outcome == pb.StoreAnswer.DONE and found:
-            return answer
+            if is_proof(answer):
+                return answer
+            raise PeerError(f"{address}: its answer is no proof")
         if answer.outcome == pb.StoreAnswer.NO_SUCH_JOB:
             return answer
         raise PeerError(f"{address}: {answer.reason or 'cannot tell'}")
 
 
+def _is_explained(answer: pb.StoreAnswer) -> bool:
+    return answer.job_reason != ""
+
+
 async def serve_lookup(call: pb.StoreCall, local: LocalLookup) -> pb.StoreAnswer:
     """Return the answer to a peer's lookup."""
     try:
@@ -159,4 +188,8 @@
         return pb.StoreAnswer(outcome=pb.StoreAnswer.UNANSWERED, reason=type(error).__name__)
     if status is None:
         return pb.StoreAnswer(outcome=pb.StoreAnswer.NO_SUCH_JOB)
-    return pb.StoreAnswer(job_state=status.state, job_ended=status.ended)
+    return pb.StoreAnswer(
+        job_state=status.state,
+        job_ended=status.ended,
+        job_reason=local.failure_reason(call.job_id),
+    )
--- a/tests/replacement_builders.py
+++ b/tests/replacement_builders.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 
+from aiohttp.test_utils import make_mocked_request
 from fleet_builders import runner_fields
 
 from carawayroute.fleet.exceptions import (
@@ -16,6 +17,7 @@
 from carawayroute.fleet.types import EndedTask, RunnerReport
 from carawayroute_schema import records_pb2 as pb
 from carawayroute_standins.fleet.judge import starts
+from carawayrouted.platform.callers import CallerApp
 
 OTHER_PROCESS = "boot"
 # A crashed runner's address answers again after this time.
@@ -126,6 +128,13 @@
     return RunnerReport(clock_ms, boot_ms, [], ended)
 
 
+async def call_fields(app: CallerApp, path: str) -> dict:
+    """Return the fields of the answer to a GET request to an instance's API."""
+    headers = {"Host": "h", "Authorization": "Bearer key-owner"}
+    response = await app.handle(make_mocked_request("GET", path, headers=headers))
+    return json.loads(response.body)
+
+
 class DeadlyTasks:
     """Crashes each runner that starts one of some tasks; it returns some seconds later.
 
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -4,12 +4,23 @@
 import contextlib
 
 import pytest
-from fleet_builders import BATCH, NORMAL, OWNER, URGENT, job, job_table_of, run_scenario, step
+from fleet_builders import (
+    BATCH,
+    NORMAL,
+    OWNER,
+    URGENT,
+    caller_app,
+    job,
+    job_table_of,
+    run_scenario,
+    step,
+)
 from replacement_builders import (
     OTHER_PROCESS,
     REBOOT_MS,
     DeadlyTasks,
     ScriptedRunner,
+    call_fields,
     crash,
     crash_and_replace,
     holder_of,
@@ -31,7 +42,7 @@
     RunnerRefusedError,
     RunnerUnansweredError,
 )
-from carawayroute.fleet.jobs import RecordError
+from carawayroute.fleet.jobs import PROGRESS_KEY, RecordError
 from carawayroute.fleet.links import RunnerLink
 from carawayroute_schema import records_pb2 as pb
 from carawayroute_standins.fleet.judge import starts
@@ -576,3 +587,62 @@
         assert len(flapping.crashed) > 1
 
     run_scenario(scenario, racks=1, runners_per_rack=2)
+
+
+async def give_up_job(fleet):
+    """Let job 1 fail by crashing its runners."""
+    DeadlyTasks(fleet, ID.format(1))
+    await fleet.submit(job(ID.format(1), run_ms=2_000), NORMAL, OWNER)
+    await fleet.wait_state(ID.format(1), "failed", 30_000)
+
+
+def test_every_instance_tells_why_a_job_was_given_up():
+    """BUDGET: callers were not told why a job has failed."""
+    told = {"state": "failed", "reason": f"task {ID.format(1)}.0.0.0 crashed 3 runners"}
+
+    async def scenario(fleet):
+        await give_up_job(fleet)
+        fleet.start_instance("n4")
+        await fleet.clock.sleep_ms(2_000)
+        await fleet.kill_instance(fleet.planner_name())
+        await fleet.wait_until(lambda: fleet.planner_name(), 5_000, "another planner")
+        await fleet.clock.sleep_ms(1_000)
+        assert len(fleet.nodes_by_name) == 3
+        for node in fleet.nodes_by_name.values():
+            assert await call_fields(caller_app(node), f"/render/{ID.format(1)}") == told
+
+    run_scenario(scenario)
+
+
+def test_instance_that_does_not_know_a_job_tells_why_it_was_given_up():
+    """BUDGET: a state that another instance told came without the reason."""
+
+    async def scenario(fleet):
+        await give_up_job(fleet)
+        node = fleet.start_instance("n4")
+        assert ID.format(1) not in node.job_table.jobs_by_id
+        reason = await node.service.explain_failure(ID.format(1), 3_000)
+        assert reason == f"task {ID.format(1)}.0.0.0 crashed 3 runners"
+
+    run_scenario(scenario)
+
+
+def test_reason_is_told_while_the_state_is_loaded_again():
+    """BUDGET: the reason was dropped with the progress of jobs, although the end was kept."""
+    table = job_table_of(job(ID.format(1)))
+    failed = pb.Progress(ended=True, failed=True, reason="crashed", term=1)
+    table.apply(5, PROGRESS_KEY + ID.format(1), failed.SerializeToString(), 0.0)
+    table.reset()
+    found = table.jobs_by_id[ID.format(1)]
+    assert (found.reported_state, found.reason) == ("failed", "crashed")
+
+
+def test_job_that_does_not_fail_has_no_reason():
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=200), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(1), "completed", 5_000)
+        for node in fleet.nodes_by_name.values():
+            fields = await call_fields(caller_app(node), f"/render/{ID.format(1)}")
+            assert fields == {"state": "completed"}
+
+    run_scenario(scenario)
