--- a/packages/daemon/carawayrouted/platform/callers.py
+++ b/packages/daemon/carawayrouted/platform/callers.py
@@ -123,7 +123,7 @@
                 await self._service.submit(queue, team, decode_job(job_id, body), wait_ms)
                 return _reply(200)
             if request.method == "GET":
-                return _reply(200, {"state": await self._service.state(job_id, wait_ms)})
+                return _reply(200, await self._status_fields(job_id, wait_ms))
             if request.method == "DELETE":
                 await self._service.cancel(job_id, wait_ms)
                 return _reply(200)
@@ -140,6 +140,14 @@
             return _reply(503, retry_after_ms=1_000)
         return _reply(405)
 
+    async def _status_fields(self, job_id: str, wait_ms: float) -> dict[str, str]:
+        """Return the fields of a job's status, with the reason if it failed and that is known."""
+        status = await self._service.status(job_id, wait_ms)
+        fields = {"state": status.state}
+        if status.reason:
+            fields["reason"] = status.reason
+        return fields
+
     def _deny(self, status: int, configuration: Configuration) -> web.Response:
         """Answer a request whose queue or key is unknown."""
         if self._configuration_is_current():
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -19,7 +19,7 @@
     StoreUnansweredError,
 )
 from carawayroute.fleet.follower import TopicFollower
-from carawayroute.fleet.jobs import CANCEL_KEY, JOB_KEY, Job, JobTable
+from carawayroute.fleet.jobs import CANCEL_KEY, FAILED, JOB_KEY, Job, JobTable
 from carawayroute.fleet.lookup import JobStatus, PeerLookup
 from carawayroute.fleet.ranking import LATE_FACTOR
 from carawayroute.fleet.relay import PeerError
@@ -278,12 +278,14 @@
         read_as_of_ms = self._follower.current_as_of_ms
         job = self._known_job(job_id)
         told_end = self._told_ends.find(job_id, read_as_of_ms)
-        if told_end and not (job is not None and job.stored_end):
-            return JobStatus(told_end, True)
+        if told_end is not None and not (job is not None and job.stored_end):
+            return told_end
         if job is None:
             return None
         if job.stored_end:
-            return JobStatus(job.stored_end, True)
+            return JobStatus(
+                job.stored_end, True, reason=job.reason if job.stored_end == FAILED else ""
+            )
         return JobStatus(job.reported_state, False, max(0.0, asked_ms - read_as_of_ms))
 
     def _known_job(self, job_id: str) -> Job | None:
@@ -464,7 +466,11 @@
         )
 
     async def state(self, job_id: str, wait_ms: float) -> str:
-        """Return a job's state.
+        """Return a job's state; see :meth:`status`."""
+        return (await self.status(job_id, wait_ms)).state
+
+    async def status(self, job_id: str, wait_ms: float) -> JobStatus:
+        """Return a job's status, as of after this call if that can be told in time.
 
         :param wait_ms: time until the caller's deadline.
         :raises NoSuchJobError: no such job has been accepted.
@@ -474,7 +480,7 @@
         status = await self._find(job_id, wait_ms)
         recent = self._follower.lag_ms() < MAX_STATE_AGE_MS and not self._follower.behind_records
         if status.ended or status.age_ms == 0 or recent:
-            return status.state
+            return status
         if self._follower.lag_ms() <= STORE_UNRESPONSIVE_MS:
             with contextlib.suppress(TimeoutError, StoreError):
                 await self._read_status(job_id, STATE_READ_TIMEOUT_MS)
@@ -483,7 +489,7 @@
         status = await self._renew_old(job_id, status, min(left_ms, MAX_STATE_LOOKUP_MS))
         if not status.ended and status.age_ms > 0:
             self._note_old_state(job_id, status.state)
-        return status.state
+        return status
 
     async def _renew_old(self, job_id: str, status: JobStatus, wait_ms: float) -> JobStatus:
         """Look up the state of an open job in the store and at other instances if it is too old.
@@ -522,7 +528,7 @@
     def _note_told_end(self, job_id: str, status: JobStatus) -> None:
         """Note a final state that a peer has told, so that no earlier one is told after it."""
         if status.ended:
-            self._told_ends.note(job_id, status.state, self._clock.now_ms())
+            self._told_ends.note(job_id, status, self._clock.now_ms())
 
     def _note_old_state(self, job_id: str, state: str) -> None:
         """Log and count that a state is told although it could not be refreshed."""
--- a/packages/library/carawayroute/fleet/exceptions.py
+++ b/packages/library/carawayroute/fleet/exceptions.py
@@ -64,6 +64,10 @@
     """The runner did not answer; the request may have taken effect, or may still do so."""
 
 
+class RunnerNotSentError(RunnerUnansweredError):
+    """No connection was made, so the runner did not get the request."""
+
+
 class RunnerNotListeningError(RunnerUnansweredError):
     """The connection was refused: the runner's process and all tasks that it ran have ended."""
 
@@ -71,8 +75,8 @@
 class RunnerRefusedError(RunnerError):
     """The runner rejected the request, which had no effect.
 
-    :param reason: ``fence``, ``old``, ``late``, ``room``, ``ticket``, ``boot`` (the runner has
-        restarted), ``unhealthy`` or ``invalid``.
+    :param reason: ``fence``, ``old``, ``late``, ``room``, ``ticket``, ``boot`` (another
+        process than the one that the request names answered), ``unhealthy`` or ``invalid``.
     """
 
     def __init__(self, reason: str) -> None:
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -28,6 +28,8 @@
 NOT_LISTENING_POLLS = 2
 # A runner whose last report is older than this gets no new tasks.
 MAX_REPORT_AGE_MS = 2_600
+# Reason of a refusal by another process than the one that the request names.
+OTHER_PROCESS = "boot"
 
 log = structlog.get_logger()
 
@@ -44,12 +46,19 @@
     :param on_report: called with each report and the clock time at which its poll was sent.
     :param on_fenced: called when the runner knows a newer term.
     :param on_unreachable: called when the runner stops answering.
+    :param on_replaced: called when another process first answers at the runner's address.
+    :param on_process_ended: called when the runner's process has certainly ended, as another one
+        answers at its address; with the first report of a new process under the same id and the
+        clock time at which its poll was sent, or with ``None`` and the time of the proof.
+    :param moved: the platform's list changed the runner's address. Until the runner answers there,
+        other processes at the new address show nothing of the one at the old address.
     :ivar lease_expiry_ms: clock time by which every lease of the runner has certainly expired.
     :ivar boot_ms: wall clock of the runner's start as last reported, 0 if unknown.
     :ivar acknowledged: number of the last end that is stored, acknowledged with the next poll.
     :ivar last_handled: number of the last end that the planner has processed.
     :ivar report_gap_ms: time between the last two reports, -1 before the second one.
     :ivar unmatched_ends: numbers of unacknowledged ends that matched no run known to the planner.
+    :ivar last_answer_ms: time of the last answer of the runner's process, ``None`` without one.
     :ivar listed: whether the platform's list of runners names this runner.
     :ivar suspended: whether the runner gets no new tasks, as its entry in the list is not usable.
     :ivar withheld: numbers of ends that must never be acknowledged to this process of the runner.
@@ -67,6 +76,11 @@
         on_report: Callable[["RunnerLink", RunnerReport, float], None],
         on_fenced: Callable[["RunnerLink"], None],
         on_unreachable: Callable[["RunnerLink"], None],
+        on_replaced: Callable[["RunnerLink"], None] = lambda link: None,
+        on_process_ended: Callable[
+            ["RunnerLink", RunnerReport | None, float], None
+        ] = lambda link, report, sent_ms: None,
+        moved: bool = False,
     ) -> None:
         self.runner = runner
         self._term = term
@@ -77,6 +91,11 @@
         self._on_report = on_report
         self._on_fenced = on_fenced
         self._on_unreachable = on_unreachable
+        self._on_replaced = on_replaced
+        self._on_process_ended = on_process_ended
+        self._address_confirmed = not moved
+        self._replacement_noted = False
+        self._replaced_ms: float | None = None
         self._order_limiter = OrderLimiter()
         self._refused_polls = 0
         self._refused_since_ms = 0.0
@@ -84,6 +103,7 @@
         self.lease_expiry_ms = initial_lease_expiry_ms
         self.boot_ms = 0
         self.last_report_ms: float | None = None
+        self.last_answer_ms: float | None = None
         self.report_gap_ms = -1.0
         self.reachable = False
         self.acknowledged = 0
@@ -105,13 +125,24 @@
             return False
         return self._clock.now_ms() - self.last_report_ms < MAX_REPORT_AGE_MS
 
+    @property
+    def replaced(self) -> bool:
+        """Return whether another process answers polls at the runner's address.
+
+        All runs that the link's runner was sent have ended then, and none can begin: starts that
+        are carried out late name the process that has ended.
+        """
+        return self._replaced_ms is not None
+
     @property
     def process_ended(self) -> bool:
         """Return whether the runner's process, and so every task on it, has certainly ended.
 
-        Only a runner that announced that it leaves counts: the network may refuse connections to
-        one that runs on.
+        Refused connections count only for a runner that announced that it leaves: the network may
+        refuse connections to one that runs on.
         """
+        if self.replaced:
+            return True
         if not self.runner.draining or self._refused_polls < NOT_LISTENING_POLLS:
             return False
         return self._clock.now_ms() - self._refused_since_ms >= NOT_LISTENING_MS
@@ -210,9 +241,16 @@
             if not is_needed():
                 return None
             sent_ms = self._clock.now_ms()
-            clock_ms = await order()
+            try:
+                clock_ms = await order()
+            except RunnerRefusedError as error:
+                if error.reason == OTHER_PROCESS:
+                    self._note_replacement("order")
+                raise
             self._order_limiter.note_answer()
             self._sample_clock(clock_ms, sent_ms)
+            if self._clock_fell_back_ms is None:
+                self.last_answer_ms = self._clock.now_ms()
             return clock_ms
 
     async def run(self) -> None:
@@ -254,6 +292,8 @@
             if error.reason == "fence":
                 self._on_fenced(self)
             self._handle_failure(error)
+            if error.reason == OTHER_PROCESS:
+                self._handle_replacement(sent_ms)
             return
         except RunnerError as error:
             self._handle_failure(error)
@@ -263,16 +303,24 @@
             # boot_ms shows a wall clock that was set back.
             log.info("late_report_dropped", runner=self.runner.id, boot_ms=report.boot_ms)
             return
+        if self._replaced_ms is not None and sent_ms <= self._replaced_ms:
+            # The process has ended since this poll was sent.
+            log.info("late_report_dropped", runner=self.runner.id, boot_ms=report.boot_ms)
+            return
         self._sample_clock(report.clock_ms, sent_ms)
         if self._clock_fell_back_ms is not None and sent_ms >= self._clock_fell_back_ms:
             self._clock_fell_back_ms = None
         self._refused_polls = 0
+        self._address_confirmed = True
+        self._replacement_noted = False
+        self._replaced_ms = None
         if not self.reachable:
             log.info("runner_reached", runner=self.runner.id, clock_ms=report.clock_ms)
         self.reachable = True
         self.report_gap_ms = self.report_age_ms()
         self.last_report_ms = self._clock.now_ms()
-        if boot_ms and report.boot_ms != boot_ms:
+        restarted = boot_ms != 0 and report.boot_ms != boot_ms
+        if restarted:
             log.warning("runner_restarted", runner=self.runner.id, boot_ms=report.boot_ms)
             self.acknowledged = 0
             self.last_handled = 0
@@ -281,8 +329,38 @@
             self._clock_fell_back_ms = None
             self._extend_lease_expiry()
         self.boot_ms = report.boot_ms
+        if restarted:
+            self._on_process_ended(self, report, sent_ms)
+        self.last_answer_ms = self.last_report_ms
         self._on_report(self, report, sent_ms)
 
+    def _handle_replacement(self, sent_ms: float) -> None:
+        """Handle a poll that another process refused.
+
+        :param sent_ms: clock time at which the poll was sent.
+        """
+        self._note_replacement("poll")
+        overtaken = self.last_report_ms is not None and self.last_report_ms > sent_ms
+        if self.replaced or overtaken or not self._address_confirmed:
+            return
+        self._replaced_ms = self._clock.now_ms()
+        self._on_process_ended(self, None, self._replaced_ms)
+
+    def _note_replacement(self, call: str) -> None:
+        """Log once that the runner's address answers for another process."""
+        if self._replacement_noted:
+            return
+        self._replacement_noted = True
+        log.warning(
+            "runner_replaced",
+            runner=self.runner.id,
+            address=self.runner.address,
+            call=call,
+            report_age_ms=round(self.report_age_ms()),
+            listed=self.listed,
+        )
+        self._on_replaced(self)
+
     def _handle_failure(self, error: RunnerError) -> None:
         if self.reachable:
             log.warning("runner_unreachable", runner=self.runner.id, error=str(error))
--- a/packages/library/carawayroute/fleet/lookup.py
+++ b/packages/library/carawayroute/fleet/lookup.py
@@ -33,14 +33,16 @@
     :param state: the job's state as reported to callers.
     :param ended: whether the state is final.
     :param age_ms: how long before the question the state was read, 0 if after it or final.
+    :param reason: why the job failed, empty if it did not or if that is unknown.
     """
 
-    __slots__ = ("age_ms", "ended", "state")
+    __slots__ = ("age_ms", "ended", "reason", "state")
 
-    def __init__(self, state: str, ended: bool, age_ms: float = 0.0) -> None:
+    def __init__(self, state: str, ended: bool, age_ms: float = 0.0, reason: str = "") -> None:
         self.state = state
         self.ended = ended
         self.age_ms = age_ms
+        self.reason = reason
 
 
 class LocalLookup(Protocol):
@@ -183,7 +185,7 @@
 def _decode_status(answer: pb.StoreAnswer) -> JobStatus | None:
     if answer.outcome == pb.StoreAnswer.NO_SUCH_JOB:
         return None
-    return JobStatus(answer.job_state, answer.job_ended, answer.age_ms)
+    return JobStatus(answer.job_state, answer.job_ended, answer.age_ms, answer.job_reason)
 
 
 async def serve_lookup(call: pb.StoreCall, local: LocalLookup) -> pb.StoreAnswer:
@@ -200,4 +202,5 @@
         job_state=status.state,
         job_ended=status.ended,
         age_ms=math.ceil(min(status.age_ms, MAX_ANSWERED_AGE_MS)),
+        job_reason=status.reason,
     )
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -11,16 +11,19 @@
 from carawayroute.estimates import RunTimeEstimator
 from carawayroute.exceptions import CarawayrouteError
 from carawayroute.fleet import ranking
+from carawayroute.fleet.crashes import CrashLedger, is_start_crash, note_running
 from carawayroute.fleet.exceptions import (
     RunnerError,
+    RunnerNotListeningError,
+    RunnerNotSentError,
     RunnerRefusedError,
     RunnerUnansweredError,
     StoreError,
     StoreFencedError,
 )
 from carawayroute.fleet.follower import TopicFollower
-from carawayroute.fleet.jobs import PROGRESS_KEY, SPEEDS_KEY, Job, JobTable, Stage
-from carawayroute.fleet.links import RunnerLink
+from carawayroute.fleet.jobs import PROGRESS_KEY, SPEEDS_KEY, Job, JobTable, LostRun, Stage
+from carawayroute.fleet.links import OTHER_PROCESS, RunnerLink
 from carawayroute.fleet.packing import Candidate, is_time_critical
 from carawayroute.fleet.ports import RunnerClient, Store
 from carawayroute.fleet.runner_health import STALL_MS, RunnerHealth
@@ -60,6 +63,8 @@
 # The platform drops a runner from its list after some seconds of silence. A runner that it still
 # lists is waited for this long after its lease expired: its tasks may have ended as done.
 LISTED_RUNNER_WAIT_MS = 15_000
+# Evidence of a run's end that leaves open whether its runner's process has ended.
+UNPROVED_EVIDENCE = ("lease expired", "runner removed", "runner unknown")
 # A report shows up to 500 ends; a runner that cannot be acknowledged gets no work near that number.
 MAX_UNACKNOWLEDGED_ENDS = 400
 
@@ -96,6 +101,9 @@
         polls sent later show whether the run exists.
     :ivar withdrawn: reason why the planner stops the run, or an empty string.
     :ivar progress_ms: time of the last poll that showed a new percentage.
+    :ivar may_have_begun: a start request may have reached the runner.
+    :ivar crash_counted: a crash of the runner was counted for the run's task.
+    :ivar start_unanswered: a start request went unanswered, and may be carried out late.
     :ivar sampled: its run time is not used for speed estimates (any more); also set for adopted
         runs, whose start was not observed.
     """
@@ -103,13 +111,16 @@
     __slots__ = (
         "acknowledged_ms",
         "checkpoint",
+        "crash_counted",
         "index",
+        "may_have_begun",
         "number",
         "percent",
         "progress_ms",
         "runner",
         "sampled",
         "stage",
+        "start_unanswered",
         "started_ms",
         "withdrawn",
     )
@@ -126,6 +137,19 @@
         self.percent = -1
         self.progress_ms: float | None = None
         self.sampled = False
+        self.start_unanswered = False
+        self.may_have_begun = False
+        self.crash_counted = False
+
+    def started_by(self, at_ms: float) -> bool:
+        """Return whether the run has started before a time, and cannot be started once more."""
+        if self.started_ms is None or self.start_unanswered:
+            return False
+        return self.started_ms < at_ms
+
+    def starts_after(self, at_ms: float) -> bool:
+        """Return whether the run is known to have started at a time or later."""
+        return self.started_ms is not None and self.started_ms >= at_ms
 
 
 class PlannerSettings:
@@ -164,6 +188,8 @@
     :ivar placing: if false, no scheduling passes are run.
     :ivar given_up_by_evidence: number of runs ended without a reported end.
     :ivar unmatched_by_outcome: number of reported ends that matched no known run.
+    :ivar crashes: counts crashes of runners by task.
+    :ivar replacements_by_runner: how often another process answered at a runner's address.
     """
 
     def __init__(
@@ -215,6 +241,8 @@
         self.placing = True
         self.given_up_by_evidence: Counter[str] = Counter()
         self.unmatched_by_outcome: Counter[str] = Counter()
+        self.replacements_by_runner: Counter[str] = Counter()
+        self.crashes = CrashLedger(self._on_crash_counted)
 
     # ------------------------------------------------------------------ term
 
@@ -245,6 +273,7 @@
                 for index in stage.placed():
                     self._adopt(stage, index)
         self._ends_read = True
+        self.crashes.load(self.job_table.open_by_id.values())
         for job in self.job_table.jobs_by_id.values():
             self.state_first_end(job)
         # Reports are compared with the adopted runs, so runners are polled only from here on.
@@ -304,6 +333,7 @@
     def _adopt(self, stage: Stage, index: int) -> None:
         run = Run(stage, index, stage.runs[index], stage.runners[index])
         run.acknowledged_ms = self._term_start_ms
+        run.may_have_begun = True
         run.checkpoint = stage.checkpoint(index)
         run.sampled = True
         self._add_run(run)
@@ -320,6 +350,42 @@
     def _on_runner_lost(self, link: RunnerLink) -> None:
         self.runner_health.note_lost(link.runner.id)
 
+    def _on_runner_replaced(self, link: RunnerLink) -> None:
+        self.replacements_by_runner[link.runner.id] += 1
+
+    def _on_process_ended(
+        self, link: RunnerLink, report: RunnerReport | None, sent_ms: float
+    ) -> None:
+        """End the runs of a runner's process that has ended.
+
+        :param report: first report of a new process under the same id, which may still be sent
+            starts that went unanswered; ``None`` if the process has another id.
+        :param sent_ms: clock time at which the report's poll was sent.
+        """
+        evidence = "process replaced" if report is None else "process restarted"
+        runs_by_key = {
+            key: run
+            for key, run in self._runs_by_runner.get(link.runner.id, {}).items()
+            if report is None or not run.starts_after(sent_ms) and not report.shows(*key)
+        }
+        if link.runner.draining:
+            self.crashes.process_left(link.runner.id)
+        else:
+            self.crashes.process_crashed(
+                link.runner.id, evidence, runs_by_key.values(), link.last_answer_ms
+            )
+        for key, run in runs_by_key.items():
+            if report is None or run.started_by(sent_ms):
+                self._give_up(key, run, evidence, None if report is None else sent_ms)
+
+    def _on_crash_counted(self, job: Job) -> None:
+        """Store a job's crashes; a job of which a task is given up ends."""
+        if job.closed:
+            self._withdraw_job(job)
+        self.job_table.close_if_finished(job, self._clock.now_ms())
+        self._tasks.start(self._persist([job]), f"persist {job.id}")
+        self._changed.set()
+
     def _inherited_lease_expiry_ms(self) -> float:
         return self._term_start_ms + self._settings.lease_bound_ms
 
@@ -337,6 +403,7 @@
                 log.info("runner_draining", runner=runner.id)
             return
         inherited_expiry_ms = self._inherited_lease_expiry_ms()
+        moved = link is not None
         if link is not None:
             inherited_expiry_ms = max(inherited_expiry_ms, link.lease_expiry_ms)
             self._drop_link(runner.id)
@@ -352,6 +419,9 @@
             self._apply_report,
             self._on_fenced,
             self._on_runner_lost,
+            self._on_runner_replaced,
+            self._on_process_ended,
+            moved,
         )
         self.links_by_id[runner.id] = link
         self._link_tasks[runner.id] = self._tasks.start(link.run(), f"runner {runner.id}")
@@ -408,6 +478,8 @@
             return "runner removed" if removed else "runner unknown"
         if link.reachable:
             return ""
+        if link.replaced:
+            return "process replaced"
         if link.process_ended:
             return "process ended"
         expired_ms = self._clock.now_ms() - link.lease_expiry_ms
@@ -445,8 +517,15 @@
         stage = run.stage
         if stage.ordered_runs[run.index] >= run.number and not stage.step.long_running:
             stage.job.abandon(stage, run.index, run.number)
+        if evidence in UNPROVED_EVIDENCE and run.may_have_begun and not run.crash_counted:
+            self._note_lost(run, link)
         self._end_run(key, run, "lapsed", run.checkpoint)
 
+    def _note_lost(self, run: Run, link: RunnerLink | None) -> None:
+        boot_ms = link.boot_ms if link is not None else 0
+        at_start = is_start_crash(run.started_ms, link.last_answer_ms if link is not None else None)
+        self.crashes.note_lost(run, LostRun(run.runner, boot_ms, at_start))
+
     # ------------------------------------------------------------------ reports
 
     def _apply_report(self, link: RunnerLink, report: RunnerReport, sent_ms: float) -> None:
@@ -455,6 +534,7 @@
         :param sent_ms: time at which the poll was sent.
         """
         self._reported.set()
+        self.crashes.process_reported(link.runner.id, report.boot_ms)
         for ended in report.ended:
             if ended.number > link.last_handled and not self._apply_end(link, ended):
                 self._withhold_end(link, ended)
@@ -501,10 +581,12 @@
             self._tasks.start(self._stop_stray(link, item), f"stop {item.task}")
             return
         now_ms = self._clock.now_ms()
+        run.may_have_begun = True
         if run.started_ms is None:
             run.started_ms = now_ms
             run.stage.job.begun = True
             self._changed.set()
+        note_running(run.stage, run.index, now_ms - run.started_ms)
         if item.checkpoint and item.checkpoint != run.checkpoint:
             run.checkpoint = item.checkpoint
         if item.percent != run.percent or run.progress_ms is None:
@@ -721,6 +803,9 @@
                     return
                 # A refused stop had no effect: a start may still be carried out late.
                 log.info("stop_unanswered", task=key[0], runner=run.runner, error=str(error))
+                if isinstance(error, RunnerRefusedError) and error.reason == OTHER_PROCESS:
+                    # Only a poll that is refused as well proves that the process has ended.
+                    await link.poll_now()
                 await self._clock.sleep_ms(backoff.next_ms())
                 continue
             if run.acknowledged_ms is None:
@@ -1020,7 +1105,6 @@
         deadline_ms = self._clock.now_ms() + START_TIMEOUT_MS
         backoff = Backoff(RETRY_MS, PASS_INTERVAL_MS)
         ordered_before = stage.ordered_runs[run.index]
-        unanswered = False
 
         def is_needed() -> bool:
             return not run.withdrawn and self.runs_by_key.get((task, run.number)) is run
@@ -1040,7 +1124,7 @@
                 if clock_ms is None:
                     continue
             except RunnerUnansweredError as error:
-                unanswered = True
+                run.start_unanswered = True
                 log.info("start_unanswered", task=task, runner=run.runner, error=str(error))
                 await self._clock.sleep_ms(backoff.next_ms())
                 continue
@@ -1052,12 +1136,17 @@
                     self._on_fenced(link)
                     return
                 self.runner_health.note_refusal(run.runner, error.reason)
-                if not unanswered:
+                if error.reason == OTHER_PROCESS:
+                    self._tasks.start(link.poll_now(), f"poll {run.runner}")
+                if self.runs_by_key.get((task, run.number)) is not run:
+                    return
+                if not run.start_unanswered:
                     stage.ordered_runs[run.index] = ordered_before
-                self._fail_start(run, error.reason, certain=not unanswered)
+                self._fail_start(run, error.reason, certain=not run.start_unanswered)
                 return
             run.acknowledged_ms = self._clock.now_ms()
             run.started_ms = run.acknowledged_ms
+            run.may_have_begun = True
             stage.job.begun = True
             return
 
@@ -1065,15 +1154,21 @@
         """Send one start request and return the runner's clock."""
         stage = run.stage
         stage.ordered_runs[run.index] = run.number
-        return await self._orders.start(
-            link.runner,
-            self.term,
-            stage.task(run.index),
-            run.number,
-            stage.job.record.spec,
-            stage.checkpoint(run.index),
-            link.lease_until_ms(),
-        )
+        sent_before = run.may_have_begun
+        run.may_have_begun = sent_before or link.reachable
+        try:
+            return await self._orders.start(
+                link.runner,
+                self.term,
+                stage.task(run.index),
+                run.number,
+                stage.job.record.spec,
+                stage.checkpoint(run.index),
+                link.lease_until_ms(),
+            )
+        except (RunnerNotListeningError, RunnerNotSentError, RunnerRefusedError):
+            run.may_have_begun = sent_before
+            raise
 
     def _fail_start(self, run: Run, reason: str, certain: bool = False) -> None:
         """Withdraw a run that could not be started, with the rest of its gang.
--- a/packages/library/carawayroute/fleet/told_states.py
+++ b/packages/library/carawayroute/fleet/told_states.py
@@ -1,5 +1,7 @@
 """What callers are told of jobs whose state this instance cannot read."""
 
+from carawayroute.fleet.lookup import JobStatus
+
 # Upper limits in ms of the age classes by which such answers are counted.
 AGE_CLASSES_MS = (1_000, 3_000, 10_000, 30_000)
 
@@ -18,18 +20,18 @@
     __slots__ = ("_ends_by_id",)
 
     def __init__(self) -> None:
-        self._ends_by_id: dict[str, tuple[str, float]] = {}
+        self._ends_by_id: dict[str, tuple[JobStatus, float]] = {}
 
-    def note(self, job_id: str, state: str, told_ms: float) -> None:
+    def note(self, job_id: str, status: JobStatus, told_ms: float) -> None:
         """Note a job's final state.
 
         :param told_ms: clock time at which it was told.
         """
         self._ends_by_id.pop(job_id, None)
-        self._ends_by_id[job_id] = (state, told_ms)
+        self._ends_by_id[job_id] = (status, told_ms)
 
-    def find(self, job_id: str, read_as_of_ms: float) -> str:
-        """Return a job's final state, empty if none was told after a time.
+    def find(self, job_id: str, read_as_of_ms: float) -> JobStatus | None:
+        """Return a job's final state, ``None`` if none was told after a time.
 
         :param read_as_of_ms: clock time as of which this instance has read all records.
         """
@@ -38,7 +40,8 @@
             if self._ends_by_id[oldest][1] >= read_as_of_ms:
                 break
             del self._ends_by_id[oldest]
-        return self._ends_by_id.get(job_id, ("", 0.0))[0]
+        status, _ = self._ends_by_id.get(job_id, (None, 0.0))
+        return status
 
 
 class LookupPauses:
