--- a/packages/library/carawayroute/fleet/shared_reader.py
+++ b/packages/library/carawayroute/fleet/shared_reader.py
@@ -37,6 +37,9 @@
 MAX_WAITING = 16
 FIRST_RETRY_MS = 1_000
 MAX_RETRY_MS = 10_000
+# The same for a member that does not answer: it may be gone for good, and each attempt delays a
+# read. A member that starts again announces itself, and is asked at once.
+MAX_SILENT_RETRY_MS = 120_000
 # Longest time between two reads that an instance makes beside the reader and that go unanswered.
 MAX_ALONE_RETRY_MS = 3_000
 CACHE_BYTES = 1_000_000
@@ -313,7 +316,7 @@
             )
         except (PeerError, DecodeError) as error:
             self._note_fallback("unanswered")
-            self._exclude(reader, str(error))
+            self._exclude(reader, str(error), MAX_SILENT_RETRY_MS)
             return None
         if answer.outcome != pb.StoreAnswer.DONE:
             self._note_fallback(answer.reason or "other")
@@ -334,11 +337,12 @@
     def _note_fallback(self, reason: str) -> None:
         self.fallbacks_by_reason[reason] += 1
 
-    def _exclude(self, reader: pb.Member, reason: str) -> None:
+    def _exclude(self, reader: pb.Member, reason: str, most_ms: float = MAX_RETRY_MS) -> None:
         # A draining instance serves again only after it has restarted and announced itself.
         first_ms = MAX_RETRY_MS if reason == DRAINING else FIRST_RETRY_MS
         # After an outage of the store, all members would go on reading it for themselves.
-        most_ms = FIRST_RETRY_MS if reason == UNREACHED else MAX_RETRY_MS
+        if reason == UNREACHED:
+            most_ms = FIRST_RETRY_MS
         retry_ms = self.choice.note_failure(reader.instance, first_ms, most_ms)
         log.info("reader_excluded", reader=reader.instance, reason=reason, retry_ms=round(retry_ms))
 
--- a/tests/test_fleet_shared_read.py
+++ b/tests/test_fleet_shared_read.py
@@ -338,6 +338,28 @@
     run_scenario(scenario)
 
 
+def test_reader_that_is_gone_is_asked_once_a_minute_at_most():
+    """Its announcement stays in the topic; each attempt took a read of every other instance."""
+
+    async def scenario(centre, n1, n2, n3):
+        centre.dead.add("n1")
+        await centre.clock.sleep_ms(4 * 60_000)
+        centre.reset_counts()
+        await centre.clock.sleep_ms(10 * 60_000)
+        for one in (n2, n3):
+            assert one.reader.fallbacks_by_reason["unanswered"] <= 10
+        # It starts again at last.
+        centre.dead.clear()
+        for one in (n2, n3):
+            one.reader.choice.set_member(member("n1"))
+        end = centre.append()
+        await centre.clock.sleep_ms(2_000)
+        assert n2.follower.offset == n3.follower.offset == end
+        assert n2.reader.choice.reader("").instance == "n1"
+
+    run_scenario(scenario)
+
+
 def test_read_to_end_with_a_dead_reader_is_answered_by_the_store():
     async def scenario(centre, n1, n2, n3):
         centre.dead.add("n1")
