--- a/tests/test_fleet_states.py
+++ b/tests/test_fleet_states.py
@@ -1,7 +1,10 @@
 """Tests of the state of known jobs at an instance that cannot read the store, in virtual time."""
 
+import asyncio
+import collections
 import functools
 
+import pytest
 from fleet_builders import NORMAL, OWNER, job, run_scenario, step
 from test_fleet_lookup import (
     CONGESTED_BYTES_PER_MS,
@@ -161,6 +164,36 @@
     run_scenario(scenario, region_by_instance=FAR)
 
 
+@pytest.mark.parametrize("cancelled_after_ms", range(290, 350, 10))
+def test_cancellation_racing_with_the_end_has_one_end_everywhere(cancelled_after_ms):
+    """No instance tells another end, or an earlier state after the end; one starts meanwhile."""
+
+    async def scenario(fleet):
+        told_by_name = collections.defaultdict(list)
+        until_ms = fleet.clock.now_ms() + 1_500
+
+        async def poll(name):
+            while fleet.clock.now_ms() < until_ms:
+                told_by_name[name].append(await fleet.state(ID.format(1), at=name))
+                await fleet.clock.sleep_ms(7)
+
+        await fleet.submit(job(ID.format(1), run_ms=300), NORMAL, OWNER, at="n1")
+        polls = [asyncio.create_task(poll(name)) for name in fleet.nodes_by_name]
+        await fleet.clock.sleep_ms(cancelled_after_ms)
+        await fleet.cancel(ID.format(1), at="n3")
+        fleet.start_instance("n9")
+        await asyncio.gather(*polls, poll("n9"))
+        ends = {told[-1] for told in told_by_name.values()}
+        assert len(ends) == 1 and ends <= {"cancelled", "completed"}
+        (end,) = ends
+        for told in told_by_name.values():
+            first = told.index(end)
+            assert set(told[:first]) <= {"queued", "running"}
+            assert set(told[first:]) == {end}
+
+    run_scenario(scenario)
+
+
 def test_states_on_a_calm_day_are_asked_of_no_peer():
     async def scenario(fleet):
         await know_job(fleet, "n3", run_ms=60_000)
