Leave out records of the jobs topic that make no sense, log and count each

Cause: records that could be decoded were applied unchecked. A job whose step depends on itself or with no steps failed each scheduling pass, so that each planner in turn ended; a step of 2^32 - 1 tasks was allocated; learnt speeds out of range made the speed of a runner an OverflowError. Progress that does not match its job was applied up to the step that failed. A planner's own progress record that cannot be decoded ended its follower. Records of unknown kinds were kept forever, and an early record that failed took those after it with it. Unreadable records were logged as warnings; an accepted job behind one was answered 410.

Change: fleet/record_checks.py checks jobs, progress and announcements before anything of them is applied. What fails is logged at level error with its key (record_unreadable) and counted by kind (records_unapplied). A job whose record cannot be read is unknown (503), not absent (410). Loaded speeds are limited to the range of the measured ones.

Why it works: the table of jobs holds only jobs and progress that the planner can handle, and what it leaves out is told.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -106,6 +106,12 @@
             "reason",
             lambda: node.shared_reader.fallbacks_by_reason,
         )
+        self.metrics.counts(
+            "records_unapplied",
+            "Records of the jobs topic that could not be read or applied.",
+            "kind",
+            lambda: node.unapplied_by_kind,
+        )
         self.metrics.counts(
             "runs_given_up",
             "Runs that this term's planner ended without a reported end.",
--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -272,6 +272,8 @@
             async with asyncio.timeout(wait_ms / 1000):
                 await self._read_state(lambda: self._known_job(job_id) is not None)
             job = self._known_job(job_id)
+        if job is None and job_id in self._job_table.unreadable_ids:
+            raise StoreError("the record of the job cannot be read")
         return JobStatus(job.reported_state, bool(job.stored_end)) if job is not None else None
 
     async def _find(self, job_id: str, wait_ms: float) -> JobStatus:
--- a/packages/library/carawayroute/fleet/exceptions.py
+++ b/packages/library/carawayroute/fleet/exceptions.py
@@ -86,3 +86,7 @@
 
 class FormatError(CarawayrouteError):
     """A record in the store cannot be decoded."""
+
+
+class RecordError(CarawayrouteError):
+    """A record in one of the system's own topics cannot be read or applied."""
--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -4,7 +4,8 @@
 
 from google.protobuf.message import DecodeError
 
-from carawayroute.exceptions import CarawayrouteError
+from carawayroute.fleet.exceptions import RecordError
+from carawayroute.fleet.record_checks import check_job, check_progress
 from carawayroute.fleet.types import Capacity, TaskId
 from carawayroute_schema import records_pb2 as pb
 
@@ -27,10 +28,6 @@
 STATE_BY_FIRST_END = {end: state for state, end in FIRST_END_BY_STATE.items()}
 
 
-class RecordError(CarawayrouteError):
-    """A record in the store cannot be read."""
-
-
 class Stage:
     """The tasks of one step in one occurrence of a job.
 
@@ -167,13 +164,7 @@
         return self.failures[0]
 
     def apply(self, record: pb.StepProgress) -> None:
-        """Replace the state by that of a record.
-
-        :raises RecordError: the record does not have one element per task.
-        """
-        count = self.step.count
-        if not len(record.runs) == len(record.done) == len(record.places) == count:
-            raise RecordError(f"progress of job {self.job.id} does not match its steps")
+        """Replace the state by that of a record, which has one element per task."""
         self.runs = list(record.runs)
         # The planner that wrote the record may have sent the start requests since.
         self.ordered_runs = list(record.runs)
@@ -375,6 +366,8 @@
 
     Records may come out of order, because pages of newest records are not a consistent snapshot.
     Per key, a record counts only if its offset is higher than the last one applied.
+
+    :ivar unreadable_ids: ids of accepted jobs whose records cannot be read.
     """
 
     def __init__(self) -> None:
@@ -382,12 +375,19 @@
         self.open_by_id: dict[str, Job] = {}
         self.offset = 0
         self._offset_by_key: dict[str, int] = {}
-        self._early_records_by_job: dict[str, list[tuple[str, int, bytes]]] = {}
+        self._early_records_by_job: dict[str, dict[str, tuple[int, bytes]]] = {}
+        self.unreadable_ids: set[str] = set()
+
+    @property
+    def early_records(self) -> int:
+        """Return the number of records that wait for the record of their job."""
+        return sum(len(records) for records in self._early_records_by_job.values())
 
     def apply(self, offset: int, key: str, value: bytes, now_ms: float) -> Job | None:
         """Apply a record and return the job that it changes.
 
-        :raises RecordError: the record cannot be decoded.
+        :raises RecordError: the record, or an earlier one that waited for it, cannot be applied;
+            nothing of it is.
         """
         if offset <= self._offset_by_key.get(key, -1):
             return None
@@ -398,23 +398,19 @@
             return None
         try:
             return self._apply(kind, job_id, offset, value, now_ms)
-        except (DecodeError, IndexError) as error:
-            raise RecordError(f"record {key} at {offset} cannot be read: {error}") from error
+        except (DecodeError, RecordError) as error:
+            raise RecordError(f"record {key} at {offset} cannot be applied: {error}") from error
 
     def _apply(
         self, kind: str, job_id: str, offset: int, value: bytes, now_ms: float
     ) -> Job | None:
         job = self.jobs_by_id.get(job_id)
         if kind == JOB_KEY:
-            if job is None:
-                job = Job(pb.Job.FromString(value))
-                self.jobs_by_id[job_id] = job
-                self.open_by_id[job_id] = job
-                for early_kind, early_offset, early in self._early_records_by_job.pop(job_id, ()):
-                    self._apply(early_kind, job_id, early_offset, early, now_ms)
-            return job
+            return job if job is not None else self._accept(job_id, value, now_ms)
+        if kind not in (CANCEL_KEY, PROGRESS_KEY):
+            raise RecordError("unknown kind of record")
         if job is None:
-            self._early_records_by_job.setdefault(job_id, []).append((kind, offset, value))
+            self._early_records_by_job.setdefault(job_id, {})[kind] = (offset, value)
             return None
         if kind == CANCEL_KEY:
             job.cancel_stored = True
@@ -428,6 +424,7 @@
                 job.stored_end = CANCELLED
         elif kind == PROGRESS_KEY:
             record = pb.Progress.FromString(value)
+            check_progress(record, job.record)
             job.begun = job.begun or record.begun
             job.failed = record.failed
             job.reason = record.reason
@@ -445,6 +442,23 @@
         self.close_if_finished(job, now_ms)
         return job
 
+    def _accept(self, job_id: str, value: bytes, now_ms: float) -> Job:
+        """Add a job, and apply the records that waited for it."""
+        self.unreadable_ids.add(job_id)
+        record = pb.Job.FromString(value)
+        check_job(record, job_id)
+        self.unreadable_ids.discard(job_id)
+        job = self.jobs_by_id[job_id] = self.open_by_id[job_id] = Job(record)
+        errors = []
+        for kind, (offset, early) in self._early_records_by_job.pop(job_id, {}).items():
+            try:
+                self._apply(kind, job_id, offset, early, now_ms)
+            except (DecodeError, RecordError) as error:
+                errors.append(f"{kind}{job_id} at {offset}: {error}")
+        if errors:
+            raise RecordError("; ".join(errors))
+        return job
+
     def note_stored_end(self, job: Job, offset: int, record: pb.Progress) -> bool:
         """Set a job's final state for callers from a progress record read from the store.
 
@@ -504,6 +518,11 @@
     def _drop(self, kind: str, job_id: str) -> None:
         if kind == JOB_KEY:
             self.forget(job_id)
+            return
+        early = self._early_records_by_job.get(job_id, {})
+        early.pop(kind, None)
+        if not early:
+            self._early_records_by_job.pop(job_id, None)
 
     def forget_removed(self, keys: set[str], end: int) -> None:
         """Remove the jobs whose records were removed from the store.
@@ -511,7 +530,7 @@
         :param keys: all keys in the store.
         :param end: offset as of which ``keys`` is complete; jobs accepted later may be missing.
         """
-        for job_id in list(self.jobs_by_id):
+        for job_id in (*self.jobs_by_id, *self.unreadable_ids):
             key = JOB_KEY + job_id
             if key not in keys and self._offset_by_key.get(key, end) < end:
                 self.forget(job_id)
@@ -520,6 +539,7 @@
         """Remove a job and return the keys of its records."""
         self.jobs_by_id.pop(job_id, None)
         self.open_by_id.pop(job_id, None)
+        self.unreadable_ids.discard(job_id)
         keys = [kind + job_id for kind in (JOB_KEY, CANCEL_KEY, PROGRESS_KEY)]
         for key in keys:
             self._offset_by_key.pop(key, None)
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -1,6 +1,7 @@
 """One instance of the fleet without its transports: replicated state, entry service and planner."""
 
 import asyncio
+from collections import Counter
 
 import structlog
 from google.protobuf.message import DecodeError
@@ -8,13 +9,20 @@
 from carawayroute.clock import Clock
 from carawayroute.fleet.admission import AdmissionController
 from carawayroute.fleet.entry import EntryService
-from carawayroute.fleet.exceptions import FormatError, StoreError
+from carawayroute.fleet.exceptions import FormatError, RecordError, StoreError
 from carawayroute.fleet.follower import TopicFollower
-from carawayroute.fleet.jobs import PROGRESS_KEY, SPEEDS_KEY, JobTable, RecordError
+from carawayroute.fleet.jobs import (
+    CANCEL_KEY,
+    JOB_KEY,
+    PROGRESS_KEY,
+    SPEEDS_KEY,
+    JobTable,
+)
 from carawayroute.fleet.leadership import Leadership
 from carawayroute.fleet.lookup import PeerLookup, serve_lookup
 from carawayroute.fleet.planner import Planner, PlannerSettings
 from carawayroute.fleet.ports import KeyedRecord, PlatformFormat, RunnerClient, Store
+from carawayroute.fleet.record_checks import check_member
 from carawayroute.fleet.relay import Peers, RelayedStore
 from carawayroute.fleet.runner_list import RunnerList
 from carawayroute.fleet.shared_reader import ReaderChoice, SharedReader, SharedReadServer
@@ -25,6 +33,14 @@
 
 JOBS_TOPIC = "keyed.jobs"
 MEMBER_KEY = "m/"
+# Kinds of records by the first part of their keys, for counting.
+KIND_BY_KEY = {
+    JOB_KEY: "job",
+    CANCEL_KEY: "cancel",
+    PROGRESS_KEY: "progress",
+    MEMBER_KEY: "member",
+    SPEEDS_KEY: "speeds",
+}
 ANNOUNCE_RETRY_MS = 1_000
 # Minimum time between two reads of the jobs topic by an instance that is not the planner. Every
 # read is charged for, and a caller's request for a job's state triggers its own read.
@@ -123,6 +139,7 @@
     :param peers: links to the other instances, which relay store calls for each other.
     :param runner_client: sends requests to runners.
     :param formats: decodes the platform's records.
+    :ivar unapplied_by_kind: number of records of the jobs topic that could not be applied.
     """
 
     def __init__(
@@ -149,6 +166,7 @@
         self._address_by_member: dict[str, str] = {}
         self.draining = False
         self._speeds = b""
+        self.unapplied_by_kind: Counter[str] = Counter()
         process_name = new_id(settings.instance)
         self.leadership = Leadership(
             self.store,
@@ -303,13 +321,14 @@
             self.planner.changed()
 
     def _apply_member(self, record: KeyedRecord) -> None:
-        """Update the address of a peer; an empty record removes the peer."""
-        try:
-            member = pb.Member.FromString(record.value)
-        except DecodeError as error:
-            log.warning("record_unreadable", key=record.key, error=str(error))
-            return
+        """Update the address of a peer; an empty record removes the peer.
+
+        :raises RecordError: the record cannot be read or used.
+        """
         name = record.key[len(MEMBER_KEY) :]
+        member = pb.Member.FromString(record.value)
+        if record.value:
+            check_member(member, name)
         before = self._address_by_member.pop(name, None)
         if before is not None:
             self.store.addresses.discard(before)
@@ -336,6 +355,22 @@
                 await self.clock.sleep_ms(ANNOUNCE_RETRY_MS)
 
     def _apply_job(self, record: KeyedRecord) -> None:
+        try:
+            self._apply_job_record(record)
+        except (DecodeError, RecordError) as error:
+            self._note_unapplied(record, str(error))
+
+    def _note_unapplied(self, record: KeyedRecord, error: str) -> None:
+        """Log and count a record that is left out; it may be one of an accepted job."""
+        self.unapplied_by_kind[KIND_BY_KEY.get(record.key[:2], "other")] += 1
+        log.error("record_unreadable", key=record.key, offset=record.offset, error=error)
+
+    def _apply_job_record(self, record: KeyedRecord) -> None:
+        """Apply a record of the jobs topic.
+
+        :raises DecodeError: the record cannot be read.
+        :raises RecordError: the record cannot be applied.
+        """
         if record.key.startswith(MEMBER_KEY):
             self._apply_member(record)
             return
@@ -351,15 +386,13 @@
                     self.job_table.note_stored_end(job, record.offset, progress)
                     self.planner.state_first_end(job)
                 return
-        job = None
         try:
             job = self.job_table.apply(record.offset, record.key, record.value, self.clock.now_ms())
-        except RecordError as error:
-            log.warning("record_unreadable", key=record.key, error=str(error))
-        if self.planner is not None:
-            if job is not None:
-                self.planner.state_first_end(job)
-            self.planner.changed()
+        finally:
+            if self.planner is not None:
+                self.planner.changed()
+        if self.planner is not None and job is not None:
+            self.planner.state_first_end(job)
 
     def _job_written(self) -> None:
         if self.planner is not None:
--- a/packages/library/carawayroute/fleet/speeds.py
+++ b/packages/library/carawayroute/fleet/speeds.py
@@ -21,6 +21,7 @@
 SLOW_RATIO = 1.13
 # Ratios are clamped to this: larger ones come from stalled runners or unequal tasks.
 MAX_RATIO = 4.0
+MAX_LOG_RATIO = math.log(MAX_RATIO)
 
 
 class _SpeedEstimate:
@@ -81,12 +82,15 @@
         )
 
     def load(self, record: pb.RunnerSpeeds) -> None:
-        """Load the estimates that an earlier planner stored."""
-        rows = zip(record.runners, record.runs, record.log_percents, strict=True)
+        """Load the estimates that an earlier planner stored.
+
+        :raises ValueError: the record does not have three values for each runner.
+        """
+        rows = list(zip(record.runners, record.runs, record.log_percents, strict=True))
         for name, count, log_percent in rows:
             runs = self._estimate_by_runner.setdefault(name, _SpeedEstimate())
             runs.count = count
-            runs.log_ratio = log_percent / 100
+            runs.log_ratio = min(MAX_LOG_RATIO, max(-MAX_LOG_RATIO, log_percent / 100))
 
     def speed(self, runner: str) -> float:
         """Return the speed of a runner, where 1.0 is typical."""
