--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -324,6 +324,8 @@
             async with asyncio.timeout(wait_ms / 1000):
                 await self._read_state(lambda: self._known_job(job_id) is not None)
             status = self._known_status(job_id, asked_ms)
+        if status is None and job_id in self._job_table.unreadable_ids:
+            raise StoreError("the record of the job cannot be read")
         return status
 
     async def find_for_peer(self, job_id: str, wait_ms: float) -> JobStatus | None:
