--- a/tests/soak.py
+++ b/tests/soak.py
@@ -537,8 +537,9 @@
     for seed in seeds_to_run:
         soak = run_seed(int(seed), seconds, instances, mutant, far, runner_faults)
         failed_count += bool(soak.violations)
+        deadly = soak.deadly.intersection(soak.accepted)
         print(
-            f"seed {seed}: {len(soak.accepted)} jobs, {len(soak.deadly.intersection(soak.accepted))} deadly, "
+            f"seed {seed}: {len(soak.accepted)} jobs, {len(deadly)} deadly, "
             f"{len(soak.cluster.journal.all('runner_crashed'))} crashes, "
             f"{list(soak.final_by_id.values()).count('failed')} failed, "
             f"{len(soak.faults)} faults, {len(soak.violations)} broken",
