LOST: let the next planner poll lost runners that are listed no more

Cause: a planner that takes over after a crashed runner has left the list does not know its address, so that no answer of another process can prove the end of the runs there; they were held until the longest lease had expired, 10.9 s after the take-over.

Change: a planner that loses runners with runs on them stores where it last reached them, one record for all that are lost within 100 ms. The next planner polls them there if it adopts runs on them and they are not listed.

Both cases of test_next_planner_learns_the_end_of_a_process_that_is_no_longer_listed failed without the change.

--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -12,6 +12,7 @@
 CANCEL_KEY = "c/"
 PROGRESS_KEY = "p/"
 SPEEDS_KEY = "s/"
+LOST_RUNNERS_KEY = "r/"
 
 QUEUED = "queued"
 RUNNING = "running"
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -10,7 +10,13 @@
 from carawayroute.fleet.entry import EntryService
 from carawayroute.fleet.exceptions import FormatError, StoreError
 from carawayroute.fleet.follower import TopicFollower
-from carawayroute.fleet.jobs import PROGRESS_KEY, SPEEDS_KEY, JobTable, RecordError
+from carawayroute.fleet.jobs import (
+    LOST_RUNNERS_KEY,
+    PROGRESS_KEY,
+    SPEEDS_KEY,
+    JobTable,
+    RecordError,
+)
 from carawayroute.fleet.leadership import Leadership
 from carawayroute.fleet.lookup import PeerLookup, serve_lookup
 from carawayroute.fleet.planner import Planner, PlannerSettings
@@ -147,6 +153,7 @@
         self._address_by_member: dict[str, str] = {}
         self.draining = False
         self._speeds = b""
+        self._lost_runners = b""
         process_name = new_id(settings.instance)
         self.leadership = Leadership(
             self.store,
@@ -334,6 +341,10 @@
         if record.key == SPEEDS_KEY:
             self._speeds = record.value
             return
+        if record.key == LOST_RUNNERS_KEY:
+            self._lost_runners = record.value
+            self._load_lost_runners()
+            return
         if self.planner is not None and record.key.startswith(PROGRESS_KEY):
             progress = pb.Progress.FromString(record.value)
             if progress.term == self.planner.term:
@@ -415,9 +426,18 @@
             self.planner.speeds.load(pb.RunnerSpeeds.FromString(self._speeds))
         except (DecodeError, ValueError) as error:
             log.warning("record_unreadable", key=SPEEDS_KEY, error=str(error))
+        self._load_lost_runners()
         self._planner_task = self._tasks.start(self.planner.run(), f"planner {term}")
         log.info("planner_started", term=term)
 
+    def _load_lost_runners(self) -> None:
+        if self.planner is None:
+            return
+        try:
+            self.planner.load_lost_runners(pb.LostRunners.FromString(self._lost_runners))
+        except DecodeError as error:
+            log.warning("record_unreadable", key=LOST_RUNNERS_KEY, error=str(error))
+
     def _set_accelerators(self, accelerators: int) -> None:
         self.leadership.accelerators = accelerators
 
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -22,7 +22,15 @@
     StoreFencedError,
 )
 from carawayroute.fleet.follower import TopicFollower
-from carawayroute.fleet.jobs import PROGRESS_KEY, SPEEDS_KEY, Job, JobTable, LostRun, Stage
+from carawayroute.fleet.jobs import (
+    LOST_RUNNERS_KEY,
+    PROGRESS_KEY,
+    SPEEDS_KEY,
+    Job,
+    JobTable,
+    LostRun,
+    Stage,
+)
 from carawayroute.fleet.links import OTHER_PROCESS, RunnerLink
 from carawayroute.fleet.packing import Candidate, is_time_critical
 from carawayroute.fleet.ports import RunnerClient, Store
@@ -30,6 +38,7 @@
 from carawayroute.fleet.scheduler import Placement, SchedulingPass, StopCost, median_capacity
 from carawayroute.fleet.speeds import RunnerSpeeds
 from carawayroute.fleet.types import (
+    Capacity,
     Configuration,
     EndedTask,
     Runner,
@@ -40,6 +49,7 @@
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import TaskGroup, wait_event
 from carawayroute.retries import Backoff
+from carawayroute_schema import records_pb2 as pb
 
 PRODUCER = "planner"
 # After a take-over, work is placed once all runners have reported or this time has passed.
@@ -68,6 +78,8 @@
 # A report shows up to 500 ends; a runner that cannot be acknowledged gets no work near that number.
 MAX_UNACKNOWLEDGED_ENDS = 400
 
+# Runners that are lost within this time are stored with one record.
+LOST_RUNNERS_DELAY_MS = 100
 STATUS_INTERVAL_MS = 2_000
 # The record is about 3 KB for 176 runners and is read by every instance.
 SPEEDS_INTERVAL_MS = 6_000
@@ -243,6 +255,8 @@
         self.unmatched_by_outcome: Counter[str] = Counter()
         self.replacements_by_runner: Counter[str] = Counter()
         self.crashes = CrashLedger(self._on_crash_counted)
+        self._lost_runners: dict[str, pb.LostRunner] = {}
+        self._storing_lost_runners = False
 
     # ------------------------------------------------------------------ term
 
@@ -279,6 +293,7 @@
         # Reports are compared with the adopted runs, so runners are polled only from here on.
         self._tasks.start(self._runners_follower.run(), "follow runners")
         await self._runners_follower.loaded.wait()
+        self._link_lost_runners()
         await self._wait_initial_reports()
         self._ready = True
         self._changed.set()
@@ -349,6 +364,37 @@
 
     def _on_runner_lost(self, link: RunnerLink) -> None:
         self.runner_health.note_lost(link.runner.id)
+        if self._runs_by_runner.get(link.runner.id) and not self._storing_lost_runners:
+            self._storing_lost_runners = True
+            self._tasks.start(self._store_lost_runners(), "store lost runners")
+
+    async def _store_lost_runners(self) -> None:
+        """Store where runners with runs were last reached, for a planner that finds none listed."""
+        await self._clock.sleep_ms(LOST_RUNNERS_DELAY_MS)
+        self._storing_lost_runners = False
+        lost = [
+            pb.LostRunner(
+                id=link.runner.id, address=link.runner.address, draining=link.runner.draining
+            )
+            for link in self.links_by_id.values()
+            if not link.reachable and self._runs_by_runner.get(link.runner.id)
+        ]
+        record = pb.LostRunners(runners=lost).SerializeToString()
+        await self._writer.write([(LOST_RUNNERS_KEY, record)])
+
+    def load_lost_runners(self, record: pb.LostRunners) -> None:
+        """Load the runners that the previous planner could not reach."""
+        self._lost_runners = {lost.id: lost for lost in record.runners}
+
+    def _link_lost_runners(self) -> None:
+        """Poll the runners of adopted runs that are not listed, where they were last reached."""
+        for lost in self._lost_runners.values():
+            if lost.id in self.links_by_id or not self._runs_by_runner.get(lost.id):
+                continue
+            self.set_runner(
+                Runner(lost.id, "", lost.address, "", Capacity(0, 0, 0), draining=lost.draining)
+            )
+            self.remove_runner(lost.id)
 
     def _on_runner_replaced(self, link: RunnerLink) -> None:
         self.replacements_by_runner[link.runner.id] += 1
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -646,3 +646,26 @@
             assert fields == {"state": "completed"}
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_next_planner_learns_the_end_of_a_process_that_is_no_longer_listed(gang):
+    """LOST: runs on a crashed runner that left the list at a take-over were held for 10 s."""
+
+    async def scenario(fleet):
+        steps = [step(4, 3, gang=gang)]
+        await fleet.submit(job(ID.format(1), steps, run_ms=7_000), NORMAL, OWNER, at="n3")
+        await wait_start(fleet, ID.format(1), 4)
+        name = holder_of(fleet, ID.format(1))
+        crash(fleet, name)
+        await fleet.clock.sleep_ms(REBOOT_MS - 500)
+        planner = fleet.planner_name()
+        await fleet.kill_instance(planner)
+        fleet.unlist(name)
+        replace(fleet, name)
+        await fleet.wait_until(lambda: fleet.planner_name(), 5_000, "another planner")
+        await fleet.clock.sleep_ms(RESTART_MS)
+        assert len(starts(fleet.journal, ID.format(1))) > 4
+        await fleet.wait_state(ID.format(1), "completed", 9_000)
+
+    run_scenario(scenario)
