BUDGET: blame a task for a crash only if its runner was not alive well after its start

Cause: the runner answers a poll only each second, so that a task which had run for up to a second before the crash counted as one that had just started.

Change: the break of a poll's connection before the poll was due is a sign of life as well, and a task is blamed only if there was none for 0.3 s after its start, 1 s before. A deadly task crashes its runner within some 10 ms.

--- a/packages/library/carawayroute/fleet/crashes.py
+++ b/packages/library/carawayroute/fleet/crashes.py
@@ -1,7 +1,7 @@
 """Counts crashes of runners by task, and decides when a task is given up.
 
-A run that has begun may have crashed its runner by its start, unless the runner's process was heard
-of for longer than :data:`START_CRASH_MS` after that start. A deadly task crashes every runner that
+A run that has begun may have crashed its runner by its start, unless the runner's process was alive
+for longer than :data:`START_CRASH_MS` after that start. A deadly task crashes every runner that
 starts it, so one that has survived a start is not deadly. Other runs that go down with a runner
 count a crash, but no start crash.
 """
@@ -15,7 +15,7 @@
 from carawayroute.fleet.jobs import Job, JobRunKey, LostRun, Stage
 
 # Deadly tasks crash their runner some 10 ms after their start.
-START_CRASH_MS = 1_000
+START_CRASH_MS = 300
 # A task is given up after this many crashes soon after its start, or after this many in all if it
 # has never survived a start.
 MAX_START_CRASHES = 3
@@ -40,15 +40,15 @@
     crash_counted: bool
 
 
-def is_start_crash(started_ms: float | None, last_answer_ms: float | None) -> bool:
+def is_start_crash(started_ms: float | None, last_alive_ms: float | None) -> bool:
     """Return whether a run may have crashed its runner by its start.
 
     :param started_ms: time of the run's start, ``None`` if unknown.
-    :param last_answer_ms: time of the process's last answer, ``None`` if there was none.
+    :param last_alive_ms: time of the process's last sign of life, ``None`` if there was none.
     """
-    if started_ms is None or last_answer_ms is None:
+    if started_ms is None or last_alive_ms is None:
         return True
-    return last_answer_ms - started_ms <= START_CRASH_MS
+    return last_alive_ms - started_ms <= START_CRASH_MS
 
 
 def note_running(stage: Stage, index: int, ran_ms: float) -> None:
@@ -123,12 +123,12 @@
         runner_id: str,
         evidence: str,
         runs: Iterable[CrashableRun],
-        last_answer_ms: float | None,
+        last_alive_ms: float | None,
     ) -> None:
         """Count a crash for each run on a runner's process that has ended unannounced.
 
         :param runs: runs on the process that have not been given up.
-        :param last_answer_ms: time of the process's last answer.
+        :param last_alive_ms: time of the process's last sign of life.
         """
         blamed: list[str] = []
         neighbours: list[str] = []
@@ -145,7 +145,7 @@
         for run in runs:
             if run.may_have_begun and not run.crash_counted:
                 run.crash_counted = True
-                count(run.stage, run.index, is_start_crash(run.started_ms, last_answer_ms))
+                count(run.stage, run.index, is_start_crash(run.started_ms, last_alive_ms))
         for job, key in self._lost_by_runner.pop(runner_id, ()):
             lost = job.lost_by_run.pop(key, None)
             if lost is not None:
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -6,7 +6,12 @@
 import structlog
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.exceptions import RunnerError, RunnerNotListeningError, RunnerRefusedError
+from carawayroute.fleet.exceptions import (
+    RunnerError,
+    RunnerNotListeningError,
+    RunnerNotSentError,
+    RunnerRefusedError,
+)
 from carawayroute.fleet.order_limiter import OrderLimiter
 from carawayroute.fleet.ports import RunnerClient
 from carawayroute.fleet.types import Runner, RunnerReport
@@ -58,7 +63,8 @@
     :ivar last_handled: number of the last end that the planner has processed.
     :ivar report_gap_ms: time between the last two reports, -1 before the second one.
     :ivar unmatched_ends: numbers of unacknowledged ends that matched no run known to the planner.
-    :ivar last_answer_ms: time of the last answer of the runner's process, ``None`` without one.
+    :ivar last_alive_ms: time of the last sign of life of the runner's process, an answer or the
+        break of a connection on which it was due to answer later; ``None`` without one.
     :ivar listed: whether the platform's list of runners names this runner.
     :ivar withheld: numbers of ends that must never be acknowledged to this process of the runner.
     """
@@ -102,7 +108,7 @@
         self.lease_expiry_ms = initial_lease_expiry_ms
         self.boot_ms = 0
         self.last_report_ms: float | None = None
-        self.last_answer_ms: float | None = None
+        self.last_alive_ms: float | None = None
         self.report_gap_ms = -1.0
         self.reachable = False
         self.acknowledged = 0
@@ -246,7 +252,7 @@
             self._order_limiter.note_answer()
             self._sample_clock(clock_ms, sent_ms)
             if self._clock_fell_back_ms is None:
-                self.last_answer_ms = self._clock.now_ms()
+                self.last_alive_ms = self._clock.now_ms()
             return clock_ms
 
     async def run(self) -> None:
@@ -292,6 +298,7 @@
                 self._handle_replacement(sent_ms)
             return
         except RunnerError as error:
+            self._note_break(error, sent_ms + wait_ms)
             self._handle_failure(error)
             return
         if self.boot_ms != boot_ms and report.boot_ms < self.boot_ms:
@@ -327,9 +334,18 @@
         self.boot_ms = report.boot_ms
         if restarted:
             self._on_process_ended(self, report, sent_ms)
-        self.last_answer_ms = self.last_report_ms
+        self.last_alive_ms = self.last_report_ms
         self._on_report(self, report, sent_ms)
 
+    def _note_break(self, error: RunnerError, due_ms: float) -> None:
+        """Note that the process was alive until now if the connection of a poll broke.
+
+        :param due_ms: clock time before which the poll cannot have timed out.
+        """
+        not_connected = isinstance(error, RunnerNotListeningError | RunnerNotSentError)
+        if self.reachable and not not_connected and self._clock.now_ms() < due_ms:
+            self.last_alive_ms = self._clock.now_ms()
+
     def _handle_replacement(self, sent_ms: float) -> None:
         """Handle a poll that another process refused.
 
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -428,7 +428,7 @@
             self.crashes.process_left(link.runner.id)
         else:
             self.crashes.process_crashed(
-                link.runner.id, evidence, runs_by_key.values(), link.last_answer_ms
+                link.runner.id, evidence, runs_by_key.values(), link.last_alive_ms
             )
         for key, run in runs_by_key.items():
             if report is None or run.started_by(sent_ms):
@@ -583,7 +583,7 @@
 
     def _note_lost(self, run: Run, link: RunnerLink | None) -> None:
         boot_ms = link.boot_ms if link is not None else 0
-        at_start = is_start_crash(run.started_ms, link.last_answer_ms if link is not None else None)
+        at_start = is_start_crash(run.started_ms, link.last_alive_ms if link is not None else None)
         self.crashes.note_lost(run, LostRun(run.runner, boot_ms, at_start))
 
     # ------------------------------------------------------------------ reports
