--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -13,6 +13,7 @@
 CANCEL_KEY = "c/"
 PROGRESS_KEY = "p/"
 SPEEDS_KEY = "s/"
+LOST_RUNNERS_KEY = "r/"
 
 QUEUED = "queued"
 RUNNING = "running"
@@ -185,6 +186,7 @@
         self.failures = list(record.failures)
         self.failed_run = record.failed_run
         # Records without crashes, and those of earlier versions, omit these lists.
+        count = self.step.count
         self.crashes = list(record.crashes) or [0] * count
         self.start_crashes = list(record.start_crashes) or [0] * count
         self.survived = bytearray(record.survived) or bytearray(count)
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -14,6 +14,7 @@
 from carawayroute.fleet.jobs import (
     CANCEL_KEY,
     JOB_KEY,
+    LOST_RUNNERS_KEY,
     PROGRESS_KEY,
     SPEEDS_KEY,
     JobTable,
@@ -170,6 +171,7 @@
         self.draining = False
         self._speeds = b""
         self.unapplied_by_kind: Counter[str] = Counter()
+        self._lost_runners = b""
         process_name = new_id(settings.instance)
         self.leadership = Leadership(
             self.store,
@@ -407,6 +409,10 @@
         if record.key == SPEEDS_KEY:
             self._speeds = record.value
             return
+        if record.key == LOST_RUNNERS_KEY:
+            self._lost_runners = record.value
+            self._load_lost_runners()
+            return
         if self.planner is not None and record.key.startswith(PROGRESS_KEY):
             progress = pb.Progress.FromString(record.value)
             if progress.term == self.planner.term:
@@ -478,9 +484,18 @@
             self.planner.speeds.load(pb.RunnerSpeeds.FromString(self._speeds))
         except (DecodeError, ValueError) as error:
             log.warning("record_unreadable", key=SPEEDS_KEY, error=str(error))
+        self._load_lost_runners()
         self._planner_task = self._tasks.start(self.planner.run(), f"planner {term}")
         log.info("planner_started", term=term)
 
+    def _load_lost_runners(self) -> None:
+        if self.planner is None:
+            return
+        try:
+            self.planner.load_lost_runners(pb.LostRunners.FromString(self._lost_runners))
+        except DecodeError as error:
+            log.warning("record_unreadable", key=LOST_RUNNERS_KEY, error=str(error))
+
     def _set_accelerators(self, accelerators: int) -> None:
         self.leadership.accelerators = accelerators
 
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -22,7 +22,15 @@
     StoreFencedError,
 )
 from carawayroute.fleet.follower import TopicFollower
-from carawayroute.fleet.jobs import PROGRESS_KEY, SPEEDS_KEY, Job, JobTable, LostRun, Stage
+from carawayroute.fleet.jobs import (
+    LOST_RUNNERS_KEY,
+    PROGRESS_KEY,
+    SPEEDS_KEY,
+    Job,
+    JobTable,
+    LostRun,
+    Stage,
+)
 from carawayroute.fleet.links import OTHER_PROCESS, RunnerLink
 from carawayroute.fleet.packing import Candidate, is_time_critical
 from carawayroute.fleet.ports import RunnerClient, Store
@@ -30,6 +38,7 @@
 from carawayroute.fleet.scheduler import Placement, SchedulingPass, StopCost, median_capacity
 from carawayroute.fleet.speeds import RunnerSpeeds
 from carawayroute.fleet.types import (
+    Capacity,
     Configuration,
     EndedTask,
     Runner,
@@ -40,6 +49,7 @@
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import TaskGroup, wait_event
 from carawayroute.retries import Backoff
+from carawayroute_schema import records_pb2 as pb
 
 PRODUCER = "planner"
 # After a take-over, work is placed once all runners have reported or this time has passed.
@@ -68,6 +78,8 @@
 # A report shows up to 500 ends; a runner that cannot be acknowledged gets no work near that number.
 MAX_UNACKNOWLEDGED_ENDS = 400
 
+# Runners that are lost within this time are stored with one record.
+LOST_RUNNERS_DELAY_MS = 100
 STATUS_INTERVAL_MS = 2_000
 # The record is about 3 KB for 176 runners and is read by every instance.
 SPEEDS_INTERVAL_MS = 6_000
@@ -243,6 +255,9 @@
         self.unmatched_by_outcome: Counter[str] = Counter()
         self.replacements_by_runner: Counter[str] = Counter()
         self.crashes = CrashLedger(self._on_crash_counted)
+        self._lost_runners: dict[str, pb.LostRunner] = {}
+        self._storing_lost_runners = False
+        self._stored_lost_runners: set[str] = set()
 
     # ------------------------------------------------------------------ term
 
@@ -279,6 +294,7 @@
         # Reports are compared with the adopted runs, so runners are polled only from here on.
         self._tasks.start(self._runners_follower.run(), "follow runners")
         await self._runners_follower.loaded.wait()
+        self._link_lost_runners()
         await self._wait_initial_reports()
         self._ready = True
         self._changed.set()
@@ -349,6 +365,46 @@
 
     def _on_runner_lost(self, link: RunnerLink) -> None:
         self.runner_health.note_lost(link.runner.id)
+        if self._runs_by_runner.get(link.runner.id):
+            self._update_lost_runners()
+
+    def _update_lost_runners(self) -> None:
+        if not self._storing_lost_runners:
+            self._storing_lost_runners = True
+            self._tasks.start(self._store_lost_runners(), "store lost runners")
+
+    async def _store_lost_runners(self) -> None:
+        """Store where runners with runs were last reached, for a planner that finds none listed."""
+        await self._clock.sleep_ms(LOST_RUNNERS_DELAY_MS)
+        self._storing_lost_runners = False
+        lost = [
+            pb.LostRunner(
+                id=link.runner.id,
+                address=link.runner.address,
+                draining=link.runner.draining,
+                boot_ms=link.boot_ms,
+            )
+            for link in self.links_by_id.values()
+            if not link.reachable and self._runs_by_runner.get(link.runner.id)
+        ]
+        self._stored_lost_runners = {one.id for one in lost}
+        record = pb.LostRunners(runners=lost).SerializeToString()
+        await self._writer.write([(LOST_RUNNERS_KEY, record)])
+
+    def load_lost_runners(self, record: pb.LostRunners) -> None:
+        """Load the runners that the previous planner could not reach."""
+        self._lost_runners = {lost.id: lost for lost in record.runners}
+        self._stored_lost_runners = set(self._lost_runners)
+
+    def _link_lost_runners(self) -> None:
+        """Poll the runners of adopted runs that are not listed, where they were last reached."""
+        for lost in self._lost_runners.values():
+            if lost.id in self.links_by_id or not self._runs_by_runner.get(lost.id):
+                continue
+            self.set_runner(
+                Runner(lost.id, "", lost.address, "", Capacity(0, 0, 0), draining=lost.draining)
+            )
+            self.remove_runner(lost.id)
 
     def _on_runner_replaced(self, link: RunnerLink) -> None:
         self.replacements_by_runner[link.runner.id] += 1
@@ -372,7 +428,7 @@
             self.crashes.process_left(link.runner.id)
         else:
             self.crashes.process_crashed(
-                link.runner.id, evidence, runs_by_key.values(), link.last_answer_ms
+                link.runner.id, evidence, runs_by_key.values(), link.last_alive_ms
             )
         for key, run in runs_by_key.items():
             if report is None or run.started_by(sent_ms):
@@ -423,6 +479,8 @@
             self._on_process_ended,
             moved,
         )
+        if not moved:
+            link.boot_ms = self._adopted_boot_ms(runner)
         self.links_by_id[runner.id] = link
         self._link_tasks[runner.id] = self._tasks.start(link.run(), f"runner {runner.id}")
         log.info("runner_listed", runner=runner.id, address=runner.address, rack=runner.rack)
@@ -433,6 +491,15 @@
         if link is not None:
             link.suspended = True
 
+    def _adopted_boot_ms(self, runner: Runner) -> int:
+        """Return the start of the process that adopted runs were sent to, 0 if unknown."""
+        if not self._runs_by_runner.get(runner.id):
+            return 0
+        lost = self._lost_runners.get(runner.id)
+        if lost is not None and lost.boot_ms:
+            return lost.boot_ms
+        return runner.boot_ms
+
     def remove_runner(self, runner_id: str) -> None:
         """Mark a runner as no longer listed; its tasks may run on until its lease expires."""
         link = self.links_by_id.get(runner_id)
@@ -523,7 +590,7 @@
 
     def _note_lost(self, run: Run, link: RunnerLink | None) -> None:
         boot_ms = link.boot_ms if link is not None else 0
-        at_start = is_start_crash(run.started_ms, link.last_answer_ms if link is not None else None)
+        at_start = is_start_crash(run.started_ms, link.last_alive_ms if link is not None else None)
         self.crashes.note_lost(run, LostRun(run.runner, boot_ms, at_start))
 
     # ------------------------------------------------------------------ reports
@@ -534,6 +601,8 @@
         :param sent_ms: time at which the poll was sent.
         """
         self._reported.set()
+        if link.runner.id in self._stored_lost_runners:
+            self._update_lost_runners()
         self.crashes.process_reported(link.runner.id, report.boot_ms)
         for ended in report.ended:
             if ended.number > link.last_handled and not self._apply_end(link, ended):
--- a/tests/replacement_builders.py
+++ b/tests/replacement_builders.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+from functools import partial
 
 from aiohttp.test_utils import make_mocked_request
 from fleet_builders import runner_fields
@@ -12,7 +13,7 @@
     RunnerRefusedError,
     RunnerUnansweredError,
 )
-from carawayroute.fleet.jobs import PROGRESS_KEY
+from carawayroute.fleet.jobs import LOST_RUNNERS_KEY, PROGRESS_KEY
 from carawayroute.fleet.node import JOBS_TOPIC
 from carawayroute.fleet.types import EndedTask, RunnerReport
 from carawayroute_schema import records_pb2 as pb
@@ -20,6 +21,8 @@
 from carawayrouted.platform.callers import CallerApp
 
 OTHER_PROCESS = "boot"
+# Connections to a crashed runner are reset for this time.
+RESET_MS = 5
 # A crashed runner's address answers again after this time.
 REBOOT_MS = 3_000
 # After this more its id is no longer listed.
@@ -76,11 +79,12 @@
     runner = fleet.runners_by_id[runner_id]
     runs = list(runner._runs.values())
     runner.restart_empty()
-    runner.mode = "gone"
     for run in runs:
         fleet.gangs.leave(run, "lapsed")
-    # Breaks the connection of a poll that is under way.
+    # Connections of calls that are under way are reset, later ones are refused.
+    runner.mode = "resetting"
     runner._ended_event.set()
+    asyncio.get_running_loop().call_later(RESET_MS / 1000, setattr, runner, "mode", "gone")
 
 
 def replace(fleet, runner_id: str) -> None:
@@ -88,6 +92,13 @@
     refuse_calls(fleet, runner_id, "hold", "start", "stop")
 
 
+def list_with_boot(fleet, runner_id: str) -> None:
+    """Write a runner's entry with the start of its process."""
+    runner = fleet.runners_by_id[runner_id]
+    fields = {**runner_fields(runner.listed), "born": runner.boot_ms}
+    fleet.store.put(fleet.formats.runners_topic, runner_id, json.dumps(fields).encode())
+
+
 def list_at(fleet, runner_id: str, address: str) -> None:
     """Write a runner's entry with another address."""
     fields = {**runner_fields(fleet.runners_by_id[runner_id].listed), "address": address}
@@ -128,6 +139,13 @@
     return RunnerReport(clock_ms, boot_ms, [], ended)
 
 
+def lost_runners(fleet) -> list[tuple[str, int]]:
+    """Return the lost runners on record, with the starts of their processes."""
+    newest = fleet.store.topic(JOBS_TOPIC).newest_by_key.get(LOST_RUNNERS_KEY)
+    record = pb.LostRunners.FromString(newest.value if newest is not None else b"")
+    return [(lost.id, lost.boot_ms) for lost in record.runners]
+
+
 async def call_fields(app: CallerApp, path: str) -> dict:
     """Return the fields of the answer to a GET request to an instance's API."""
     headers = {"Host": "h", "Authorization": "Bearer key-owner"}
@@ -164,16 +182,20 @@
 
     def _watch(self, runner) -> None:
         start = runner.start
+        list_with_boot(self._fleet, runner.listed.id)
 
-        async def start_deadly(term, task, run, *arguments):
+        async def start_deadly(term, task, run, *arguments, **options):
             if not task.startswith(self._prefixes):
-                return await start(term, task, run, *arguments)
+                return await start(term, task, run, *arguments, **options)
             if self._late_ms:
                 self._fleet.tasks.start(
-                    self._start_late(runner, start, (term, task, run, *arguments)), "late start"
+                    self._start_late(
+                        runner, partial(start, term, task, run, *arguments, **options)
+                    ),
+                    "late start",
                 )
                 raise RunnerUnansweredError("lost")
-            answer = await start(term, task, run, *arguments)
+            answer = await start(term, task, run, *arguments, **options)
             self._fleet.tasks.start(self.crash(runner), f"crash {runner.listed.id}")
             if self._lost_answers:
                 # The poll that is under way breaks before the start times out.
@@ -183,10 +205,10 @@
 
         runner.start = start_deadly
 
-    async def _start_late(self, runner, start, arguments) -> None:
+    async def _start_late(self, runner, start) -> None:
         await self._fleet.clock.sleep_ms(self._late_ms)
         with contextlib.suppress(RunnerError):
-            await start(*arguments)
+            await start()
             await self.crash(runner)
 
     async def crash(self, runner, after_ms: float = 10.0) -> None:
@@ -200,6 +222,7 @@
         await self._fleet.clock.sleep_ms(REBOOT_MS)
         if self._same_id:
             runner.mode = "up"
+            list_with_boot(self._fleet, name)
             return
         replace(self._fleet, name)
         self._watch(self._fleet.add_runner(f"{name}x", runner.listed.rack))
