Test the check of crash counts where it is made now

The lengths of the lists of a progress record are checked for the whole record before any of it is applied; the test checks both counts there, as strictly as before.

--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -45,6 +45,7 @@
 )
 from carawayroute.fleet.jobs import PROGRESS_KEY, RecordError
 from carawayroute.fleet.links import RunnerLink
+from carawayroute.fleet.record_checks import check_progress
 from carawayroute_schema import records_pb2 as pb
 from carawayroute_standins.fleet.judge import starts
 from carawayroute_standins.fleet.taskrunner import make_runner
@@ -79,12 +80,13 @@
     assert (stage.crashes, stage.start_crashes) == ([0, 0], [0, 0])
 
 
-def test_record_with_counts_of_another_number_of_tasks_is_refused():
+@pytest.mark.parametrize("field", ["crashes", "start_crashes"])
+def test_record_with_counts_of_another_number_of_tasks_is_refused(field):
     stage = stage_of()
     record = stage.to_record()
-    record.crashes.extend([1, 2, 3])
+    getattr(record, field).extend([1, 2, 3])
     with pytest.raises(RecordError):
-        stage.apply(record)
+        check_progress(pb.Progress(steps=[record]), stage.job.record)
 
 
 @pytest.mark.parametrize("call", ["hold", "start", "stop"])
