Keep and claim the planner's term beside an odd record of its topic

What callers saw: nothing here yet; shown by tests.

Cause: a record of keyed.lead that cannot be decoded left the holder's next offset unchanged, so that all later conditional appends conflicted: the holder lost its term at the timeout and nobody could claim it. A record of another key, without a value, of a term that never opened or of an older one ended the holder's term. More than 2^32 - 1 accelerators ended the heartbeats.

Change: a record that the holder of a term cannot have written only takes up its offset; it is logged (record_unreadable) and counted. Appends are made at the end of all records that were read, also where a load of the newest records does not show the last one.

Why it works: the offset of the next append no longer depends on what the records contain, and the term only on records that number it as a holder does.

--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -6,11 +6,13 @@
 from contextlib import suppress
 
 import structlog
+from google.protobuf.message import DecodeError
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.exceptions import StoreConflictError, StoreError
+from carawayroute.fleet.exceptions import RecordError, StoreConflictError, StoreError
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.ports import KeyedRecord, Store
+from carawayroute.fleet.record_checks import is_address
 from carawayroute_schema import records_pb2 as pb
 
 LEADER_TOPIC = "keyed.lead"
@@ -24,6 +26,8 @@
 MAX_CLAIM_LAG_MS = 1_100
 CHECK_INTERVAL_MS = 50
 MAX_RESIGN_ATTEMPTS = 5
+# Largest number that the record can hold.
+MAX_ACCELERATORS = 2**32 - 1
 
 log = structlog.get_logger()
 
@@ -46,6 +50,7 @@
         heartbeat.
     :ivar candidate: whether this instance may claim the term.
     :ivar changed: set when this process gains or loses the term.
+    :ivar unreadable_records: number of records of the topic that made no sense.
     """
 
     def __init__(
@@ -64,6 +69,9 @@
         self.follower = TopicFollower(store, clock, LEADER_TOPIC, self._apply)
         self._newest: pb.Leader | None = None
         self._newest_offset = -1
+        self._newest_term = 0
+        # Offset that follows the last record read, whatever its key.
+        self._end = 0
         self._newest_seen_ms = 0.0
         self._claim_jitter_ms = random.uniform(0, CLAIM_JITTER_MS)
         self._given_up_term = 0
@@ -71,6 +79,7 @@
         self.accelerators = 0
         self.candidate = True
         self.changed = asyncio.Event()
+        self.unreadable_records = 0
 
     @property
     def is_leader(self) -> bool:
@@ -93,16 +102,28 @@
 
     def current_term(self) -> int:
         """Return the newest known term, 0 if there is none."""
-        if self._newest is None:
-            return 0
-        return self._newest.term or self._newest_offset + 1
+        return self._newest_term
 
     def _apply(self, record: KeyedRecord) -> None:
-        if record.offset <= self._newest_offset:
+        """Apply a record; one that makes no sense only takes up its offset."""
+        self._end = max(self._end, record.offset + 1)
+        if record.key == LEADER_KEY and record.offset <= self._newest_offset:
+            return
+        try:
+            leader = self._decode(record)
+        except (DecodeError, RecordError) as error:
+            self.unreadable_records += 1
+            log.error(
+                "record_unreadable",
+                topic=LEADER_TOPIC,
+                key=record.key,
+                offset=record.offset,
+                error=str(error),
+            )
             return
-        leader = pb.Leader.FromString(record.value)
         self._newest = leader
         self._newest_offset = record.offset
+        self._newest_term = leader.term or record.offset + 1
         self._newest_seen_ms = self._clock.now_ms()
         self._claim_jitter_ms = random.uniform(0, CLAIM_JITTER_MS)
         is_own = leader.instance == self._holder and not leader.resigned
@@ -110,6 +131,28 @@
         # The answer to a heartbeat may arrive after the term was given up.
         self._set_term(term if is_own and term > self._given_up_term else 0)
 
+    def _decode(self, record: KeyedRecord) -> pb.Leader:
+        """Decode a record of the holder.
+
+        :raises DecodeError: it cannot be decoded.
+        :raises RecordError: the holder cannot have written it.
+        """
+        if record.key != LEADER_KEY or not record.value:
+            raise RecordError("no record of the planner's term")
+        leader = pb.Leader.FromString(record.value)
+        if not leader.instance or not is_address(leader.address):
+            raise RecordError("the record names no instance or address")
+        if not leader.term:
+            return leader
+        # A term is numbered by the offset after the record that opens it.
+        if not self._newest_term <= leader.term <= record.offset:
+            raise RecordError("the term is over or was never opened")
+        known = self._newest
+        same_term = known is not None and leader.term == self._newest_term
+        if same_term and leader.instance != known.instance:
+            raise RecordError("the term has another holder")
+        return leader
+
     def _set_term(self, term: int) -> None:
         if term == self.term:
             return
@@ -184,8 +227,8 @@
 
     async def _append(self, leader: pb.Leader) -> None:
         leader.address = self._address
-        leader.accelerators = self.accelerators
-        at = self._newest_offset + 1
+        leader.accelerators = min(self.accelerators, MAX_ACCELERATORS)
+        at = max(self._end, self.follower.offset)
         try:
             result = await self._store.append(
                 LEADER_TOPIC, [(LEADER_KEY, leader.SerializeToString())], at=at
