--- a/tests/soak.py
+++ b/tests/soak.py
@@ -82,6 +82,7 @@
     :param far: number of those that are in another region than the store, behind a small link.
     :param runner_faults: those of `RUNNER_FAULTS` that are injected.
     :ivar accepted: number of cancellations that may have taken effect, by id of an accepted job.
+    :ivar stops_early: whether the run does not wait for jobs once there is a violation.
     :ivar deadly: jobs one task of which crashes each runner that starts it.
     :ivar refused: jobs whose every submission was answered with a refusal.
     :ivar violations: each with the second at which it was seen.
@@ -109,6 +110,7 @@
             self.cluster.pool.deadly_new_ids = self.rng.random() < 0.5
         self.deadly: set[str] = set()
         self.accepted: dict[str, int] = {}
+        self.stops_early = False
         self.refused: set[str] = set()
         self.final_by_id: dict[str, str] = {}
         self.violations: list[str] = []
@@ -444,6 +446,8 @@
         async with aiohttp.ClientSession(timeout=timeout) as session:
             remaining = set(self.accepted)
             while remaining and time.monotonic() < deadline_s:
+                if self.stops_early and self.violations:
+                    return
                 for job_id in sorted(remaining):
                     if (
                         await self._check_job(session, job_id, self._random_instance())
@@ -472,6 +476,7 @@
 ) -> SoakRun:
     soak = SoakRun(seed, seconds, folder, instances, far, runner_faults)
     if mutant:
+        soak.stops_early = True
         soak.cluster.program = (str(pathlib.Path(__file__).with_name("soak_mutants.py")), mutant)
     try:
         await soak.run()
--- a/tests/soak_mutants.py
+++ b/tests/soak_mutants.py
@@ -1,11 +1,13 @@
 """Runs the platform's program with one mechanism broken, to test that the soak detects it."""
 
 import asyncio
+import importlib
 import sys
 
-from carawayroute.fleet import entry, links, planner, shared_reader, writer
-from carawayroute.fleet.exceptions import StoreUnansweredError
+from carawayroute.fleet import entry, follower, jobs, links, planner, shared_reader, writer
+from carawayroute.fleet.exceptions import FormatError, StoreUnansweredError
 from carawayrouted.platform import __main__ as program
+from carawayrouted.platform import formats
 
 
 def acknowledge_before_stored() -> None:
@@ -85,6 +87,54 @@
     shared_reader.SharedReadServer.serve = serve
 
 
+def crashes_are_not_counted() -> None:
+    """Count no crashes of runners for the tasks that ran there."""
+    crashes = importlib.import_module("carawayroute.fleet.crashes")
+    crashes.CrashLedger._count = lambda self, stage, index, at_start: None
+
+
+def crashes_are_not_stored() -> None:
+    """Leave the crashes out of the records, so that the next planner counts from the start."""
+    original = jobs.Stage.to_record
+
+    def to_record(self):
+        record = original(self)
+        del record.crashes[:], record.start_crashes[:]
+        return record
+
+    jobs.Stage.to_record = to_record
+
+
+def shrunk_capacity_is_ignored() -> None:
+    """Place tasks by the capacity that a runner had when it was first listed."""
+    original = planner.Planner.set_runner
+
+    def set_runner(self, runner):
+        link = self.links_by_id.get(runner.id)
+        if link is not None:
+            runner.capacity = link.runner.capacity
+        original(self, runner)
+
+    planner.Planner.set_runner = set_runner
+
+
+def odd_entry_stops_the_follower() -> None:
+    """Read a record again and again that cannot be handled, instead of going on."""
+    original = formats.StoreFormat.decode_runner
+
+    def decode_runner(self, runner_id, value):
+        try:
+            return original(self, runner_id, value)
+        except FormatError as error:
+            raise RuntimeError(str(error)) from error
+
+    def note_failure(self, record, error):
+        raise error
+
+    formats.StoreFormat.decode_runner = decode_runner
+    follower.TopicFollower._note_failure = note_failure
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -95,6 +145,10 @@
         runs_count_as_gone,
         absence_is_proof,
         pages_count_as_new,
+        crashes_are_not_counted,
+        crashes_are_not_stored,
+        shrunk_capacity_is_ignored,
+        odd_entry_stops_the_follower,
     )
 }
 
