Serve the load of an instance that plans before it has loaded (LOST)

What callers saw: nothing; instances of its data centre that started with it would have waited up to 5 s for a load that it never counted as ended.

Change: the first load is kept and served whether the instance plans or not.

--- a/packages/library/carawayroute/fleet/lookup.py
+++ b/packages/library/carawayroute/fleet/lookup.py
@@ -170,7 +170,7 @@
         if answer.outcome == pb.StoreAnswer.DONE and found:
             if is_proof(answer):
                 return answer
-            raise PeerError(f"{address}: its state is {answer.age_ms} ms old")
+            raise PeerError(f"{address}: its answer is no proof")
         if answer.outcome == pb.StoreAnswer.NO_SUCH_JOB:
             return answer
         raise PeerError(f"{address}: {answer.reason or 'cannot tell'}")
--- a/packages/library/carawayroute/fleet/shared_load.py
+++ b/packages/library/carawayroute/fleet/shared_load.py
@@ -76,7 +76,7 @@
 
         :raises StoreError: the read failed.
         """
-        if self._loaded.is_set() or self._plans():
+        if self._loaded.is_set():
             return await self._store.newest(topic)
         asked_ms = self._clock.now_ms()
         page = await self._load_through_peers(topic, asked_ms)
@@ -104,7 +104,8 @@
 
     async def _load_through_peers(self, topic: str, asked_ms: float) -> RecordPage | None:
         """Return what a peer has loaded, ``None`` if no peer of a higher rank serves it."""
-        await wait_event(self.members_known, MEMBERS_WAIT_MS)
+        if not self._plans():
+            await wait_event(self.members_known, MEMBERS_WAIT_MS)
         until_ms = asked_ms + MAX_SHARED_LOAD_MS
         while self._clock.now_ms() < until_ms and not self._plans():
             reader = self._choice.reader(self._planner_address())
--- a/tests/test_fleet_load.py
+++ b/tests/test_fleet_load.py
@@ -5,11 +5,18 @@
 import pytest
 from fleet_builders import NORMAL, OWNER, job, large_job, run_scenario, step
 from region_builders import REGION
+from shared_read_builders import member
 
+from carawayroute.clock import Clock
 from carawayroute.fleet.jobs import JOB_KEY, PROGRESS_KEY
 from carawayroute.fleet.node import JOBS_TOPIC
+from carawayroute.fleet.shared_load import KEEP_MS, SharedLoad
+from carawayroute.fleet.shared_reader import ReaderChoice
 from carawayroute_schema import records_pb2 as pb
+from carawayroute_standins.fleet.peers import InMemoryPeers
+from carawayroute_standins.fleet.topics import TopicStore
 from carawayroute_standins.fleet.world import FleetWorld
+from carawayroute_standins.virtual import run_virtual
 
 ID = "00000000000000{:02x}"
 OLD_ID = "{:016x}"
@@ -123,3 +130,105 @@
             assert await fleet.state(OLD_ID.format(1_000 + number), at="n5") == "completed"
 
     run_region(scenario)
+
+
+class LoadingInstance:
+    """An instance that loads a topic and serves its load to peers.
+
+    :ivar plans: whether the instance is the planner.
+    """
+
+    def __init__(self, name, store, instances_by_name):
+        own = member(name)
+        self.plans = False
+        self.client = store.client_for(name)
+        self.choice = ReaderChoice(own, store.clock)
+        peers = InMemoryPeers(name, store.clock, store.network, instances_by_name, set())
+        self.load = SharedLoad(
+            self.client,
+            peers,
+            store.clock,
+            self.choice,
+            lambda: self.plans,
+            lambda: "",
+            lambda: False,
+        )
+        self.load.members_known.set()
+
+    async def serve_peer(self, message):
+        return (await self.load.serve(pb.StoreCall.FromString(message))).SerializeToString()
+
+
+def run_two(scenario):
+    """Run a scenario on two instances of a data centre, the first of which ranks first."""
+
+    async def run():
+        store = TopicStore(Clock())
+        for number in range(100):
+            store.put(JOBS_TOPIC, f"k{number:03}", bytes(4_000))
+        instances_by_name = {}
+        for name in ("n1", "n2"):
+            instances_by_name[name] = LoadingInstance(name, store, instances_by_name)
+        instances_by_name["n2"].choice.set_member(member("n1"))
+        await scenario(store, *instances_by_name.values())
+
+    run_virtual(run())
+
+
+def test_load_of_several_parts_is_complete_as_of_its_offset():
+    async def scenario(store, n1, n2):
+        await n1.load.newest(JOBS_TOPIC)
+        await store.clock.sleep_ms(2_000)
+        store.put(JOBS_TOPIC, "later", b"v")
+        page = await n2.load.newest(JOBS_TOPIC)
+        assert n2.client.reads == 0 and n1.load.served > 1
+        assert [record.offset for record in page.records] == list(range(100))
+        assert page.next_offset == 100
+        assert 2_000 <= page.age_ms <= 2_100
+
+    run_two(scenario)
+
+
+def test_load_of_an_instance_that_plans_before_it_has_loaded_is_served():
+    """Its peers waited 5 s for it, as it never counted as loaded."""
+
+    async def scenario(store, n1, n2):
+        n1.plans = True
+        await n1.load.newest(JOBS_TOPIC)
+        assert n1.client.reads == 1
+        started_ms = store.clock.now_ms()
+        assert len((await n2.load.newest(JOBS_TOPIC)).records) == 100
+        assert n2.client.reads == 0
+        assert store.clock.now_ms() - started_ms < 1_000
+
+    run_two(scenario)
+
+
+def test_load_is_kept_for_a_while_only():
+    async def scenario(store, n1, n2):
+        await n1.load.newest(JOBS_TOPIC)
+        await store.clock.sleep_ms(KEEP_MS + 1)
+        assert len((await n2.load.newest(JOBS_TOPIC)).records) == 100
+        assert n2.client.reads == 1 and n1.load.served == 0
+        # The reader serves reads as before.
+        assert n2.choice.reader("").instance == "n1"
+
+    run_two(scenario)
+
+
+def test_load_of_a_peer_that_loads_anew_between_two_parts_is_not_used():
+    async def scenario(store, n1, n2):
+        await n1.load.newest(JOBS_TOPIC)
+        serve = n1.load.serve
+
+        async def serve_and_load_anew(call):
+            answer = await serve(call)
+            answer.offset += call.offset
+            return answer
+
+        n1.load.serve = serve_and_load_anew
+        page = await n2.load.newest(JOBS_TOPIC)
+        assert page.next_offset == 100 and page.age_ms == 0
+        assert n2.client.reads == 1
+
+    run_two(scenario)
