--- a/tests/soak.py
+++ b/tests/soak.py
@@ -58,7 +58,7 @@
 SLOW_LINK_BYTES_PER_MS = 20
 FINAL_STATES = ("completed", "failed", "cancelled")
 # Faults of runners and of their entries, besides those that every run injects.
-RUNNER_FAULTS = ("deadly_jobs", "crash_runner", "shrink_runner", "write_odd_entry", "lose_starts")
+RUNNER_FAULTS = ("deadly_jobs", "crash_runner", "shrink_runner", "write_odd_entries", "lose_starts")
 # Those that are injected by default, also in CI.
 DEFAULT_RUNNER_FAULTS: tuple[str, ...] = ()
 DEADLY_PROBABILITY = 0.08
@@ -66,6 +66,7 @@
 # A process that crashed is back after this time at least.
 MIN_BACK_MS = 400
 UNLISTED_AFTER_MS = (300, 4_000)
+ODD_ENTRIES = 6
 # From the end of the faults: a silent runner's lease must expire. Jobs may be idle until then.
 CALM_AFTER_MS = 11_000
 # Deadly jobs crash runners until they are given up; jobs may be idle for this long after a crash.
@@ -272,7 +273,7 @@
         faults_by_name = {
             "crash_runner": self._crash_runner,
             "shrink_runner": self._shrink_runner,
-            "write_odd_entry": self._write_odd_entry,
+            "write_odd_entries": self._write_odd_entries,
             "lose_starts": self._lose_starts,
         }
         fault_types += [
@@ -419,11 +420,12 @@
             await asyncio.sleep(0.1)
         pool.resize(runner.listed.id, before, self.rng.uniform(0, HEARTBEAT_MS))
 
-    async def _write_odd_entry(self, duration_s: float) -> None:
+    async def _write_odd_entries(self, duration_s: float) -> None:
         pool = self.cluster.pool
-        key = self.rng.choice([*pool.by_id, "odd-entry"])
-        entry = runner_bytes(self.rng.choice(pool.runners).listed)
-        pool.put_odd_entry(key, self.rng.choice(list(odd_entries(entry).values())))
+        odd = odd_entries(runner_bytes(self.rng.choice(pool.runners).listed))
+        for name in self.rng.sample(sorted(odd), ODD_ENTRIES):
+            key = self.rng.choice([*pool.by_id, f"odd-{len(name)}"])
+            pool.put_odd_entry(key, odd[name])
         await asyncio.sleep(HEARTBEAT_MS / 1_000)
 
     async def _lose_starts(self, duration_s: float) -> None:
