BUDGET: ask a runner that refuses work for want of room less and less often

What was seen: a job whose only runner answered each start with 409 room sent 665 starts in 10 s. After 1.8 s without a run the job counts as idle and may use avoided runners; its refused placement did not end that, so that each pass placed it again. Change: a placement ends the job's idle time; a runner that goes on refusing for want of room is avoided for 1, 2, 4 s. Why it works: the idle time starts anew at each placement, so that the retry on avoided runners comes every 1.8 s at most.

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -1087,6 +1087,8 @@
                 run = Run(stage, index, number, runner_id)
                 self._add_run(run)
                 runs.append(run)
+            # A job whose start is refused is not idle at once again.
+            self._idle_since_by_job.pop(stage.job.id, None)
             log.info(
                 "placed",
                 job=stage.job.id,
--- a/packages/library/carawayroute/fleet/runner_health.py
+++ b/packages/library/carawayroute/fleet/runner_health.py
@@ -5,6 +5,8 @@
 check passes. Failures count per job, so that a job that fails on every runner excludes none.
 """
 
+import math
+
 from carawayroute.clock import Clock
 
 # Consecutive failures, each of a different job, after which a runner is avoided.
@@ -12,6 +14,8 @@
 INITIAL_AVOID_MS = 3_000
 MAX_AVOID_MS = 20_000
 REFUSAL_AVOID_MS = 1_000
+# The avoidance time doubles up to this while a runner refuses starts for want of room.
+MAX_ROOM_AVOID_MS = 4_000
 # The avoidance time doubles if a runner stops answering again within this time.
 LOSS_WINDOW_MS = 15_000
 INITIAL_LOSS_AVOID_MS = 500
@@ -24,13 +28,26 @@
 
 
 class _FailureHistory:
-    __slots__ = ("avoid_ms", "failed_jobs", "until_ms")
+    __slots__ = ("avoid_ms", "failed_jobs", "room_avoid_ms", "room_refused_ms", "until_ms")
 
     def __init__(self) -> None:
         self.failed_jobs: set[str] = set()
         self.avoid_ms = INITIAL_AVOID_MS
+        self.room_avoid_ms = REFUSAL_AVOID_MS
+        self.room_refused_ms = -math.inf
         self.until_ms = 0.0
 
+    def next_room_avoid_ms(self, now_ms: float) -> int:
+        """Return the avoidance time after a start that was refused for want of room."""
+        since_ms = now_ms - self.room_refused_ms
+        self.room_refused_ms = now_ms
+        if since_ms > 2 * MAX_ROOM_AVOID_MS:
+            self.room_avoid_ms = REFUSAL_AVOID_MS
+        elif since_ms > REFUSAL_AVOID_MS:
+            # Starts that were sent before the first refusal count once.
+            self.room_avoid_ms = min(MAX_ROOM_AVOID_MS, 2 * self.room_avoid_ms)
+        return self.room_avoid_ms
+
 
 class _LossHistory:
     __slots__ = ("avoid_ms", "last_ms")
@@ -64,9 +81,12 @@
 
     def note_refusal(self, runner: str, reason: str) -> None:
         """Record a refused start; only refusals that concern the whole runner count."""
-        if reason in ("unhealthy", "room"):
-            failures = self._failures_by_runner.setdefault(runner, _FailureHistory())
-            failures.until_ms = max(failures.until_ms, self._clock.now_ms() + REFUSAL_AVOID_MS)
+        if reason not in ("unhealthy", "room"):
+            return
+        now_ms = self._clock.now_ms()
+        failures = self._failures_by_runner.setdefault(runner, _FailureHistory())
+        avoid_ms = failures.next_room_avoid_ms(now_ms) if reason == "room" else REFUSAL_AVOID_MS
+        failures.until_ms = max(failures.until_ms, now_ms + avoid_ms)
 
     def note_stalled(self, runner: str) -> None:
         """Record that no task on a runner makes progress."""
--- /dev/null
+++ b/tests/test_fleet_capacity.py
@@ -0,0 +1,143 @@
+"""Tests of placement on runners whose capacity shrinks and grows while they run."""
+
+from capacity_builders import CapacityAuditor, count_start_orders, resize
+from fleet_builders import (
+    BATCH,
+    NORMAL,
+    OTHER,
+    OWNER,
+    URGENT,
+    assign,
+    candidate,
+    configuration,
+    job,
+    job_table_of,
+    run_scenario,
+    step,
+)
+
+from carawayroute.fleet.scheduler import SchedulingPass, StopCost
+from carawayroute.fleet.types import Capacity
+from carawayroute_standins.fleet.judge import starts
+
+ID = "00000000000000{:02x}"
+ONE_RUNNER = {"racks": 1, "runners_per_rack": 1}
+
+
+def plan(job_table, candidates, wall_ms=100.0, **options):
+    """Return the placements of one scheduling pass."""
+    return SchedulingPass(
+        job_table,
+        configuration(),
+        candidates,
+        wall_ms,
+        lambda stage: stage.step.estimate_ms,
+        lambda stage, index: StopCost(0.0, stoppable=True),
+        **options,
+    ).run()
+
+
+def shrunk(name, accelerators, used=0, rack="r1-0"):
+    """Return a candidate that shrank to some accelerators while some were in use."""
+    found = candidate(name, rack, accelerators)
+    found.free = Capacity(64_000 - 1_000 * used, 256_000 - 1_000 * used, accelerators - used)
+    return found
+
+
+# ------------------------------------------------------------------ in the fleet
+
+
+def test_runner_that_refuses_for_want_of_room_is_not_asked_over_and_over():
+    """A job without another runner sent start requests as fast as they were refused."""
+
+    async def scenario(fleet):
+        runner = fleet.runners_by_id["w1"]
+        orders = count_start_orders(runner)
+        runner.free = lambda: 0
+        await fleet.submit(job(ID.format(1), [step(1, 8)], run_ms=300), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(10_000)
+        assert 3 <= len(orders) <= 8, len(orders)
+        del runner.free
+        await fleet.wait_state(ID.format(1), "completed", 5_000)
+
+    run_scenario(scenario, **ONE_RUNNER)
+
+
+def test_runner_that_refuses_for_want_of_room_is_asked_after_the_others():
+    async def scenario(fleet):
+        runner = fleet.runners_by_id["w1"]
+        orders = count_start_orders(runner)
+        runner.free = lambda: 0
+        for number in range(1, 9):
+            await fleet.submit(job(ID.format(number), [step(1, 4)], run_ms=300), NORMAL, OWNER)
+        for number in range(1, 9):
+            await fleet.wait_state(ID.format(number), "completed", 3_000)
+        assert len(orders) <= 2
+
+    run_scenario(scenario, racks=1, runners_per_rack=2)
+
+
+def test_capacity_that_grew_is_used_within_a_pass():
+    async def scenario(fleet):
+        resize(fleet, "w1", 4)
+        await fleet.clock.sleep_ms(1_000)
+        await fleet.submit(job(ID.format(1), [step(1, 8)], run_ms=300), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(2_000)
+        assert starts(fleet.journal, ID.format(1)) == []
+        resize(fleet, "w1", 8)
+        await fleet.clock.sleep_ms(250)
+        assert starts(fleet.journal, ID.format(1))
+
+    run_scenario(scenario, **ONE_RUNNER)
+
+
+def test_work_on_a_runner_that_shrank_runs_on_and_nothing_is_added():
+    async def scenario(fleet):
+        audit = CapacityAuditor(fleet)
+        await fleet.submit(job(ID.format(1), [step(6)], run_ms=3_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(300)
+        resize(fleet, "w1", 4)
+        await fleet.submit(job(ID.format(2), [step(2)], run_ms=300), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(1), "completed", 5_000)
+        await fleet.wait_state(ID.format(2), "completed", 5_000)
+        assert audit.exceeded == []
+        assert len(starts(fleet.journal, ID.format(1))) == 6
+
+    run_scenario(scenario, **ONE_RUNNER)
+
+
+def test_new_process_under_the_same_id_is_not_given_the_room_of_the_one_before():
+    async def scenario(fleet):
+        audit = CapacityAuditor(fleet)
+        runner = fleet.runners_by_id["w1"]
+        await fleet.submit(job(ID.format(1), [step(1, 8)], run_ms=20_000), NORMAL, OWNER)
+        await fleet.wait_until(lambda: starts(fleet.journal, ID.format(1)), 1_000, "a start")
+        runner.restart_empty()
+        resize(fleet, "w1", 4)
+        await fleet.submit(job(ID.format(2), [step(4, 2)], run_ms=300), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(2), "completed", 10_000)
+        assert audit.exceeded == []
+
+    run_scenario(scenario, **ONE_RUNNER)
+
+
+# ------------------------------------------------------------------ in one pass
+
+
+def test_victims_on_a_runner_that_shrank_free_only_what_is_left_of_its_room():
+    victim = job(ID.format(50), [step(8, 1, estimate_ms=9_000)], BATCH, OTHER)
+    urgent = job(ID.format(1), [step(1, 4, gang=True)], URGENT, OWNER)
+    job_table = job_table_of(victim, urgent)
+    assign(job_table.jobs_by_id[victim.id].stage(0, 0), dict.fromkeys(range(8), "w0"))
+    (placement,) = plan(job_table, [shrunk("w0", 6, used=8)])
+    assert sum(len(one.indices) for one in placement.victims) == 6
+
+
+def test_gang_that_fits_only_the_former_capacity_reserves_nothing():
+    """Other work is placed while it waits for the capacity to grow again."""
+    gang = job(ID.format(1), [step(2, 8, gang=True)], NORMAL, OTHER)
+    small = job(ID.format(2), [step(4, 1)], BATCH, OTHER, accepted_ms=9_000)
+    (placement,) = plan(
+        job_table_of(gang, small), [shrunk("w0", 4), shrunk("w1", 4)], wall_ms=9_100.0
+    )
+    assert placement.stage.job.id == small.id
