BUDGET: reserve no room on runners that shrank below what runs on them

What callers saw: nothing yet (LIMIT is new). A reservation set the free capacity of its runners to zero. On a runner that shrank below what runs there it was negative before, so that victims of a later placement in the same pass freed more than the runner has. Change: a reservation only lowers the free capacity. Measured: test_reservation_on_a_runner_that_shrank_does_not_hide_what_exceeds_it had 0 instead of -2 before (fails), passes after.

--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -394,7 +394,7 @@
             if kept >= count:
                 break
             kept += candidate.runner.capacity.count_fitting(stage.demand, count - kept)
-            candidate.free = Capacity(0, 0, 0)
+            candidate.free.lower_to(Capacity(0, 0, 0))
 
 
 def _shape(stage: Stage, count: int) -> tuple:
--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -133,6 +133,26 @@
     assert sum(len(one.indices) for one in placement.victims) == 6
 
 
+def test_reservation_on_a_runner_that_shrank_does_not_hide_what_exceeds_it():
+    """The reservation set the free capacity to none, and victims then freed more than there was."""
+    waiting = job(ID.format(1), [step(2, 6, gang=True, estimate_ms=9_000)], NORMAL, OTHER)
+    victim = job(ID.format(50), [step(8, 1, estimate_ms=9_000)], BATCH, OTHER)
+    job_table = job_table_of(waiting, victim)
+    stage = job_table.jobs_by_id[victim.id].stage(0, 0)
+    assign(stage, dict.fromkeys(range(8), "w0"))
+    candidates = [shrunk("w0", 6, used=8), shrunk("w1", 6, used=6)]
+    one = SchedulingPass(
+        job_table,
+        configuration(),
+        candidates,
+        9_100.0,
+        lambda stage: stage.step.estimate_ms,
+        lambda stage, index: StopCost(0.0, stoppable=True),
+    )
+    one._reserve(job_table.jobs_by_id[waiting.id].stage(0, 0))
+    assert candidates[0].free.accelerators == -2
+
+
 def test_gang_that_fits_only_the_former_capacity_reserves_nothing():
     """Other work is placed while it waits for the capacity to grow again."""
     gang = job(ID.format(1), [step(2, 8, gang=True)], NORMAL, OTHER)
