BUDGET: start nothing on a runner that is over its capacity in any resource

A task that fills needs no cpu, so that it fitted on a runner whose cpu had shrunk below what runs there; its start finds the runner over its capacity. Change: nothing fits while any resource of a runner is exceeded. Measured: test_task_without_accelerators_is_not_added_to_a_runner_over_its_capacity had a placement before (fails), none after (passes).

--- a/packages/library/carawayroute/fleet/types.py
+++ b/packages/library/carawayroute/fleet/types.py
@@ -137,7 +137,12 @@
         self.accelerators = accelerators
 
     def count_fitting(self, demand: "Capacity", limit: int) -> int:
-        """Return how many times a demand fits, at most ``limit``."""
+        """Return how many times a demand fits, at most ``limit``.
+
+        Nothing fits if any resource is negative, whether or not the demand needs it.
+        """
+        if self.is_exceeded:
+            return 0
         count = limit
         if demand.cpu_millis > 0:
             count = min(count, self.cpu_millis // demand.cpu_millis)
@@ -147,6 +152,11 @@
             count = min(count, self.accelerators // demand.accelerators)
         return max(0, count)
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Return whether any resource is negative, so that more is in use than there is."""
+        return self.cpu_millis < 0 or self.memory_mb < 0 or self.accelerators < 0
+
     def subtract(self, demand: "Capacity", count: int = 1) -> None:
         """Subtract ``count`` times a demand; a negative count adds."""
         self.cpu_millis -= demand.cpu_millis * count
--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -153,6 +153,13 @@
     assert candidates[0].free.accelerators == -2
 
 
+def test_task_without_accelerators_is_not_added_to_a_runner_over_its_capacity():
+    table = job_table_of(job(ID.format(1), [step(1, 0, cpu_millis=0)]))
+    over = shrunk("w0", 8, used=0)
+    over.free.cpu_millis = -1_000
+    assert plan(table, [over]) == []
+
+
 def test_gang_that_fits_only_the_former_capacity_reserves_nothing():
     """Other work is placed while it waits for the capacity to grow again."""
     gang = job(ID.format(1), [step(2, 8, gang=True)], NORMAL, OTHER)
