BUDGET: keep the headroom for urgent gangs in accelerators instead of runners

What callers saw: nothing yet (capacities change from now on). The headroom counted runners without running work, so that idle runners that had shrunk to nothing were the headroom, and other work filled the runners that urgent gangs need. Change: the headroom is a share of the accelerators that there are; runners without any don't count. Nothing changes for runners of equal size. Measured: test_runners_without_accelerators_are_no_headroom_for_urgent_gangs left 0 runners before (fails), 2 of 17 after (passes); tests/test_fleet_decisions.py and tests/test_experiment.py pass.

--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -15,8 +15,9 @@
 # A gang that has waited this long gets a reservation.
 RESERVE_AFTER_MS = 4_000
 MAX_RESERVATIONS = 1
-# Share of the fleet's runners that work that is not time-critical leaves unallocated for urgent
-# gangs. Without it such a gang preempts several runs (make experiment, policy "no headroom").
+# Share of the fleet's accelerators, as whole runners, that work that is not time-critical leaves
+# free for urgent gangs. Without it such a gang preempts several runs (make experiment, policy "no
+# headroom").
 HEADROOM_SHARE = 0.15
 # The victim search is the most expensive part of a pass.
 MAX_VICTIM_SEARCHES = 12
@@ -98,6 +99,9 @@
             ranking.DominantShare(median_capacity(candidates))
         )
         self.job_values.add_open_jobs(job_table)
+        self._headroom = HEADROOM_SHARE * sum(
+            candidate.runner.capacity.accelerators for candidate in candidates
+        )
         self._reserved = 0
         self._victim_searches = 0
         self._unplaceable: set[tuple] = set()
@@ -206,11 +210,12 @@
         candidates = self._eligible(stage)
         if packing.is_time_critical(stage):
             return candidates
-        headroom = int(HEADROOM_SHARE * len(self.candidates))
+        headroom = self._headroom
         found = []
         for candidate in candidates:
-            if headroom and not candidate.slow and candidate.unallocated:
-                headroom -= 1
+            accelerators = candidate.runner.capacity.accelerators
+            if 0 < accelerators <= headroom and not candidate.slow and candidate.unallocated:
+                headroom -= accelerators
             else:
                 found.append(candidate)
         return found
--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -160,6 +160,14 @@
     assert plan(table, [over]) == []
 
 
+def test_runners_without_accelerators_are_no_headroom_for_urgent_gangs():
+    """Runners that had shrunk to nothing counted as the free runners kept for urgent gangs."""
+    candidates = [shrunk(f"a{n}", 0) for n in range(3)] + [candidate(f"w{n}") for n in range(17)]
+    placements = plan(job_table_of(job(ID.format(1), [step(20, 8)], BATCH, OTHER)), candidates)
+    used = {runner for placement in placements for runner in placement.runner_ids}
+    assert len([one for one in candidates if one.runner.id not in used]) - 3 == 2
+
+
 def test_gang_that_fits_only_the_former_capacity_reserves_nothing():
     """Other work is placed while it waits for the capacity to grow again."""
     gang = job(ID.format(1), [step(2, 8, gang=True)], NORMAL, OTHER)
