BUDGET: send a start only while the runner's present capacity holds it

A start was sent on the capacity that the pass had seen: after the wait for victims, after the wait for the store, and again after a lost answer, up to seconds later. Change: before each request the run is counted with the runs that were sent to the runner before, on the capacity that the runner's entry shows now; if they exceed it, the run ends as refused and is placed again, or is stopped if an earlier request may have started it. Measured: the two tests on a runner that shrank during a preemption and during lost answers had one start over the capacity each before (fail), none after (pass).

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -1176,10 +1176,17 @@
                     run, "no answer", certain=stage.ordered_runs[run.index] < run.number
                 )
                 return
+            if not self._has_room(run):
+                self._fail_start(
+                    run, "capacity", certain=stage.ordered_runs[run.index] < run.number
+                )
+                return
             try:
                 clock_ms = await link.send_order(
                     partial(self._send_start, link, run),
-                    lambda: is_needed() and self._clock.now_ms() <= deadline_ms,
+                    lambda: (
+                        is_needed() and self._clock.now_ms() <= deadline_ms and self._has_room(run)
+                    ),
                 )
                 if clock_ms is None:
                     continue
@@ -1210,6 +1217,17 @@
             stage.job.begun = True
             return
 
+    def _has_room(self, run: Run) -> bool:
+        """Return whether a runner's present capacity holds a run beside those sent to it before."""
+        link = self.links_by_id.get(run.runner)
+        if link is None:
+            return False
+        free = link.runner.capacity.copy()
+        for other in self._runs_by_runner[run.runner].values():
+            if other is run or other.stage.ordered_runs[other.index] >= other.number:
+                free.subtract(other.stage.demand)
+        return not free.is_exceeded
+
     async def _send_start(self, link: RunnerLink, run: Run) -> int:
         """Send one start request and return the runner's clock."""
         stage = run.stage
--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -47,6 +47,46 @@
 # ------------------------------------------------------------------ in the fleet
 
 
+def test_start_after_preemption_does_not_exceed_a_runner_that_shrank_meanwhile():
+    """The runner shrank while the victims were being stopped."""
+
+    async def scenario(fleet):
+        audit = CapacityAuditor(fleet)
+        await fleet.submit(job(ID.format(1), [step(8)], BATCH, OTHER, 9_000), BATCH, OTHER)
+        await fleet.clock.sleep_ms(400)
+        urgent = job(ID.format(2), [step(1, 8, gang=True)], URGENT, run_ms=300)
+        await fleet.submit(urgent, URGENT, OWNER)
+        await fleet.clock.sleep_ms(30)
+        resize(fleet, "w1", 6)
+        await fleet.clock.sleep_ms(1_500)
+        assert audit.exceeded == []
+        resize(fleet, "w1", 8)
+        await fleet.wait_state(ID.format(2), "completed", 5_000)
+
+    run_scenario(scenario, **ONE_RUNNER)
+
+
+def test_repeated_start_does_not_exceed_a_runner_that_shrank_meanwhile():
+    """The first request was not answered, and the start was sent again until it was."""
+
+    async def scenario(fleet):
+        audit = CapacityAuditor(fleet)
+        runner = fleet.runners_by_id["w1"]
+        orders = count_start_orders(runner)
+        runner.mode = "cut"
+        await fleet.submit(job(ID.format(1), [step(1, 8)], run_ms=300), NORMAL, OWNER)
+        await fleet.wait_until(lambda: orders, 1_000, "a start request")
+        resize(fleet, "w1", 4)
+        await fleet.clock.sleep_ms(300)
+        runner.mode = "up"
+        await fleet.clock.sleep_ms(3_000)
+        assert audit.exceeded == []
+        resize(fleet, "w1", 8)
+        await fleet.wait_state(ID.format(1), "completed", 5_000)
+
+    run_scenario(scenario, **ONE_RUNNER)
+
+
 def test_runner_that_refuses_for_want_of_room_is_not_asked_over_and_over():
     """A job without another runner sent start requests as fast as they were refused."""
 
