BUDGET: place on what a runner may hold only while the list of runners is current

A placement that waited for the store through an outage was sent as soon as it was stored, before the entries that had changed meanwhile were read. Change: runners of services that don't guard their capacity get no work, and outstanding starts wait, while the list was last read to its end over 2.5 s ago. Guarding runners refuse for themselves and are placed on as before. Measured: test_start_after_the_store_was_down_does_not_exceed_a_runner_that_shrank_meanwhile had one start over the capacity before, 13 ms after an outage of 5 s (fails), none after (passes).

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -69,6 +69,8 @@
 # If the victims have not ended within this time, the placement is withdrawn.
 PREEMPTION_TIMEOUT_MS = 1_500
 PREEMPTION_CHECK_INTERVAL_MS = 100
+# Runners that start whatever they are told to get no work while their entries are older than this.
+MAX_LISTING_AGE_MS = 2_500
 
 # The platform drops a runner from its list after some seconds of silence. A runner that it still
 # lists is waited for this long after its lease expired: its tasks may have ended as done.
@@ -888,6 +890,7 @@
             if link.usable
             and not link.runner.draining
             and not (link.withheld and link.unacknowledged_ends > MAX_UNACKNOWLEDGED_ENDS)
+            and self._knows_capacity(link.runner)
         }
         for run in self.runs_by_key.values():
             free = free_by_id.get(run.runner)
@@ -1176,6 +1179,9 @@
                     run, "no answer", certain=stage.ordered_runs[run.index] < run.number
                 )
                 return
+            if not self._knows_capacity(link.runner):
+                await self._clock.sleep_ms(RETRY_MS)
+                continue
             if not self._has_room(run):
                 self._fail_start(
                     run, "capacity", certain=stage.ordered_runs[run.index] < run.number
@@ -1217,6 +1223,13 @@
             stage.job.begun = True
             return
 
+    def _knows_capacity(self, runner: Runner) -> bool:
+        """Return whether a runner's capacity is known well enough to start work on it."""
+        configuration = self._configuration()
+        if configuration is not None and runner.service in configuration.guarding_services:
+            return True
+        return self._runners_follower.lag_ms() <= MAX_LISTING_AGE_MS
+
     def _has_room(self, run: Run) -> bool:
         """Return whether a runner's present capacity holds a run beside those sent to it before."""
         link = self.links_by_id.get(run.runner)
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -91,8 +91,13 @@
     return Candidate(runner, Capacity(64_000, 256_000, left))
 
 
-def configuration_bytes(version: int = 1, guaranteed: int = 32, routes: int = 0) -> bytes:
-    """Return a configuration as the platform stores it, with extra routes if asked for."""
+def configuration_bytes(
+    version: int = 1, guaranteed: int = 32, routes: int = 0, guarding: bool = True
+) -> bytes:
+    """Return a configuration as the platform stores it, with extra routes if asked for.
+
+    :param guarding: whether the runners refuse what exceeds their capacity.
+    """
     routes_fields = [
         {
             "name": queue.name,
@@ -116,7 +121,7 @@
     fields = {
         "version": version,
         "routes": routes_fields,
-        "services": [{"name": "render", "rejects_overload": True}],
+        "services": [{"name": "render", "rejects_overload": guarding}],
         "limits": {"max_body_bytes": 4_096},
         "tenants": [
             {"name": "owner", "api_keys": ["key-owner"], "guaranteed": {"gpu": guaranteed}},
--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -10,6 +10,7 @@
     assign,
     candidate,
     configuration,
+    configuration_bytes,
     job,
     job_table_of,
     run_scenario,
@@ -47,6 +48,35 @@
 # ------------------------------------------------------------------ in the fleet
 
 
+def test_start_after_the_store_was_down_does_not_exceed_a_runner_that_shrank_meanwhile():
+    """The placement was made before the outage and stored after it, and the start was sent."""
+
+    async def scenario(fleet):
+        audit = CapacityAuditor(fleet)
+        fleet.store.put(
+            fleet.formats.configuration_topic,
+            fleet.formats.configuration_key,
+            configuration_bytes(2, guarding=False),
+        )
+        due = job(ID.format(1), [step(1, 8)], run_ms=500)
+        due.occurrences = 1
+        due.first_due_ms = int(fleet.clock.wall_ms()) + 1_000
+        await fleet.submit(due, NORMAL, OWNER)
+        await fleet.clock.sleep_ms(900)
+        fleet.store.mode = "silent"
+        await fleet.clock.sleep_ms(200)
+        assert fleet.nodes_by_name[fleet.planner_name()].planner.runs_by_key
+        resize(fleet, "w1", 4)
+        await fleet.clock.sleep_ms(5_000)
+        fleet.store.mode = "up"
+        await fleet.clock.sleep_ms(3_000)
+        assert audit.exceeded == []
+        resize(fleet, "w1", 8)
+        await fleet.wait_state(ID.format(1), "completed", 3_000)
+
+    run_scenario(scenario, **ONE_RUNNER)
+
+
 def test_start_after_preemption_does_not_exceed_a_runner_that_shrank_meanwhile():
     """The runner shrank while the victims were being stopped."""
 
