BUDGET: count runs that the planner does not know until they have ended

A planner that takes over stops runs that it does not know, such as those of a job that was cancelled before it read the records, and counted their room as free at once. Change: the runs that a runner's last report lists beside the planner's own take what their step needs, or the whole runner if their job is unknown, in passes and before each start.

--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -74,11 +74,7 @@
         self.number = number
         self.step = job.record.steps[number]
         count = self.step.count
-        self.demand = Capacity(
-            0 if self.step.fills else self.step.cpu_millis,
-            self.step.memory_mb,
-            self.step.accelerators,
-        )
+        self.demand = Capacity.needed_by(self.step)
         self.runs = [0] * count
         self.ordered_runs = [0] * count
         self.done = bytearray(count)
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -37,6 +37,7 @@
 from carawayroute.fleet.runner_health import STALL_MS, RunnerHealth
 from carawayroute.fleet.scheduler import Placement, SchedulingPass, StopCost, median_capacity
 from carawayroute.fleet.speeds import RunnerSpeeds
+from carawayroute.fleet.strays import StrayRuns
 from carawayroute.fleet.types import (
     Capacity,
     Configuration,
@@ -245,6 +246,7 @@
         self.run_times = RunTimeEstimator()
         self.runner_health = RunnerHealth(clock)
         self.speeds = RunnerSpeeds()
+        self._stray_runs = StrayRuns(job_table)
         self._term_start_ms = clock.now_ms()
         self._ends_read = False
         self._ready = False
@@ -608,6 +610,10 @@
             self._tasks.start(self._store_ends(link, last, report), f"ends of {link.runner.id}")
         listed = {(item.task, item.run) for item in report.running}
         listed.update((ended.task, ended.run) for ended in report.ended)
+        self._stray_runs.note_report(
+            link.runner.id,
+            (item for item in report.running if not self._runs_on(link, item)),
+        )
         for item in report.running:
             self._apply_running(link, item)
         for key, run in list(self._runs_by_runner.get(link.runner.id, {}).items()):
@@ -638,6 +644,11 @@
         if self.links_by_id.get(link.runner.id) is link and link.boot_ms == report.boot_ms:
             link.acknowledge_through(last)
 
+    def _runs_on(self, link: RunnerLink, item: RunningTask) -> bool:
+        """Return whether a run that a runner reports was assigned to it."""
+        run = self.runs_by_key.get((item.task, item.run))
+        return run is not None and run.runner == link.runner.id
+
     def _apply_running(self, link: RunnerLink, item: RunningTask) -> None:
         run = self.runs_by_key.get((item.task, item.run))
         if run is None or run.runner != link.runner.id:
@@ -899,6 +910,7 @@
         candidates: list[Candidate] = []
         avoided: list[Candidate] = []
         for name, free in free_by_id.items():
+            self._stray_runs.subtract_from(free, self.links_by_id[name].runner)
             candidate = Candidate(self.links_by_id[name].runner, free, self.speeds.speed(name))
             preferred = self.runner_health.is_healthy(name) and not self.links_by_id[name].withheld
             (candidates if preferred else avoided).append(candidate)
@@ -1236,6 +1248,7 @@
         if link is None:
             return False
         free = link.runner.capacity.copy()
+        self._stray_runs.subtract_from(free, link.runner)
         for other in self._runs_by_runner[run.runner].values():
             if other is run or other.stage.ordered_runs[other.index] >= other.number:
                 free.subtract(other.stage.demand)
--- a/packages/library/carawayroute/fleet/types.py
+++ b/packages/library/carawayroute/fleet/types.py
@@ -1,5 +1,7 @@
 """Data types of the fleet: configuration, runners and runner reports."""
 
+from carawayroute_schema import records_pb2 as pb
+
 
 class Queue:
     """A queue of jobs.
@@ -136,6 +138,11 @@
         self.memory_mb = memory_mb
         self.accelerators = accelerators
 
+    @staticmethod
+    def needed_by(step: pb.Step) -> "Capacity":
+        """Return the demand of each task of a step; filling tasks use what cpu is left."""
+        return Capacity(0 if step.fills else step.cpu_millis, step.memory_mb, step.accelerators)
+
     def count_fitting(self, demand: "Capacity", limit: int) -> int:
         """Return how many times a demand fits, at most ``limit``.
 
--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -117,6 +117,55 @@
     run_scenario(scenario, **ONE_RUNNER)
 
 
+def test_run_that_the_planner_does_not_know_takes_room_until_it_has_ended():
+    """The next planner placed work beside the run of a cancelled job that was being stopped."""
+
+    async def scenario(fleet):
+        audit = CapacityAuditor(fleet)
+        fleet.runners_by_id["w1"]._stop_ms = 1_500
+        await fleet.submit(job(ID.format(1), [step(1, 8)], run_ms=20_000), NORMAL, OWNER)
+        await fleet.wait_until(lambda: starts(fleet.journal, ID.format(1)), 1_000, "a start")
+        await fleet.submit(job(ID.format(2), [step(1, 8)], run_ms=300), NORMAL, OWNER)
+        planner = fleet.planner_name()
+        other = next(name for name in fleet.nodes_by_name if name != planner)
+        fleet.runner_clients_by_name[planner].cut_off.add("w1")
+        await fleet.cancel(ID.format(1), at=other)
+        for name in list(fleet.nodes_by_name):
+            await fleet.kill_instance(name)
+        # In the newest records the cancellation precedes the placement, so that it is not adopted.
+        for name in ("n1", "n2", "n3"):
+            fleet.start_instance(name)
+        await fleet.wait_ready()
+        await fleet.wait_state(ID.format(2), "completed", 8_000)
+        assert audit.exceeded == []
+
+    run_scenario(scenario, **ONE_RUNNER)
+
+
+def test_run_of_a_purged_job_keeps_its_runner_from_new_work_until_it_has_ended():
+    """What such a run needs is unknown."""
+
+    async def scenario(fleet):
+        audit = CapacityAuditor(fleet)
+        runner = fleet.runners_by_id["w1"]
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        lease_ms = runner.clock_ms() + 9_000
+        await runner.start(
+            planner.term,
+            ID.format(9) + ".0.0.0",
+            1,
+            job(steps=[step(1, 8)], run_ms=20_000).spec,
+            lease_ms,
+        )
+        runner._stop_ms = 1_500
+        await fleet.clock.sleep_ms(1_100)
+        await fleet.submit(job(ID.format(1), [step(1, 1)], run_ms=300), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(1), "completed", 5_000)
+        assert audit.exceeded == []
+
+    run_scenario(scenario, **ONE_RUNNER)
+
+
 def test_runner_that_refuses_for_want_of_room_is_not_asked_over_and_over():
     """A job without another runner sent start requests as fast as they were refused."""
 
