--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -18,6 +18,7 @@
 from carawayroute.estimates import RunTimeEstimator
 from carawayroute.fleet import packing, ranking, scheduler
 from carawayroute.fleet.admission import AdmissionController
+from carawayroute.fleet.isolation import Isolation
 from carawayroute.fleet.jobs import JOB_KEY, JobTable, Stage
 from carawayroute.fleet.scheduler import Placement, SchedulingPass, StopCost
 from carawayroute.fleet.speeds import RunnerSpeeds
@@ -39,7 +40,9 @@
 CORES_PER_ACCELERATOR = 8
 
 
-class _TaskRun:
+class TaskRun:
+    """A run of tasks that start together: a whole gang, or one task."""
+
     __slots__ = (
         "begin_ms",
         "checkpoint_ms",
@@ -87,7 +90,7 @@
         self.job_values: ranking.JobValues | None = None
         self.arrivals_by_id = {arrival.job.id: arrival for arrival in arrivals_in_order}
         self.free_by_id = {runner.id: runner.capacity.copy() for runner in self.runners}
-        self.runs_by_stage: dict[tuple, list[_TaskRun]] = {}
+        self.runs_by_stage: dict[tuple, list[TaskRun]] = {}
         self.saved_ms_by_task: dict[tuple, float] = {}
         self.stopping: set[int] = set()
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -144,7 +147,7 @@
         ratio = self.run_times.expect_ms(stage.job.record.queue, 1.0)
         return stage.step.estimate_ms * ratio
 
-    def _run_of(self, stage: Stage, task_index: int) -> _TaskRun | None:
+    def _run_of(self, stage: Stage, task_index: int) -> TaskRun | None:
         return next(
             (
                 run
@@ -169,14 +172,20 @@
         self._changed = False
         self.plan_once()
 
-    def plan_once(self) -> None:
-        """Run one scheduling pass and start the tasks that it places."""
-        candidates = [
+    def _candidates(self) -> list[packing.Candidate]:
+        return [
             packing.Candidate(
                 runner, self.free_by_id[runner.id].copy(), self.speeds.speed(runner.id)
             )
             for runner in self.runners
         ]
+
+    def _isolation(self, candidates: list[packing.Candidate]) -> Isolation:
+        return Isolation(candidates)
+
+    def plan_once(self) -> None:
+        """Run one scheduling pass and start the tasks that it places."""
+        candidates = self._candidates()
         if self.job_values is None:
             self.job_values = ranking.JobValues(
                 ranking.DominantShare(scheduler.median_capacity(candidates))
@@ -189,6 +198,7 @@
             self._expected_run_ms,
             self._stop_cost,
             self.job_values,
+            suspects=self._isolation(candidates),
         ).run()
         for placement in placements:
             self._start_placement(placement)
@@ -216,7 +226,7 @@
         )
         for indices, runner_ids in groups:
             number = max(stage.runs[index] for index in indices) + 1
-            run = _TaskRun(number, list(indices), list(runner_ids))
+            run = TaskRun(number, list(indices), list(runner_ids))
             for index, runner_id in zip(indices, runner_ids, strict=True):
                 stage.runs[index] = number
                 stage.runners[index] = runner_id
@@ -224,7 +234,7 @@
             self.runs_by_stage.setdefault(stage.key, []).append(run)
             self._schedule(ready_ms, functools.partial(self._start_run, stage, run))
 
-    def _start_run(self, stage: Stage, run: _TaskRun) -> None:
+    def _start_run(self, stage: Stage, run: TaskRun) -> None:
         if run not in self.runs_by_stage.get(stage.key, ()):
             return
         self.started_tasks += len(run.task_indices)
@@ -244,7 +254,7 @@
         run.end_ms = self.now_ms + work_ms * run.speed
         self._schedule(run.end_ms, functools.partial(self._finish_run, stage, run))
 
-    def _remove_run(self, stage: Stage, run: _TaskRun) -> bool:
+    def _remove_run(self, stage: Stage, run: TaskRun) -> bool:
         runs = self.runs_by_stage.get(stage.key, [])
         if run not in runs:
             return False
@@ -256,7 +266,7 @@
         self._changed = True
         return True
 
-    def _finish_run(self, stage: Stage, run: _TaskRun) -> None:
+    def _finish_run(self, stage: Stage, run: TaskRun) -> None:
         if not self._remove_run(stage, run):
             return
         stage.mark_done(run.task_indices[0])
@@ -269,7 +279,7 @@
         if stage.job.completed:
             self.ended_ms_by_id[stage.job.id] = self.now_ms
 
-    def _finish_stopped_run(self, stage: Stage, run: _TaskRun) -> None:
+    def _finish_stopped_run(self, stage: Stage, run: TaskRun) -> None:
         if not self._remove_run(stage, run):
             return
         self.stopped_tasks += len(run.task_indices)
--- a/packages/library/carawayroute/fleet/packing.py
+++ b/packages/library/carawayroute/fleet/packing.py
@@ -25,20 +25,34 @@
     """A runner that may get work, with its free capacity.
 
     :param speed: speed of the runner, where 1.0 is typical.
+    :param steady: its process has not been started lately.
     """
 
-    __slots__ = ("free", "runner", "speed")
+    __slots__ = ("free", "runner", "speed", "steady")
 
-    def __init__(self, runner: Runner, free: Capacity, speed: float = 1.0) -> None:
+    def __init__(
+        self, runner: Runner, free: Capacity, speed: float = 1.0, steady: bool = True
+    ) -> None:
         self.runner = runner
         self.free = free
         self.speed = speed
+        self.steady = steady
 
     @property
     def slow(self) -> bool:
         """Return whether the runner is notably slower than a typical one."""
         return self.speed < SLOW_SPEED
 
+    @property
+    def empty(self) -> bool:
+        """Return whether nothing runs on the runner."""
+        free, capacity = self.free, self.runner.capacity
+        return (
+            free.accelerators >= capacity.accelerators
+            and free.memory_mb >= capacity.memory_mb
+            and free.cpu_millis >= capacity.cpu_millis
+        )
+
     @property
     def unallocated(self) -> bool:
         """Return whether all accelerators of the runner are free."""
@@ -81,17 +95,13 @@
     return candidate.free.count_fitting(stage.demand, _remaining_limit(stage, candidate.runner.id))
 
 
-def best_fit(stage: Stage, candidates: list[Candidate], count: int) -> list[str]:
-    """Return the runner ids for up to ``count`` tasks of a stage, tightest fit first.
-
-    Time-critical work prefers runners that are not slow; other work prefers slow ones.
-    """
-    demand = stage.demand
+def sorted_by_fit(stage: Stage, candidates: list[Candidate]) -> list[Candidate]:
+    """Return candidates in the order in which tasks of a stage are placed on them."""
     time_critical = is_time_critical(stage)
+    each = max(1, stage.demand.accelerators)
 
     def rank(candidate: Candidate) -> tuple[bool, int, int, float, str]:
         left = candidate.free.accelerators
-        each = max(1, demand.accelerators)
         return (
             candidate.slow is time_critical,
             left % each,
@@ -100,11 +110,20 @@
             candidate.runner.id,
         )
 
+    return sorted(candidates, key=rank)
+
+
+def best_fit(stage: Stage, candidates: list[Candidate], count: int) -> list[str]:
+    """Return the runner ids for up to ``count`` tasks of a stage, tightest fit first.
+
+    Time-critical work prefers runners that are not slow; other work prefers slow ones.
+    """
+    demand = stage.demand
     runner_ids: list[str] = []
     large_enough = [
         candidate for candidate in candidates if candidate.free.accelerators >= demand.accelerators
     ]
-    for candidate in sorted(large_enough, key=rank):
+    for candidate in sorted_by_fit(stage, large_enough):
         fitting = min(count_fitting_tasks(stage, candidate), count - len(runner_ids))
         runner_ids.extend([candidate.runner.id] * fitting)
         if len(runner_ids) == count:
@@ -112,7 +131,7 @@
     return runner_ids
 
 
-def _domains(stage: Stage, candidates: list[Candidate]) -> list[list[Candidate]]:
+def domains(stage: Stage, candidates: list[Candidate]) -> list[list[Candidate]]:
     """Return the groups of candidates within which a stage runs at full speed."""
     if stage.step.data_rack:
         near = [
@@ -135,7 +154,7 @@
     best_rank: tuple[int, int, int] | None = None
     time_critical = is_time_critical(stage)
     slow = {candidate.runner.id for candidate in candidates if candidate.slow}
-    for domain in _domains(stage, candidates):
+    for domain in domains(stage, candidates):
         if (
             all_or_nothing
             and sum(count_fitting_tasks(stage, candidate) for candidate in domain) < count
@@ -155,7 +174,7 @@
 def full_speed_possible(stage: Stage, candidates: list[Candidate], count: int) -> bool:
     """Return whether the tasks would fit into one domain if the runners were empty."""
     return any(
-        _count_fitting_when_empty(stage, domain) >= count for domain in _domains(stage, candidates)
+        _count_fitting_when_empty(stage, domain) >= count for domain in domains(stage, candidates)
     )
 
 
@@ -164,8 +183,11 @@
 
     If no single domain holds the gang, all candidates together count as one.
     """
-    domains = _domains(stage, candidates)
-    able = [domain for domain in domains if _count_fitting_when_empty(stage, domain) >= count]
+    able = [
+        domain
+        for domain in domains(stage, candidates)
+        if _count_fitting_when_empty(stage, domain) >= count
+    ]
     if not able:
         able = [candidates] if _count_fitting_when_empty(stage, candidates) >= count else []
 
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -10,7 +10,7 @@
 from carawayroute.clock import Clock
 from carawayroute.estimates import RunTimeEstimator
 from carawayroute.exceptions import CarawayrouteError
-from carawayroute.fleet import ranking
+from carawayroute.fleet import isolation, ranking
 from carawayroute.fleet.crashes import CrashLedger, is_start_crash, note_running
 from carawayroute.fleet.exceptions import (
     RunnerError,
@@ -22,6 +22,7 @@
     StoreFencedError,
 )
 from carawayroute.fleet.follower import TopicFollower
+from carawayroute.fleet.isolation import Isolation, SuspectWaits
 from carawayroute.fleet.jobs import (
     LOST_RUNNERS_KEY,
     PROGRESS_KEY,
@@ -247,6 +248,7 @@
         self.runner_health = RunnerHealth(clock)
         self.speeds = RunnerSpeeds()
         self._stray_runs = StrayRuns(job_table)
+        self._suspect_waits = SuspectWaits()
         self._term_start_ms = clock.now_ms()
         self._ends_read = False
         self._ready = False
@@ -600,6 +602,7 @@
         self._reported.set()
         if link.runner.id in self._stored_lost_runners:
             self._update_lost_runners()
+        self.runner_health.note_process(link.runner.id, report.boot_ms)
         self.crashes.process_reported(link.runner.id, report.boot_ms)
         for ended in report.ended:
             if ended.number > link.last_handled and not self._apply_end(link, ended):
@@ -911,11 +914,34 @@
         avoided: list[Candidate] = []
         for name, free in free_by_id.items():
             self._stray_runs.subtract_from(free, self.links_by_id[name].runner)
-            candidate = Candidate(self.links_by_id[name].runner, free, self.speeds.speed(name))
+            candidate = Candidate(
+                self.links_by_id[name].runner,
+                free,
+                self.speeds.speed(name),
+                self.runner_health.is_steady(name),
+            )
             preferred = self.runner_health.is_healthy(name) and not self.links_by_id[name].withheld
             (candidates if preferred else avoided).append(candidate)
         return candidates, avoided
 
+    def _isolation(self, candidates: list[Candidate]) -> Isolation:
+        """Return how tasks that are suspected of crashing runners are placed in the next pass."""
+        now_ms = self._clock.now_ms()
+        wall_ms = self._clock.wall_ms()
+        closed = []
+        for runner_id, runs in self._runs_by_runner.items():
+            if len(runs) == 1:
+                (run,) = runs.values()
+                if isolation.on_probation(run.stage, run.index, run.started_ms, now_ms):
+                    closed.append(runner_id)
+        stages = (
+            stage
+            for job in self.job_table.open_by_id.values()
+            for stage in job.open_stages(wall_ms)
+        )
+        self._suspect_waits.update(stages, now_ms)
+        return Isolation(candidates, closed, self._suspect_waits.overdue(now_ms))
+
     def _idle_jobs(self) -> set[str]:
         """Return the ids of jobs that are due but have had no task placed for a long time."""
         now_ms = self._clock.now_ms()
@@ -974,6 +1000,7 @@
             self._job_values,
             avoided,
             self._idle_jobs(),
+            self._isolation([*candidates, *avoided]),
         ).run()
         took_ms = self._clock.now_ms() - started_ms
         if placements:
--- a/packages/library/carawayroute/fleet/runner_health.py
+++ b/packages/library/carawayroute/fleet/runner_health.py
@@ -25,6 +25,10 @@
 STALL_MS = 1_600
 # Avoidance time of a stalled runner; renewed while polls show no progress.
 STALL_AVOID_MS = 1_200
+# A process that was started less than this long ago is not steady: it may crash again at once.
+STEADY_MS = 5_000
+# Processes first heard of this soon after a planner's start may have run for long.
+FIRST_REPORTS_MS = 1_000
 
 
 class _FailureHistory:
@@ -64,6 +68,28 @@
         self._clock = clock
         self._failures_by_runner: dict[str, _FailureHistory] = {}
         self._losses_by_runner: dict[str, _LossHistory] = {}
+        self._process_by_runner: dict[str, tuple[int, float]] = {}
+        self._created_ms = clock.now_ms()
+
+    def note_process(self, runner: str, boot_ms: int) -> None:
+        """Record that a process of a runner has reported.
+
+        :param boot_ms: tells the processes of a runner apart.
+        """
+        known = self._process_by_runner.get(runner)
+        if known is None or known[0] != boot_ms:
+            self._process_by_runner[runner] = (boot_ms, self._clock.now_ms())
+
+    def is_steady(self, runner: str) -> bool:
+        """Return whether a runner's process was not started lately, as far as that is known."""
+        known = self._process_by_runner.get(runner)
+        if known is None:
+            return False
+        _, since_ms = known
+        return (
+            since_ms - self._created_ms <= FIRST_REPORTS_MS
+            or self._clock.now_ms() - since_ms >= STEADY_MS
+        )
 
     def note_end(self, runner: str, job_id: str, outcome: str, withdrawn: bool) -> None:
         """Record the outcome of a run.
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable, Collection, Sequence
 
-from carawayroute.fleet import packing, preemption, ranking
+from carawayroute.fleet import isolation, packing, preemption, ranking
+from carawayroute.fleet.isolation import Isolation
 from carawayroute.fleet.jobs import JobTable, Stage
 from carawayroute.fleet.packing import Candidate
 from carawayroute.fleet.preemption import Victim
@@ -19,6 +20,8 @@
 # free for urgent gangs. Without it such a gang preempts several runs (make experiment, policy "no
 # headroom").
 HEADROOM_SHARE = 0.15
+# Harm of stopping a guaranteed task, where that of any other is one; above what a runner holds.
+GUARANTEED_HARM = 1_000.0
 # The victim search is the most expensive part of a pass.
 MAX_VICTIM_SEARCHES = 12
 
@@ -38,9 +41,12 @@
 
 
 class Placement:
-    """Tasks to start, with one runner id each, once the victims have ended."""
+    """Tasks to start, with one runner id each, once the victims have ended.
 
-    __slots__ = ("guaranteed", "indices", "runner_ids", "stage", "victims")
+    :param isolated: runners on which a task runs that is suspected of crashing runners.
+    """
+
+    __slots__ = ("guaranteed", "indices", "isolated", "runner_ids", "stage", "victims")
 
     def __init__(
         self,
@@ -49,12 +55,14 @@
         runner_ids: list[str],
         victims: list[Victim],
         guaranteed: bool,
+        isolated: Sequence[Candidate] = (),
     ) -> None:
         self.stage = stage
         self.indices = indices
         self.runner_ids = runner_ids
         self.victims = victims
         self.guaranteed = guaranteed
+        self.isolated = isolated
 
 
 class SchedulingPass:
@@ -67,6 +75,7 @@
     :param job_values: value model to reuse; a new one is made from the open jobs by default.
     :param avoided: unhealthy runners, used only for idle jobs.
     :param idle_jobs: ids of jobs that are due but of which nothing has run for a while.
+    :param suspects: placement of tasks that are suspected of crashing runners.
     """
 
     def __init__(
@@ -80,12 +89,14 @@
         job_values: ranking.JobValues | None = None,
         avoided: Sequence[Candidate] = (),
         idle_jobs: Collection[str] = (),
+        suspects: Isolation | None = None,
     ) -> None:
         self.job_table = job_table
         self.configuration = configuration
         self.candidates = candidates
         self.avoided = avoided
         self.idle_jobs = idle_jobs
+        self.suspects = suspects or Isolation(candidates)
         self.candidates_by_id = {
             candidate.runner.id: candidate for candidate in (*candidates, *avoided)
         }
@@ -107,6 +118,7 @@
         self._unplaceable: set[tuple] = set()
         self._full_speed_by_shape: dict[tuple, bool] = {}
         self._eligible_by_service_label: dict[tuple[str, str], list[Candidate]] = {}
+        self._harm_by_runner: dict[str, float] | None = None
         self._victims_by_stage: dict[tuple[str, int, int], list[Victim]] = {}
         self._victims_by_priority: dict[tuple[int, bool], dict[str, list[Victim]]] = {}
 
@@ -166,8 +178,16 @@
     # ------------------------------------------------------------------ placement
 
     def _place(self, stage: Stage) -> Placement | None:
-        candidates = self._available_to(stage)
         indices = stage.waiting()
+        suspects = isolation.suspects(stage, indices)
+        if suspects:
+            return self._place_suspects(stage, indices, suspects)
+        return self._place_among(stage, indices, self._available_to(stage))
+
+    def _place_among(
+        self, stage: Stage, indices: list[int], candidates: list[Candidate]
+    ) -> Placement | None:
+        """Place tasks on candidates, by preemption if none is free."""
         guaranteed = stage.job.id in self.guaranteed_jobs
         # Free capacity only shrinks during a pass, so a shape that did not fit once never will.
         shape = _shape(stage, len(indices))
@@ -182,6 +202,98 @@
             self._unplaceable.add(shape)
         return self._preempt(stage, candidates, indices, guaranteed)
 
+    def _place_suspects(
+        self, stage: Stage, indices: list[int], suspects: list[int]
+    ) -> Placement | None:
+        """Place a stage of which some waiting tasks are suspected of crashing runners."""
+        waits = self.suspects.must_wait(stage, suspects)
+        candidates = self._eligible(stage) if waits else self._available_to(stage)
+        others = [index for index in indices if index not in suspects]
+        placement = self._place_isolated(stage, candidates, suspects, others)
+        if placement is not None:
+            return placement
+        if others and not stage.step.gang:
+            return self._place_among(stage, others, self._available_to(stage))
+        overdue = self.suspects.is_overdue(stage, suspects)
+        if not waits:
+            allowed = candidates if overdue else [one for one in candidates if one.steady]
+            return self._place_lone_suspects(stage, indices, allowed)
+        if not overdue:
+            return None
+        chosen = self.suspects.choose_least_harmful(stage, candidates, len(suspects), self._harm())
+        return self._place_around(stage, candidates, suspects, others, chosen)
+
+    def _place_isolated(
+        self, stage: Stage, candidates: list[Candidate], suspects: list[int], others: list[int]
+    ) -> Placement | None:
+        """Place suspects on empty runners, and the other members of a gang beside them."""
+        domains = packing.domains(stage, candidates)
+        if len(domains) > 1 and not self._full_speed_possible(stage, candidates, stage.step.count):
+            domains = [candidates]
+        for domain in domains:
+            chosen = self.suspects.choose_empty(stage, domain, suspects)
+            placement = self._place_around(stage, domain, suspects, others, chosen)
+            if placement is not None:
+                return placement
+        return None
+
+    def _place_around(
+        self,
+        stage: Stage,
+        candidates: list[Candidate],
+        suspects: list[int],
+        others: list[int],
+        chosen: list[Candidate],
+    ) -> Placement | None:
+        """Place suspects on runners chosen for them, and other tasks on the rest.
+
+        :param chosen: a runner for each of the first suspects.
+        """
+        if not chosen:
+            return None
+        ids = {candidate.runner.id for candidate in chosen}
+        runner_ids: list[str] = []
+        if others:
+            within = {candidate.runner.id for candidate in candidates} - ids
+            rest = [one for one in self._available_to(stage) if one.runner.id in within]
+            runner_ids = packing.best_fit(stage, rest, len(others))
+        if stage.step.gang and len(chosen) + len(runner_ids) < len(suspects) + len(others):
+            return None
+        return Placement(
+            stage,
+            suspects[: len(chosen)] + others[: len(runner_ids)],
+            [candidate.runner.id for candidate in chosen] + runner_ids,
+            [],
+            stage.job.id in self.guaranteed_jobs,
+            chosen,
+        )
+
+    def _place_lone_suspects(
+        self, stage: Stage, indices: list[int], candidates: list[Candidate]
+    ) -> Placement | None:
+        """Place suspects after a single crash as usual, but rather not beside guaranteed work."""
+        harm = self._harm()
+        apart = [one for one in candidates if harm.get(one.runner.id, 0.0) < GUARANTEED_HARM]
+        if len(apart) < len(candidates):
+            runner_ids = packing.choose(stage, apart, len(indices), stage.step.gang)
+            if runner_ids:
+                guaranteed = stage.job.id in self.guaranteed_jobs
+                return Placement(stage, indices[: len(runner_ids)], runner_ids, [], guaranteed)
+        return self._place_among(stage, indices, candidates)
+
+    def _harm(self) -> dict[str, float]:
+        """Return what the crash of each runner would harm, guaranteed work above all other."""
+        if self._harm_by_runner is None:
+            harm: dict[str, float] = {}
+            for job in self.job_table.open_by_id.values():
+                each = GUARANTEED_HARM if job.id in self.guaranteed_jobs else 1.0
+                for stage in job.stages_by_key.values():
+                    for index in stage.placed():
+                        runner = stage.runners[index]
+                        harm[runner] = harm.get(runner, 0.0) + each
+            self._harm_by_runner = harm
+        return self._harm_by_runner
+
     def _place_time_critical(
         self, stage: Stage, candidates: list[Candidate], indices: list[int], guaranteed: bool
     ) -> Placement | None:
@@ -378,6 +490,7 @@
             self.candidates_by_id[runner_id].free.subtract(placement.stage.demand)
         for runner, before in before_by_id.items():
             self.candidates_by_id[runner].free.lower_to(before)
+        self.suspects.close(placement.isolated)
 
     # ------------------------------------------------------------------ reservations
 
