--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -10,7 +10,7 @@
 from carawayroute.clock import Clock
 from carawayroute.estimates import RunTimeEstimator
 from carawayroute.exceptions import CarawayrouteError
-from carawayroute.fleet import ranking
+from carawayroute.fleet import isolation, ranking
 from carawayroute.fleet.crashes import CrashLedger, is_start_crash, note_running
 from carawayroute.fleet.exceptions import (
     RunnerError,
@@ -22,6 +22,7 @@
     StoreFencedError,
 )
 from carawayroute.fleet.follower import TopicFollower
+from carawayroute.fleet.isolation import Isolation, SuspectWaits
 from carawayroute.fleet.jobs import (
     LOST_RUNNERS_KEY,
     PROGRESS_KEY,
@@ -37,6 +38,7 @@
 from carawayroute.fleet.runner_health import STALL_MS, RunnerHealth
 from carawayroute.fleet.scheduler import Placement, SchedulingPass, StopCost, median_capacity
 from carawayroute.fleet.speeds import RunnerSpeeds
+from carawayroute.fleet.strays import StrayRuns
 from carawayroute.fleet.types import (
     Capacity,
     Configuration,
@@ -69,6 +71,8 @@
 # If the victims have not ended within this time, the placement is withdrawn.
 PREEMPTION_TIMEOUT_MS = 1_500
 PREEMPTION_CHECK_INTERVAL_MS = 100
+# Runners that start whatever they are told to get no work while their entries are older than this.
+MAX_LISTING_AGE_MS = 2_500
 
 # The platform drops a runner from its list after some seconds of silence. A runner that it still
 # lists is waited for this long after its lease expired: its tasks may have ended as done.
@@ -243,6 +247,8 @@
         self.run_times = RunTimeEstimator()
         self.runner_health = RunnerHealth(clock)
         self.speeds = RunnerSpeeds()
+        self._stray_runs = StrayRuns(job_table)
+        self._suspect_waits = SuspectWaits()
         self._term_start_ms = clock.now_ms()
         self._ends_read = False
         self._ready = False
@@ -603,6 +609,7 @@
         self._reported.set()
         if link.runner.id in self._stored_lost_runners:
             self._update_lost_runners()
+        self.runner_health.note_process(link.runner.id, report.boot_ms)
         self.crashes.process_reported(link.runner.id, report.boot_ms)
         for ended in report.ended:
             if ended.number > link.last_handled and not self._apply_end(link, ended):
@@ -613,6 +620,10 @@
             self._tasks.start(self._store_ends(link, last, report), f"ends of {link.runner.id}")
         listed = {(item.task, item.run) for item in report.running}
         listed.update((ended.task, ended.run) for ended in report.ended)
+        self._stray_runs.note_report(
+            link.runner.id,
+            (item for item in report.running if not self._runs_on(link, item)),
+        )
         for item in report.running:
             self._apply_running(link, item)
         for key, run in list(self._runs_by_runner.get(link.runner.id, {}).items()):
@@ -643,6 +654,11 @@
         if self.links_by_id.get(link.runner.id) is link and link.boot_ms == report.boot_ms:
             link.acknowledge_through(last)
 
+    def _runs_on(self, link: RunnerLink, item: RunningTask) -> bool:
+        """Return whether a run that a runner reports was assigned to it."""
+        run = self.runs_by_key.get((item.task, item.run))
+        return run is not None and run.runner == link.runner.id
+
     def _apply_running(self, link: RunnerLink, item: RunningTask) -> None:
         run = self.runs_by_key.get((item.task, item.run))
         if run is None or run.runner != link.runner.id:
@@ -903,6 +919,7 @@
             if link.usable
             and not link.runner.draining
             and not (link.withheld and link.unacknowledged_ends > MAX_UNACKNOWLEDGED_ENDS)
+            and self._knows_capacity(link.runner)
         }
         for run in self.runs_by_key.values():
             free = free_by_id.get(run.runner)
@@ -911,11 +928,35 @@
         candidates: list[Candidate] = []
         avoided: list[Candidate] = []
         for name, free in free_by_id.items():
-            candidate = Candidate(self.links_by_id[name].runner, free, self.speeds.speed(name))
+            self._stray_runs.subtract_from(free, self.links_by_id[name].runner)
+            candidate = Candidate(
+                self.links_by_id[name].runner,
+                free,
+                self.speeds.speed(name),
+                self.runner_health.is_steady(name),
+            )
             preferred = self.runner_health.is_healthy(name) and not self.links_by_id[name].withheld
             (candidates if preferred else avoided).append(candidate)
         return candidates, avoided
 
+    def _isolation(self, candidates: list[Candidate]) -> Isolation:
+        """Return how tasks that are suspected of crashing runners are placed in the next pass."""
+        now_ms = self._clock.now_ms()
+        wall_ms = self._clock.wall_ms()
+        closed = []
+        for runner_id, runs in self._runs_by_runner.items():
+            if len(runs) == 1:
+                (run,) = runs.values()
+                if isolation.on_probation(run.stage, run.index, run.started_ms, now_ms):
+                    closed.append(runner_id)
+        stages = (
+            stage
+            for job in self.job_table.open_by_id.values()
+            for stage in job.open_stages(wall_ms)
+        )
+        self._suspect_waits.update(stages, now_ms)
+        return Isolation(candidates, closed, self._suspect_waits.overdue(now_ms))
+
     def _idle_jobs(self) -> set[str]:
         """Return the ids of jobs that are due but have had no task placed for a long time."""
         now_ms = self._clock.now_ms()
@@ -974,6 +1015,7 @@
             self._job_values,
             avoided,
             self._idle_jobs(),
+            self._isolation([*candidates, *avoided]),
         ).run()
         took_ms = self._clock.now_ms() - started_ms
         if placements:
@@ -1102,6 +1144,8 @@
                 run = Run(stage, index, number, runner_id)
                 self._add_run(run)
                 runs.append(run)
+            # A job whose start is refused is not idle at once again.
+            self._idle_since_by_job.pop(stage.job.id, None)
             log.info(
                 "placed",
                 job=stage.job.id,
@@ -1185,10 +1229,20 @@
                     run, "no answer", certain=stage.ordered_runs[run.index] < run.number
                 )
                 return
+            if not self._knows_capacity(link.runner):
+                await self._clock.sleep_ms(RETRY_MS)
+                continue
+            if not self._has_room(run):
+                self._fail_start(
+                    run, "capacity", certain=stage.ordered_runs[run.index] < run.number
+                )
+                return
             try:
                 clock_ms = await link.send_order(
                     partial(self._send_start, link, run),
-                    lambda: is_needed() and self._clock.now_ms() <= deadline_ms,
+                    lambda: (
+                        is_needed() and self._clock.now_ms() <= deadline_ms and self._has_room(run)
+                    ),
                 )
                 if clock_ms is None:
                     continue
@@ -1219,6 +1273,25 @@
             stage.job.begun = True
             return
 
+    def _knows_capacity(self, runner: Runner) -> bool:
+        """Return whether a runner's capacity is known well enough to start work on it."""
+        configuration = self._configuration()
+        if configuration is not None and runner.service in configuration.guarding_services:
+            return True
+        return self._runners_follower.lag_ms() <= MAX_LISTING_AGE_MS
+
+    def _has_room(self, run: Run) -> bool:
+        """Return whether a runner's present capacity holds a run beside those sent to it before."""
+        link = self.links_by_id.get(run.runner)
+        if link is None:
+            return False
+        free = link.runner.capacity.copy()
+        self._stray_runs.subtract_from(free, link.runner)
+        for other in self._runs_by_runner[run.runner].values():
+            if other is run or other.stage.ordered_runs[other.index] >= other.number:
+                free.subtract(other.stage.demand)
+        return not free.is_exceeded
+
     async def _send_start(self, link: RunnerLink, run: Run) -> int:
         """Send one start request and return the runner's clock."""
         stage = run.stage
