Go on serving peers after an odd message; bound its waits and offsets

Cause: a relayed append with a key that is not UTF-8 raised an error that ended the serving of all peers until the process ended, with one log line as the only sign. A peer's call could wait for 49 days in one of the contexts, and an end of 2^64 - 1 in an answer made a follower read without a pause.

Change: a call of an unknown kind, or with an offset out of range, is refused, and its wait limited to 10 s; a key that is not UTF-8 is rejected. Any other failure is logged (peer_call_failed), counted, and the context serves the next call. Offsets in answers are checked.

Why it works: no exception of one message leaves the loop of its context.

--- a/packages/daemon/carawayrouted/relay_links.py
+++ b/packages/daemon/carawayrouted/relay_links.py
@@ -14,6 +14,7 @@
 
 # Reads of peers wait for records; relayed calls must find a free context beside them.
 SERVING_CONTEXTS = 48
+RETRY_S = 0.05
 
 log = structlog.get_logger()
 
@@ -39,6 +40,7 @@
 
     :param address: ``host:port`` to listen on.
     :param serve: returns the reply to a message.
+    :ivar failed_calls: number of messages that ``serve`` failed on; they get no reply.
     """
 
     def __init__(self, address: str, serve: Callable[[bytes], Awaitable[bytes]]) -> None:
@@ -46,6 +48,7 @@
         self._serve = serve
         self._server: pynng.Rep0 | None = None
         self._sockets_by_address: dict[str, _PeerSocket] = {}
+        self.failed_calls = 0
 
     async def run(self) -> None:
         """Answer peers until cancelled."""
@@ -71,7 +74,12 @@
                 await cancellable(context.asend(await self._serve(message)))
             except pynng.NNGException as error:
                 log.warning("peer_request_failed", error=str(error))
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(RETRY_S)
+            except Exception as error:
+                # One message must not end the serving of all peers.
+                self.failed_calls += 1
+                log.error("peer_call_failed", exc_info=error)
+                await asyncio.sleep(RETRY_S)
 
     async def ask(self, address: str, message: bytes, timeout_ms: float) -> bytes:
         """Send a message to a peer and return its reply.
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -23,7 +23,7 @@
 from carawayroute.fleet.planner import Planner, PlannerSettings
 from carawayroute.fleet.ports import KeyedRecord, PlatformFormat, RunnerClient, Store
 from carawayroute.fleet.record_checks import check_member
-from carawayroute.fleet.relay import Peers, RelayedStore
+from carawayroute.fleet.relay import MAX_OFFSET, Peers, RelayedStore
 from carawayroute.fleet.runner_list import RunnerList
 from carawayroute.fleet.shared_reader import ReaderChoice, SharedReader, SharedReadServer
 from carawayroute.fleet.types import Configuration
@@ -53,6 +53,8 @@
 RETENTION_MARGIN_MS = 60_000
 # An instance is not ready if the store has not answered for longer than this.
 MAX_READY_LAG_MS = 1_800
+# Longest wait that a peer's call may ask for: callers of jobs wait a few seconds.
+MAX_PEER_CALL_WAIT_MS = 10_000
 # An older configuration does not show that a queue or a key does not exist: the platform requires a
 # new one to apply within 2,500 ms.
 MAX_CONFIGURATION_AGE_MS = 2_000
@@ -283,6 +285,10 @@
         except DecodeError as error:
             log.warning("peer_call_unreadable", error=str(error))
             return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
+        if call.kind not in pb.StoreCall.Kind.values() or call.offset > MAX_OFFSET:
+            log.warning("peer_call_unreadable", error="unknown kind of call, or offset")
+            return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
+        call.wait_ms = min(call.wait_ms, MAX_PEER_CALL_WAIT_MS)
         if call.kind in (pb.StoreCall.LOOK_UP_JOB, pb.StoreCall.COUNT_PENDING):
             answer = await serve_lookup(call, self.service)
         elif call.kind == pb.StoreCall.SHARED_READ:
--- a/packages/library/carawayroute/fleet/relay.py
+++ b/packages/library/carawayroute/fleet/relay.py
@@ -35,6 +35,8 @@
 DIRECT_RETRY_MS = 500
 # Longest wait of a relayed read for a record; short, so that a broken link to the peer is noticed.
 MAX_RELAYED_WAIT_MS = 200
+# Offsets above are no answer of the store; they would make a topic seem endless.
+MAX_OFFSET = 2**63 - 1
 
 log = structlog.get_logger()
 
@@ -101,6 +103,7 @@
             sequence=sequence or 0,
         )
         answer = await self._call(call)
+        check_offsets(answer)
         return AppendResult(answer.offset, answer.end)
 
     async def read(self, topic: str, offset: int, wait_ms: int) -> RecordPage:
@@ -214,6 +217,8 @@
             found = await store.newest(call.topic)
         else:
             found = await store.read(call.topic, call.offset, call.wait_ms)
+    except UnicodeDecodeError as error:
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.REJECTED, reason=str(error))
     except StoreConflictError as error:
         return pb.StoreAnswer(outcome=pb.StoreAnswer.CONFLICT, detail=error.end)
     except StoreFencedError as error:
@@ -264,7 +269,17 @@
     return answer
 
 
+def check_offsets(answer: pb.StoreAnswer) -> None:
+    """Check the offsets in an answer that a peer relayed.
+
+    :raises StoreUnansweredError: one is out of range.
+    """
+    if max(answer.offset, answer.next_offset, answer.end) > MAX_OFFSET:
+        raise StoreUnansweredError("an offset in the answer is out of range")
+
+
 def _decode_records(answer: pb.StoreAnswer) -> RecordPage:
+    check_offsets(answer)
     records = [
         KeyedRecord(record.offset, record.key.decode(errors="replace"), record.value)
         for record in answer.records
--- a/packages/library/carawayroute/fleet/shared_reader.py
+++ b/packages/library/carawayroute/fleet/shared_reader.py
@@ -17,7 +17,7 @@
 from carawayroute.fleet.exceptions import StoreError, StoreUnansweredError
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.ports import KeyedRecord, RecordPage, RecordReader
-from carawayroute.fleet.relay import PeerError, Peers
+from carawayroute.fleet.relay import MAX_OFFSET, PeerError, Peers
 from carawayroute.misc import wait_event
 from carawayroute.retries import Backoff
 from carawayroute_schema import records_pb2 as pb
@@ -437,7 +437,9 @@
 
 
 def _decode_page(answer: pb.StoreAnswer, offset: int) -> RecordPage | None:
-    """Return the page in a peer's answer, ``None`` if records are missing from it."""
+    """Return the page in a peer's answer, ``None`` if records are missing or it is out of range."""
+    if answer.end > MAX_OFFSET:
+        return None
     records = []
     for expected, record in enumerate(answer.records, offset):
         if record.offset != expected:
