Run the background tasks of an instance again after an unexpected failure

Cause: an unexpected exception ended the follower, leadership, writer or link task that it met, and one log line was the only sign. The instance went on without it and was reported as ready: its writes never ended, its claims stopped, a runner counted as reachable was neither polled nor given up. A scheduling pass that failed ended the planner, and the planner after it.

The writer takes an unexpected exception of the store's client for an unknown outcome and sends the batch again under its number. A link counts its runner as unreachable after one. A planner goes on after a failed pass; after 20 in a row it leaves the term to another instance. The counters are background_failures by part, records_not_handled by topic and records_unapplied by kind.

Why it works: the parts keep their state in objects that a new run of the task continues from.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -8,6 +8,7 @@
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.node import FleetNode, FleetSettings
+from carawayroute.misc import TaskGroup
 from carawayrouted.closing import close_servers
 from carawayrouted.fleet_metrics import FleetMetrics
 from carawayrouted.output import BoundedOutput
@@ -70,6 +71,7 @@
             self.metrics.count_call,
         )
         self._server_runners: list[web.ServerRunner] = []
+        self._tasks = TaskGroup()
         self._add_gauges()
 
     def _add_gauges(self) -> None:
@@ -110,7 +112,19 @@
             "records_unapplied",
             "Records of the jobs topic that could not be read or applied.",
             "kind",
-            lambda: node.unapplied_by_kind,
+            node.unapplied_records,
+        )
+        self.metrics.counts(
+            "records_not_handled",
+            "Records that the handler of their topic failed on.",
+            "topic",
+            node.unhandled_records,
+        )
+        self.metrics.counts(
+            "background_failures",
+            "Unexpected exceptions in background tasks, which go on.",
+            "part",
+            self._background_failures,
         )
         self.metrics.counts(
             "runs_given_up",
@@ -144,6 +158,10 @@
             lambda: self.direct_store.unanswered_by_kind,
         )
 
+    def _background_failures(self) -> dict[str, int]:
+        peers = self._tasks.failures + self.links.failed_calls
+        return {**self.node.background_failures(), "peers": peers}
+
     async def _serve_peer(self, message: bytes) -> bytes:
         return await self.node.serve_peer(message)
 
@@ -167,7 +185,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         log.info("started", data_centre=settings.data_centre, region=settings.region)
         self.node.start()
-        links = asyncio.create_task(self.links.run(), name="peers")
+        links = self._tasks.keep_running(self.links.run, "peers")
         await self._serve(self.callers.handle, settings.callers.host, settings.callers.port)
         await self._serve(self._ready, settings.readiness.host, settings.readiness.port)
         await self._serve(self.metrics.show, settings.callers.host, self._metrics_port)
--- a/packages/daemon/carawayrouted/relay_links.py
+++ b/packages/daemon/carawayrouted/relay_links.py
@@ -66,6 +66,7 @@
             self._server.close()
             for peer in self._sockets_by_address.values():
                 peer.socket.close()
+            self._sockets_by_address.clear()
 
     async def _answer(self, context: pynng.Context) -> None:
         while True:
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -6,7 +6,12 @@
 import structlog
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.exceptions import RunnerError, RunnerNotListeningError, RunnerRefusedError
+from carawayroute.fleet.exceptions import (
+    RunnerError,
+    RunnerNotListeningError,
+    RunnerRefusedError,
+    RunnerUnansweredError,
+)
 from carawayroute.fleet.order_limiter import OrderLimiter
 from carawayroute.fleet.ports import RunnerClient
 from carawayroute.fleet.types import Runner, RunnerReport
@@ -258,6 +263,9 @@
         except RunnerError as error:
             self._handle_failure(error)
             return
+        except Exception as error:
+            self._handle_failure(RunnerUnansweredError(f"unexpected {type(error).__name__}"))
+            raise
         if self.boot_ms != boot_ms and report.boot_ms < self.boot_ms:
             # A new process has reported since this poll was sent. Without such a report an earlier
             # boot_ms shows a wall clock that was set back.
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -226,15 +226,15 @@
     def start(self) -> None:
         """Start the background tasks."""
         for work, name in (
-            (self.config_follower.run(), "follow configuration"),
-            (self.jobs_follower.run(), "follow jobs"),
-            (self.leadership.follower.run(), "follow terms"),
-            (self.leadership.run(), "leadership"),
-            (self.writer.run(), "writer"),
-            (self._announce(), "announce"),
-            (self._plan_while_leading(), "planner"),
+            (self.config_follower.run, "follow configuration"),
+            (self.jobs_follower.run, "follow jobs"),
+            (self.leadership.follower.run, "follow terms"),
+            (self.leadership.run, "leadership"),
+            (self.writer.run, "writer"),
+            (self._announce, "announce"),
+            (self._plan_while_leading, "planner"),
         ):
-            self._tasks.start(work, name)
+            self._tasks.keep_running(work, name)
 
     async def stop(self) -> None:
         """Cancel the background tasks."""
@@ -269,6 +269,29 @@
         """Return the term in which this instance is the planner, 0 if it is not."""
         return self.planner.term if self.planner else 0
 
+    def background_failures(self) -> dict[str, int]:
+        """Return the number of unexpected exceptions, by the part that goes on after them."""
+        failures = {
+            "instance": self._tasks.failures,
+            "writer": self.writer.unexpected_errors,
+            "follower": sum(follower.unexpected_errors for follower in self._followers),
+        }
+        if self.planner is not None:
+            failures["planner"] = self.planner.background_failures()
+        return failures
+
+    def unhandled_records(self) -> dict[str, int]:
+        """Return the number of records that could not be handled, by topic."""
+        return {follower.topic: follower.unhandled_records for follower in self._followers}
+
+    @property
+    def _followers(self) -> tuple[TopicFollower, ...]:
+        return (self.config_follower, self.jobs_follower, self.leadership.follower)
+
+    def unapplied_records(self) -> dict[str, int]:
+        """Return the number of records that could not be read or applied, by kind."""
+        return {**self.unapplied_by_kind, "term": self.leadership.unreadable_records}
+
     def unusable_runner_entries(self) -> int:
         """Return the number of entries in the list of runners that the planner cannot use."""
         if self.planner is None or self.runner_list is None:
@@ -437,7 +460,7 @@
             self.settings.job_retention_ms + RETENTION_MARGIN_MS,
         )
         self.jobs_follower.set_read_interval(0.0)
-        self.planner = Planner(
+        planner = Planner(
             term,
             settings,
             self.clock,
@@ -451,10 +474,11 @@
             self._set_accelerators,
         )
         try:
-            self.planner.speeds.load(pb.RunnerSpeeds.FromString(self._speeds))
+            planner.speeds.load(pb.RunnerSpeeds.FromString(self._speeds))
         except (DecodeError, ValueError) as error:
             log.warning("record_unreadable", key=SPEEDS_KEY, error=str(error))
-        self._planner_task = self._tasks.start(self.planner.run(), f"planner {term}")
+        self.planner = planner
+        self._planner_task = self._tasks.start(planner.run(), f"planner {term}")
         log.info("planner_started", term=term)
 
     def _set_accelerators(self, accelerators: int) -> None:
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -44,6 +44,8 @@
 # An instance that needs longer to read the jobs leaves the term to another one.
 MAX_CATCH_UP_MS = 3_000
 PASS_INTERVAL_MS = 250
+# A planner whose passes fail more often in a row leaves the term to another instance.
+MAX_FAILED_PASSES = 20
 # Changes within this time are handled by the same pass.
 PASS_DELAY_MS = 4
 # Pause after a pass, as a multiple of its duration.
@@ -212,6 +214,7 @@
         self._speeds_ms = self._term_start_ms
         self._job_values: ranking.JobValues | None = None
         self._idle_since_by_job: dict[str, float] = {}
+        self._failed_passes = 0
         self.placing = True
         self.given_up_by_evidence: Counter[str] = Counter()
         self.unmatched_by_outcome: Counter[str] = Counter()
@@ -220,13 +223,13 @@
 
     async def run(self) -> None:
         """Take over from the previous planner and plan until cancelled or fenced."""
-        self._tasks.start(self._writer.run(), "planner writer")
+        self._tasks.keep_running(self._writer.run, "planner writer")
         try:
             await self._take_over()
             while True:
                 await self._wait_change()
                 if self.placing:
-                    await self._pass()
+                    await self._try_pass()
         except StoreFencedError:
             log.warning("planner_fenced", term=self.term, by="store")
         except PlannerBehindError as error:
@@ -236,6 +239,22 @@
             self._on_term_lost(self.term)
             await self._tasks.cancel()
 
+    async def _try_pass(self) -> None:
+        """Run a scheduling pass; one that fails is counted, too many in a row end the planner."""
+        try:
+            await self._pass()
+        except Exception as error:
+            self._failed_passes += 1
+            if self._failed_passes > MAX_FAILED_PASSES:
+                raise
+            self._tasks.note_failure("pass", error)
+        else:
+            self._failed_passes = 0
+
+    def background_failures(self) -> int:
+        """Return the number of unexpected exceptions in background tasks of this term."""
+        return self._tasks.failures
+
     async def _take_over(self) -> None:
         await self._catch_up(0)
         end = await self._fence()
@@ -248,7 +267,7 @@
         for job in self.job_table.jobs_by_id.values():
             self.state_first_end(job)
         # Reports are compared with the adopted runs, so runners are polled only from here on.
-        self._tasks.start(self._runners_follower.run(), "follow runners")
+        self._tasks.keep_running(self._runners_follower.run, "follow runners")
         await self._runners_follower.loaded.wait()
         await self._wait_initial_reports()
         self._ready = True
@@ -354,7 +373,7 @@
             self._on_runner_lost,
         )
         self.links_by_id[runner.id] = link
-        self._link_tasks[runner.id] = self._tasks.start(link.run(), f"runner {runner.id}")
+        self._link_tasks[runner.id] = self._tasks.keep_running(link.run, f"runner {runner.id}")
         log.info("runner_listed", runner=runner.id, address=runner.address, rack=runner.rack)
 
     def suspend_runner(self, runner_id: str) -> None:
@@ -688,7 +707,7 @@
         run.acknowledged_ms = None
         task = run.stage.task(run.index)
         log.info("run_withdrawn", task=task, run=run.number, runner=run.runner, reason=reason)
-        self._tasks.start(self._stop_until_ended(run), f"withdraw {task}")
+        self._tasks.keep_running(partial(self._stop_until_ended, run), f"withdraw {task}")
 
     async def _stop_until_ended(self, run: Run) -> None:
         key = (run.stage.task(run.index), run.number)
--- a/packages/library/carawayroute/fleet/writer.py
+++ b/packages/library/carawayroute/fleet/writer.py
@@ -51,6 +51,7 @@
         and gather records for a few milliseconds before each batch.
     :param give_up_ms: time after which an append whose outcome is unknown is no longer repeated.
     :ivar fenced: whether a producer with a higher epoch has written.
+    :ivar unexpected_errors: number of appends that failed otherwise than by the store.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self._append_in_flight = False
         self._sent_by_key: dict[str, _PendingWrite] = {}
         self.fenced = False
+        self.unexpected_errors = 0
 
     @property
     def failing_ms(self) -> float:
@@ -239,6 +241,12 @@
             return error, None
         except StoreError as error:
             return error, None
+        except Exception as error:
+            # The callers wait for an outcome, and the batch may be stored.
+            self.unexpected_errors += 1
+            if self._failing_since_ms is None:
+                log.error("append_failed", topic=self._topic, exc_info=error)
+            return StoreUnansweredError(f"unexpected {type(error).__name__}"), None
         return None, appended.offset
 
     def _refuse_unsent(self) -> None:
