Check the answers of the store; a malformed one counts as unanswered

Cause: nested JSON raised RecursionError; offsets that were missing counted as 0, and those above 63 bits failed when they were relayed; a refusal without a readable reason counted as fenced, after which a writer never writes again; characters that base64 does not have were dropped; a page that says that more follow and names none was asked for without an end; a key with a lone surrogate could not be put in the next page's URL, so that the topic could not be loaded; a key of more than 255 bytes raised ValueError in the writer.

Change: answers, offsets, pages and frames are checked with platform/decoding.py. What cannot be read is StoreUnansweredError, and a key that cannot be encoded StoreRejectedError. A record with an odd key is loaded under the key that a read gives it.

Why it works: HttpStore raises StoreError only, and follows offsets in 63 bits only.

--- a/packages/daemon/carawayrouted/platform/decoding.py
+++ b/packages/daemon/carawayrouted/platform/decoding.py
@@ -3,6 +3,7 @@
 Every failure is a ``FormatError``. Its text does not repeat the data, which may be large.
 """
 
+import base64
 import ipaddress
 import json
 import math
@@ -111,6 +112,20 @@
             return default
         return check_text(self._value(name), name, max_bytes, least_bytes)
 
+    def raw_text(self, name: str) -> str:
+        """Return a text that may have lone surrogates."""
+        value = self._value(name)
+        if not isinstance(value, str):
+            raise FormatError(f"{name} is not text")
+        return value
+
+    def base64(self, name: str) -> bytes:
+        """Return the bytes that a text in base64 stands for."""
+        try:
+            return base64.b64decode(self.raw_text(name), validate=True)
+        except ValueError as error:
+            raise FormatError(f"{name} is not base64") from error
+
     def whole(self, name: str, low: int, high: int, default: int | None = None) -> int:
         """Return a whole number in a range."""
         if default is not None and name not in self:
--- a/packages/daemon/carawayrouted/platform/store.py
+++ b/packages/daemon/carawayrouted/platform/store.py
@@ -1,15 +1,16 @@
 """Client of the platform's store, a log with keyed topics."""
 
 import asyncio
-import base64
-import json
 import struct
 from collections import Counter
+from collections.abc import Callable
+from typing import TypeVar
 from urllib.parse import quote
 
 import structlog
 
 from carawayroute.fleet.exceptions import (
+    FormatError,
     StoreConflictError,
     StoreError,
     StoreFencedError,
@@ -20,6 +21,13 @@
     StoreUnansweredError,
 )
 from carawayroute.fleet.ports import AppendResult, KeyedRecord, RecordPage
+from carawayrouted.platform.decoding import (
+    MAX_INT64,
+    MAX_NAME_BYTES,
+    Fields,
+    check_object,
+    decode_object,
+)
 from carawayrouted.platform.http import HttpPool, Reply, RequestNotSentError
 from carawayrouted.platform.settings import Address
 
@@ -43,6 +51,10 @@
 APPEND = "append"
 READ = "read"
 NEWEST = "newest"
+# End of a conflict that the store does not tell.
+UNKNOWN_END = -1
+
+Decoded = TypeVar("Decoded")
 
 log = structlog.get_logger()
 
@@ -126,18 +138,15 @@
             query += f"&sequence={sequence}"
         body = b"".join(_encode_record(key, value) for key, value in records)
         reply = await self._call(APPEND, "POST", query, APPEND_TIMEOUT_MS, body)
-        found = _decode_json(reply)
         if reply.status == 412:
-            raise StoreConflictError(_integer_or(found.get("end"), -1))
+            raise StoreConflictError(_offset_or(reply, "end", UNKNOWN_END))
         if reply.status == 409:
-            if found.get("reason") == "seq":
-                raise StoreSequenceError(_integer_or(found.get("sequence"), 0))
-            raise StoreFencedError(str(found.get("reason")))
+            raise _refused_append(reply)
         if reply.status in REJECTED_STATUSES:
             raise StoreRejectedError(f"the store answered {reply.status}")
         if reply.status != 200:
             raise StoreUnansweredError(f"the store answered {reply.status}")
-        return AppendResult(_integer_or(found.get("offset"), 0), _integer_or(found.get("end"), 0))
+        return _decoded(reply, _append_result if records else _fence_result)
 
     async def read(self, topic: str, offset: int, wait_ms: int) -> RecordPage:
         """Return records from an offset on.
@@ -158,7 +167,7 @@
         )
         reply = await self._call(READ, "GET", query, READ_TIMEOUT_MS + wait_ms)
         if reply.status == 410:
-            raise StoreTrimmedError(_integer_or(_decode_json(reply).get("first"), 0))
+            raise StoreTrimmedError(_offset_or(reply, "first", 0))
         if reply.status != 200:
             raise StoreUnansweredError(f"the store answered {reply.status}")
         return _decode_records(reply.body, offset)
@@ -173,25 +182,22 @@
         after = ""
         while True:
             page = await self._read_page(topic, after)
-            try:
-                for item in page["items"]:
-                    value = base64.b64decode(item["value"])
-                    records.append(KeyedRecord(item["offset"], item["key"], value))
-                    after = item["key"]
-                # Following starts at the end reported by the first page, so that records appended
-                # while later pages are read are not missed.
-                end = page["end"] if end is None else end
-                if not page["has_more"]:
-                    return RecordPage(records, end, end)
-            except (KeyError, TypeError, ValueError) as error:
-                raise StoreError(f"a page of {topic} cannot be read: {error}") from error
-
-    async def _read_page(self, topic: str, after: str) -> dict:
+            records.extend(page.records)
+            # Following starts at the end reported by the first page, so that records appended
+            # while later pages are read are not missed.
+            end = page.end if end is None else end
+            if not page.has_more:
+                return RecordPage(records, end, end)
+            if not page.records or page.last_key == after:
+                raise StoreError(f"the pages of {topic} do not go on")
+            after = page.last_key
+
+    async def _read_page(self, topic: str, after: str) -> "_NewestPage":
         """Return a page of the newest records, with the keys that follow ``after``."""
         query = f"log-newest?topic={quote(topic)}&part={PARTITION}"
         if after:
             # The platform's name for the cursor.
-            query += f"&depends_on={quote(after)}"
+            query += f"&depends_on={quote(_key_bytes(after))}"
         attempts = 0
         while True:
             attempts += 1
@@ -206,11 +212,52 @@
                 continue
             if reply.status != 200:
                 raise StoreUnansweredError(f"the store answered {reply.status}")
-            return _decode_json(reply)
+            return _decoded(reply, _NewestPage)
+
+
+class _NewestPage:
+    """A page of the newest records.
+
+    :param fields: the store's answer.
+    :raises FormatError: the answer is malformed.
+    :ivar last_key: key of the last record as the store spells it.
+    """
+
+    __slots__ = ("end", "has_more", "last_key", "records")
+
+    def __init__(self, fields: Fields) -> None:
+        self.end = fields.whole("end", 0, MAX_INT64)
+        self.has_more = fields.flag("has_more")
+        self.last_key = ""
+        self.records = [
+            self._record(check_object(item, "a record")) for item in fields.items("items")
+        ]
+
+    def _record(self, item: Fields) -> KeyedRecord:
+        self.last_key = item.raw_text("key")
+        key = _key_bytes(self.last_key).decode(errors="replace")
+        return KeyedRecord(item.whole("offset", 0, MAX_INT64), key, item.base64("value"))
+
+
+def _key_bytes(key: str) -> bytes:
+    """Return the bytes of a key; one that is not UTF-8 has surrogates in the store's answer."""
+    try:
+        return key.encode(errors="surrogateescape")
+    except UnicodeEncodeError:
+        return key.encode(errors="replace")
 
 
 def _encode_record(key: str, value: bytes) -> bytes:
-    name = key.encode()
+    """Encode a record for an append.
+
+    :raises StoreRejectedError: the key cannot be encoded.
+    """
+    try:
+        name = key.encode()
+    except UnicodeEncodeError as error:
+        raise StoreRejectedError("a key is not valid Unicode") from error
+    if len(name) > MAX_NAME_BYTES:
+        raise StoreRejectedError(f"a key has {len(name)} bytes, allowed are {MAX_NAME_BYTES}")
     content = bytes([len(name)]) + name + value
     return struct.pack(">I", len(content)) + content
 
@@ -220,10 +267,13 @@
 
     :param offset: the offset that was asked for.
     :raises StoreTrimmedError: the answer begins after that offset.
+    :raises StoreUnansweredError: the answer is incomplete, or an offset is out of range.
     """
     if len(body) < 16:
         raise StoreUnansweredError("the store sent part of an answer")
     end, first = struct.unpack_from(">QQ", body)
+    if max(end, first) > MAX_INT64:
+        raise StoreUnansweredError("an offset in the answer is out of range")
     if first > offset:
         raise StoreTrimmedError(first)
     position = 16
@@ -242,13 +292,44 @@
     return RecordPage(records, next_offset, end)
 
 
-def _decode_json(reply: Reply) -> dict:
+def _decoded(reply: Reply, decode: Callable[[Fields], Decoded]) -> Decoded:
+    """Return what an answer says.
+
+    :raises StoreUnansweredError: it cannot be read.
+    """
     try:
-        found = json.loads(reply.body) if reply.body else {}
-    except ValueError as error:
-        raise StoreUnansweredError(f"the store sent no JSON: {error}") from error
-    return found if isinstance(found, dict) else {}
+        return decode(decode_object(reply.body))
+    except FormatError as error:
+        raise StoreUnansweredError(f"the answer cannot be read: {error}") from error
+
+
+def _append_result(fields: Fields) -> AppendResult:
+    return AppendResult(fields.whole("offset", 0, MAX_INT64), fields.whole("end", 0, MAX_INT64))
 
 
-def _integer_or(value: object, default: int) -> int:
-    return value if isinstance(value, int) else default
+def _fence_result(fields: Fields) -> AppendResult:
+    """Return the result of an append without records, which has no offset."""
+    end = fields.whole("end", 0, MAX_INT64)
+    return AppendResult(end, end)
+
+
+def _refused_append(reply: Reply) -> StoreError:
+    """Return the error of an append that the store refused because of its epoch or sequence."""
+    fields = _decoded(reply, lambda fields: fields)
+    try:
+        reason = fields.text("reason")
+        if reason == "fenced":
+            return StoreFencedError(reason)
+        if reason == "seq":
+            return StoreSequenceError(fields.whole("sequence", 0, MAX_INT64))
+    except FormatError as error:
+        return StoreUnansweredError(f"the refusal cannot be read: {error}")
+    return StoreUnansweredError("the store refused the append for an unknown reason")
+
+
+def _offset_or(reply: Reply, name: str, default: int) -> int:
+    """Return an offset in an answer, a default if it cannot be read."""
+    try:
+        return decode_object(reply.body).whole(name, 0, MAX_INT64)
+    except FormatError:
+        return default
--- a/tests/odd_builders.py
+++ b/tests/odd_builders.py
@@ -118,3 +118,11 @@
 
 
 CONFIGURATION = json.loads(configuration_bytes())
+
+
+NEWEST_PAGE = {
+    "items": [{"key": "a/1", "value": "dg==", "offset": 4}],
+    "has_more": False,
+    "end": 6,
+}
+APPENDED = {"offset": 840, "end": 842}
