Refuse odd settings files with an error that names the field

What callers saw: nothing; the platform writes the file.

Cause: fields were converted with int() and float() and addresses split at the colon. Nesting and infinite numbers ended the program with a traceback instead of the documented status 2; ports out of range, with digits of other scripts, and negative limits were accepted.

Change: the file is checked with platform/decoding.py, and so is the port of the metrics.

Why it works: everything in the file is read by a getter with a type and a range.

--- a/packages/daemon/carawayrouted/platform/__main__.py
+++ b/packages/daemon/carawayrouted/platform/__main__.py
@@ -5,16 +5,17 @@
 import sys
 from collections.abc import Mapping
 
+from carawayroute.fleet.exceptions import FormatError
 from carawayrouted.instance import Instance
 from carawayrouted.logs import configure
 from carawayrouted.output import BoundedOutput
+from carawayrouted.platform.decoding import parse_port
 from carawayrouted.platform.settings import PlatformSettings, PlatformSettingsError, read_settings
 
 EXIT_INVALID_SETTINGS = 2
 # The platform scrapes metrics at the port given in deploy/system.toml.
 METRICS_PORT_VARIABLE = "CARAWAYROUTED_METRICS_PORT"
 METRICS_PORT = 9464
-MAX_PORT = 65_535
 
 
 async def _run(settings: PlatformSettings, output: BoundedOutput, metrics_port: int) -> None:
@@ -27,9 +28,10 @@
     :raises PlatformSettingsError: the variable is not a port number.
     """
     text = environment.get(METRICS_PORT_VARIABLE, str(METRICS_PORT))
-    if not text.isdigit() or not 0 < int(text) <= MAX_PORT:
-        raise PlatformSettingsError(f"{METRICS_PORT_VARIABLE} is {text!r}; allowed: 1 to 65535")
-    return int(text)
+    try:
+        return parse_port(text, METRICS_PORT_VARIABLE)
+    except FormatError as error:
+        raise PlatformSettingsError(str(error)) from error
 
 
 def main() -> None:
--- a/packages/daemon/carawayrouted/platform/decoding.py
+++ b/packages/daemon/carawayrouted/platform/decoding.py
@@ -153,10 +153,11 @@
             return default
         return check_list(self._value(name), name, most)
 
-    def object(self, name: str) -> "Fields":
-        """Return the fields of an object, none if it is missing."""
-        value = self._values.get(name)
-        return check_object({} if value is None else value, name)
+    def object(self, name: str, required: bool = False) -> "Fields":
+        """Return the fields of an object, none if it is missing and not required."""
+        if not required and name not in self:
+            return Fields({})
+        return check_object(self._value(name), name)
 
     def address(self, name: str) -> tuple[str, int]:
         """Return the host and port of an address."""
@@ -255,16 +256,25 @@
 
     :raises FormatError: the text has another form, or the port is out of range.
     """
-    host, _, port = text.rpartition(":")
-    if not _PORT.fullmatch(port) or int(port) > MAX_PORT:
-        raise FormatError(f"{what} has no port from 1 to {MAX_PORT}")
+    host, _, port_text = text.rpartition(":")
+    port = parse_port(port_text, f"the port of {what}")
     if _NUMERIC_HOST.fullmatch(host):
         _parse_ipv4(host, what)
     elif len(host) > MAX_HOST_CHARACTERS or not all(
         _HOST_LABEL.fullmatch(label) for label in host.split(".")
     ):
         raise FormatError(f"{what} has no host name or IPv4 address")
-    return host, int(port)
+    return host, port
+
+
+def parse_port(text: str, what: str) -> int:
+    """Return a port in ASCII digits.
+
+    :raises FormatError: the text has another form or is out of range.
+    """
+    if not _PORT.fullmatch(text) or int(text) > MAX_PORT:
+        raise FormatError(f"{what} is not a number from 1 to {MAX_PORT}")
+    return int(text)
 
 
 def check_unicast(host: str, what: str) -> None:
--- a/packages/daemon/carawayrouted/platform/settings.py
+++ b/packages/daemon/carawayrouted/platform/settings.py
@@ -1,11 +1,23 @@
 """Decoding of the settings file that the platform writes for each process."""
 
-import json
 import os
 
 from carawayroute.exceptions import CarawayrouteError
+from carawayroute.fleet.exceptions import FormatError
+from carawayrouted.platform.decoding import (
+    MAX_PORT,
+    MAX_UINT32,
+    Fields,
+    check_list,
+    check_text,
+    check_whole,
+    decode_json,
+    parse_address,
+)
 
 PATH_VARIABLE = "CARAWAYROUTE_CONFIG"
+MAX_SECONDS = 1_000_000.0
+MAX_CORES = 100_000.0
 
 
 class PlatformSettingsError(CarawayrouteError):
@@ -13,13 +25,16 @@
 
 
 class Address:
-    """An IP address and a port."""
+    """A host and a port.
+
+    :param what: name of the address in the error.
+    :raises FormatError: the text is not ``host:port``.
+    """
 
     __slots__ = ("host", "port")
 
-    def __init__(self, text: str) -> None:
-        self.host, _, port = text.rpartition(":")
-        self.port = int(port)
+    def __init__(self, text: str, what: str = "address") -> None:
+        self.host, self.port = parse_address(text, what)
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
@@ -57,31 +72,43 @@
 
     def __init__(self, fields: dict) -> None:
         try:
-            bounds = fields["bounds"]
-            self.instance: str = fields["node_name"]
-            self.data_centre: str = fields["zone"]
-            self.region: str = fields["region"]
-            self.callers = Address(fields["listen"]["front"])
-            self.readiness = Address(fields["listen"]["ready"])
-            self.peer = Address(f"{fields['ip']}:{fields['internal_ports'][0]}")
-            # ``seeds`` gives another port of the peers; their links use the same port on all
-            # machines.
-            seeds = [Address(text) for text in fields.get("seeds") or []]
-            self.seeds = tuple(f"{seed.host}:{self.peer.port}" for seed in seeds)
-            self.store = Address(fields["platform"]["address"])
-            self.advice = Address(fields["advice"]) if fields.get("advice") else None
-            self.max_lease_ms = int(bounds["hold_max_ms"])
-            self.stop_timeout_ms = int(bounds["stop_timeout_ms"])
-            self.grace_ms = int(bounds["grace_s"] * 1000)
-            self.state_retention_ms = int(bounds["status_s"] * 1000)
-            limits = fields.get("limits", {})
-            self.cores = float(limits.get("cpu_share", 1.0)) * float(limits.get("cores", 1))
-            self.link_mbps = float(limits.get("link_mbps", 1000.0))
-        except (KeyError, TypeError, ValueError, IndexError) as error:
+            self._decode(Fields(fields))
+        except FormatError as error:
             raise PlatformSettingsError(
                 f"missing or malformed field in the settings file: {error}"
             ) from error
 
+    def _decode(self, fields: Fields) -> None:
+        listen = fields.object("listen", required=True)
+        bounds = fields.object("bounds", required=True)
+        limits = fields.object("limits")
+        self.instance = fields.text("node_name", least_bytes=1)
+        self.data_centre = fields.text("zone")
+        self.region = fields.text("region")
+        self.callers = Address(listen.text("front"), "front")
+        self.readiness = Address(listen.text("ready"), "ready")
+        ports = check_list(fields.items("internal_ports"), "internal_ports", least=1)
+        port = check_whole(ports[0], "internal_ports", 1, MAX_PORT)
+        self.peer = Address(f"{fields.text('ip')}:{port}", "ip")
+        # ``seeds`` gives another port of the peers; their links use the same port on all
+        # machines.
+        seeds = [
+            Address(check_text(text, "a seed"), "a seed")
+            for text in fields.items("seeds", default=[])
+        ]
+        self.seeds = tuple(f"{seed.host}:{self.peer.port}" for seed in seeds)
+        store = fields.object("platform", required=True)
+        self.store = Address(store.text("address"), "the platform's address")
+        advice = fields.text("advice", default="")
+        self.advice = Address(advice, "advice") if advice else None
+        self.max_lease_ms = int(bounds.number("hold_max_ms", 0, MAX_UINT32))
+        self.stop_timeout_ms = int(bounds.number("stop_timeout_ms", 0, MAX_UINT32))
+        self.grace_ms = int(bounds.number("grace_s", 0, MAX_SECONDS) * 1000)
+        self.state_retention_ms = int(bounds.number("status_s", 0, MAX_SECONDS) * 1000)
+        cpu_share = limits.number("cpu_share", 0, MAX_CORES, default=1.0)
+        self.cores = cpu_share * limits.number("cores", 0, MAX_CORES, default=1.0)
+        self.link_mbps = limits.number("link_mbps", 0, MAX_UINT32, default=1000.0)
+
 
 def read_settings(path: str | None = None) -> PlatformSettings:
     """Read the settings file.
@@ -91,8 +118,10 @@
     """
     path = path or os.environ.get(PATH_VARIABLE, "")
     try:
-        with open(path, encoding="utf-8") as file:
-            fields = json.load(file)
-    except (OSError, ValueError) as error:
+        with open(path, "rb") as file:
+            fields = decode_json(file.read())
+    except (OSError, ValueError, FormatError) as error:
         raise PlatformSettingsError(f"{path or PATH_VARIABLE}: {error}") from error
+    if not isinstance(fields, dict):
+        raise PlatformSettingsError(f"{path}: the document is not an object")
     return PlatformSettings(fields)
