--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -282,7 +282,10 @@
 
     def unhandled_records(self) -> dict[str, int]:
         """Return the number of records that could not be handled, by topic."""
-        return {follower.topic: follower.unhandled_records for follower in self._followers}
+        found = {follower.topic: follower.unhandled_records for follower in self._followers}
+        if self.planner is not None:
+            found[self._formats.runners_topic] = self.planner.unhandled_runner_records()
+        return found
 
     @property
     def _followers(self) -> tuple[TopicFollower, ...]:
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -253,7 +253,12 @@
 
     def background_failures(self) -> int:
         """Return the number of unexpected exceptions in background tasks of this term."""
-        return self._tasks.failures
+        follower = self._runners_follower
+        return self._tasks.failures + self._writer.unexpected_errors + follower.unexpected_errors
+
+    def unhandled_runner_records(self) -> int:
+        """Return the number of records of the list of runners that could not be handled."""
+        return self._runners_follower.unhandled_records
 
     async def _take_over(self) -> None:
         await self._catch_up(0)
--- a/tests/test_background_tasks.py
+++ b/tests/test_background_tasks.py
@@ -4,13 +4,18 @@
 
 import pytest
 from fleet_builders import NORMAL, OWNER, URGENT, job, run_scenario, step
+from prometheus_client import generate_latest
 from structlog.testing import capture_logs
+from test_fleet_platform import settings_fields
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import MAX_RESTART_MS, TaskGroup
 from carawayroute_standins.fleet.topics import TopicStore
 from carawayroute_standins.virtual import run_virtual
+from carawayrouted.instance import Instance
+from carawayrouted.output import BoundedOutput
+from carawayrouted.platform.settings import PlatformSettings
 
 ID = "00000000000000{:02x}"
 
@@ -183,3 +188,43 @@
         assert fleet.nodes_by_name[name].planner is not planner
 
     run_scenario(scenario)
+
+
+def test_counters_of_odd_data_are_shown():
+    async def show() -> str:
+        instance = Instance(PlatformSettings(settings_fields()), BoundedOutput(1), 9_464)
+        instance.node.unapplied_by_kind["job"] += 2
+        instance.links.failed_calls += 1
+        try:
+            return generate_latest(instance.metrics.registry).decode()
+        finally:
+            await instance._pool.close()
+            await instance._runner_pool.close()
+
+    text = asyncio.run(show())
+    for line in (
+        "carawayroute_runner_entries_unusable 0.0",
+        'carawayroute_records_unapplied_total{kind="job"} 2.0',
+        'carawayroute_records_unapplied_total{kind="term"} 0.0',
+        'carawayroute_records_not_handled_total{topic="keyed.jobs"} 0.0',
+        'carawayroute_background_failures_total{part="instance"} 0.0',
+        'carawayroute_background_failures_total{part="peers"} 1.0',
+    ):
+        assert line in text
+
+
+def test_failures_at_the_planner_are_counted_by_part():
+    async def scenario(fleet):
+        node = fleet.nodes_by_name[fleet.planner_name()]
+        assert node.background_failures() == {
+            "instance": 0,
+            "writer": 0,
+            "follower": 0,
+            "planner": 0,
+        }
+        node.planner._runners_follower._apply = None
+        fleet.list("w1")
+        await fleet.clock.sleep_ms(300)
+        assert node.unhandled_records()["keyed.servers"] == 1
+
+    run_scenario(scenario)
