--- a/packages/daemon/carawayrouted/platform/decoding.py
+++ b/packages/daemon/carawayrouted/platform/decoding.py
@@ -3,6 +3,7 @@
 Every failure is a ``FormatError``. Its text does not repeat the data, which may be large.
 """
 
+import base64
 import ipaddress
 import json
 import math
@@ -111,6 +112,20 @@
             return default
         return check_text(self._value(name), name, max_bytes, least_bytes)
 
+    def raw_text(self, name: str) -> str:
+        """Return a text that may have lone surrogates."""
+        value = self._value(name)
+        if not isinstance(value, str):
+            raise FormatError(f"{name} is not text")
+        return value
+
+    def base64(self, name: str) -> bytes:
+        """Return the bytes that a text in base64 stands for."""
+        try:
+            return base64.b64decode(self.raw_text(name), validate=True)
+        except ValueError as error:
+            raise FormatError(f"{name} is not base64") from error
+
     def whole(self, name: str, low: int, high: int, default: int | None = None) -> int:
         """Return a whole number in a range."""
         if default is not None and name not in self:
@@ -138,10 +153,11 @@
             return default
         return check_list(self._value(name), name, most)
 
-    def object(self, name: str) -> "Fields":
-        """Return the fields of an object, none if it is missing."""
-        value = self._values.get(name)
-        return check_object({} if value is None else value, name)
+    def object(self, name: str, required: bool = False) -> "Fields":
+        """Return the fields of an object, none if it is missing and not required."""
+        if not required and name not in self:
+            return Fields({})
+        return check_object(self._value(name), name)
 
     def address(self, name: str) -> tuple[str, int]:
         """Return the host and port of an address."""
@@ -240,16 +256,25 @@
 
     :raises FormatError: the text has another form, or the port is out of range.
     """
-    host, _, port = text.rpartition(":")
-    if not _PORT.fullmatch(port) or int(port) > MAX_PORT:
-        raise FormatError(f"{what} has no port from 1 to {MAX_PORT}")
+    host, _, port_text = text.rpartition(":")
+    port = parse_port(port_text, f"the port of {what}")
     if _NUMERIC_HOST.fullmatch(host):
         _parse_ipv4(host, what)
     elif len(host) > MAX_HOST_CHARACTERS or not all(
         _HOST_LABEL.fullmatch(label) for label in host.split(".")
     ):
         raise FormatError(f"{what} has no host name or IPv4 address")
-    return host, int(port)
+    return host, port
+
+
+def parse_port(text: str, what: str) -> int:
+    """Return a port in ASCII digits.
+
+    :raises FormatError: the text has another form or is out of range.
+    """
+    if not _PORT.fullmatch(text) or int(text) > MAX_PORT:
+        raise FormatError(f"{what} is not a number from 1 to {MAX_PORT}")
+    return int(text)
 
 
 def check_unicast(host: str, what: str) -> None:
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -11,6 +11,7 @@
     RunnerNotListeningError,
     RunnerNotSentError,
     RunnerRefusedError,
+    RunnerUnansweredError,
 )
 from carawayroute.fleet.order_limiter import OrderLimiter
 from carawayroute.fleet.ports import RunnerClient
@@ -305,6 +306,9 @@
             self._note_break(error, sent_ms + wait_ms)
             self._handle_failure(error)
             return
+        except Exception as error:
+            self._handle_failure(RunnerUnansweredError(f"unexpected {type(error).__name__}"))
+            raise
         if self.boot_ms != boot_ms and report.boot_ms < self.boot_ms:
             # A new process has reported since this poll was sent. Without such a report an earlier
             # boot_ms shows a wall clock that was set back.
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -24,7 +24,7 @@
 from carawayroute.fleet.planner import Planner, PlannerSettings
 from carawayroute.fleet.ports import KeyedRecord, PlatformFormat, RunnerClient, Store
 from carawayroute.fleet.record_checks import check_member
-from carawayroute.fleet.relay import Peers, RelayedStore
+from carawayroute.fleet.relay import MAX_OFFSET, Peers, RelayedStore
 from carawayroute.fleet.runner_list import RunnerList
 from carawayroute.fleet.shared_load import SharedLoad
 from carawayroute.fleet.shared_reader import ReaderChoice, SharedReader, SharedReadServer
@@ -57,6 +57,8 @@
 RETENTION_MARGIN_MS = 60_000
 # An instance is not ready if the store has not answered for longer than this.
 MAX_READY_LAG_MS = 1_800
+# Longest wait that a peer's call may ask for: callers of jobs wait a few seconds.
+MAX_PEER_CALL_WAIT_MS = 10_000
 # An older configuration does not show that a queue or a key does not exist: the platform requires a
 # new one to apply within 2,500 ms.
 MAX_CONFIGURATION_AGE_MS = 2_000
@@ -240,16 +242,16 @@
     def start(self) -> None:
         """Start the background tasks."""
         for work, name in (
-            (self.config_follower.run(), "follow configuration"),
-            (self.jobs_follower.run(), "follow jobs"),
-            (self.leadership.follower.run(), "follow terms"),
-            (self.leadership.run(), "leadership"),
-            (self.writer.run(), "writer"),
-            (self._find_members(), "members"),
-            (self._announce(), "announce"),
-            (self._plan_while_leading(), "planner"),
+            (self.config_follower.run, "follow configuration"),
+            (self.jobs_follower.run, "follow jobs"),
+            (self.leadership.follower.run, "follow terms"),
+            (self.leadership.run, "leadership"),
+            (self.writer.run, "writer"),
+            (self._find_members, "members"),
+            (self._announce, "announce"),
+            (self._plan_while_leading, "planner"),
         ):
-            self._tasks.start(work, name)
+            self._tasks.keep_running(work, name)
 
     async def stop(self) -> None:
         """Cancel the background tasks."""
@@ -284,6 +286,32 @@
         """Return the term in which this instance is the planner, 0 if it is not."""
         return self.planner.term if self.planner else 0
 
+    def background_failures(self) -> dict[str, int]:
+        """Return the number of unexpected exceptions, by the part that goes on after them."""
+        failures = {
+            "instance": self._tasks.failures,
+            "writer": self.writer.unexpected_errors,
+            "follower": sum(follower.unexpected_errors for follower in self._followers),
+        }
+        if self.planner is not None:
+            failures["planner"] = self.planner.background_failures()
+        return failures
+
+    def unhandled_records(self) -> dict[str, int]:
+        """Return the number of records that could not be handled, by topic."""
+        found = {follower.topic: follower.unhandled_records for follower in self._followers}
+        if self.planner is not None:
+            found[self._formats.runners_topic] = self.planner.unhandled_runner_records()
+        return found
+
+    @property
+    def _followers(self) -> tuple[TopicFollower, ...]:
+        return (self.config_follower, self.jobs_follower, self.leadership.follower)
+
+    def unapplied_records(self) -> dict[str, int]:
+        """Return the number of records that could not be read or applied, by kind."""
+        return {**self.unapplied_by_kind, "term": self.leadership.unreadable_records}
+
     def unusable_runner_entries(self) -> int:
         """Return the number of entries in the list of runners that the planner cannot use."""
         if self.planner is None or self.runner_list is None:
@@ -300,6 +328,10 @@
         except DecodeError as error:
             log.warning("peer_call_unreadable", error=str(error))
             return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
+        if call.kind not in pb.StoreCall.Kind.values() or call.offset > MAX_OFFSET:
+            log.warning("peer_call_unreadable", error="unknown kind of call, or offset")
+            return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED).SerializeToString()
+        call.wait_ms = min(call.wait_ms, MAX_PEER_CALL_WAIT_MS)
         if call.kind in (pb.StoreCall.LOOK_UP_JOB, pb.StoreCall.COUNT_PENDING):
             answer = await serve_lookup(call, self.service)
         elif call.kind == pb.StoreCall.SHARED_NEWEST:
@@ -467,7 +499,7 @@
             self.settings.job_retention_ms + RETENTION_MARGIN_MS,
         )
         self.jobs_follower.set_read_interval(0.0)
-        self.planner = Planner(
+        planner = Planner(
             term,
             settings,
             self.clock,
@@ -481,11 +513,12 @@
             self._set_accelerators,
         )
         try:
-            self.planner.speeds.load(pb.RunnerSpeeds.FromString(self._speeds))
+            planner.speeds.load(pb.RunnerSpeeds.FromString(self._speeds))
         except (DecodeError, ValueError) as error:
             log.warning("record_unreadable", key=SPEEDS_KEY, error=str(error))
+        self.planner = planner
         self._load_lost_runners()
-        self._planner_task = self._tasks.start(self.planner.run(), f"planner {term}")
+        self._planner_task = self._tasks.start(planner.run(), f"planner {term}")
         log.info("planner_started", term=term)
 
     def _load_lost_runners(self) -> None:
--- a/packages/library/carawayroute/fleet/relay.py
+++ b/packages/library/carawayroute/fleet/relay.py
@@ -39,6 +39,8 @@
 MIN_READ_KB = 12
 # Longest wait of a relayed read for a record; short, so that a broken link to the peer is noticed.
 MAX_RELAYED_WAIT_MS = 200
+# Offsets above are no answer of the store; they would make a topic seem endless.
+MAX_OFFSET = 2**63 - 1
 
 log = structlog.get_logger()
 
@@ -134,6 +136,7 @@
             sequence=sequence or 0,
         )
         answer = await self._call(call)
+        check_offsets(answer)
         return AppendResult(answer.offset, answer.end)
 
     async def read(self, topic: str, offset: int, wait_ms: int) -> RecordPage:
@@ -259,6 +262,8 @@
             found = await store.read(call.topic, call.offset, call.wait_ms, call.max_kb)
         else:
             found = await store.read(call.topic, call.offset, call.wait_ms)
+    except UnicodeDecodeError as error:
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.REJECTED, reason=str(error))
     except StoreConflictError as error:
         return pb.StoreAnswer(outcome=pb.StoreAnswer.CONFLICT, detail=error.end)
     except StoreFencedError as error:
@@ -309,7 +314,17 @@
     return answer
 
 
+def check_offsets(answer: pb.StoreAnswer) -> None:
+    """Check the offsets in an answer that a peer relayed.
+
+    :raises StoreUnansweredError: one is out of range.
+    """
+    if max(answer.offset, answer.next_offset, answer.end) > MAX_OFFSET:
+        raise StoreUnansweredError("an offset in the answer is out of range")
+
+
 def _decode_records(answer: pb.StoreAnswer) -> RecordPage:
+    check_offsets(answer)
     records = [
         KeyedRecord(record.offset, record.key.decode(errors="replace"), record.value)
         for record in answer.records
