--- a/tests/soak.py
+++ b/tests/soak.py
@@ -33,13 +33,12 @@
 from fleet_builders import runner_bytes
 from fleet_cluster import CALLER_HEADERS, FAR_REGION, FleetCluster, job_body, job_record
 
-from carawayroute.fleet.types import Capacity
 from carawayroute_standins.fleet.accepted import record_accepted
 from carawayroute_standins.fleet.judge import find_violations
 from carawayroute_standins.fleet.odd_entries import odd_entries
 from carawayroute_standins.fleet.pool import HEARTBEAT_MS
-from carawayroute_standins.fleet.room import find_idle_jobs
-from carawayroute_standins.fleet.taskrunner import ENDED_MODES, TaskRunner, make_runner
+from carawayroute_standins.fleet.room import SHRUNK_MS, find_idle_jobs
+from carawayroute_standins.fleet.taskrunner import TaskRunner, make_runner
 
 OUTPUT_DIR = pathlib.Path(__file__).resolve().parent.parent / "out" / "soak"
 # Most tasks end between two faults; some run longer than the timeout of an unresponsive runner.
@@ -58,7 +57,13 @@
 SLOW_LINK_BYTES_PER_MS = 20
 FINAL_STATES = ("completed", "failed", "cancelled")
 # Faults of runners and of their entries, besides those that every run injects.
-RUNNER_FAULTS = ("deadly_jobs", "crash_runner", "shrink_runner", "write_odd_entries", "lose_starts")
+RUNNER_FAULTS = (
+    "deadly_jobs",
+    "crash_runner",
+    "shrink_runners",
+    "write_odd_entries",
+    "lose_starts",
+)
 # Those that are injected by default, also in CI.
 DEFAULT_RUNNER_FAULTS: tuple[str, ...] = ()
 DEADLY_PROBABILITY = 0.08
@@ -67,6 +72,8 @@
 MIN_BACK_MS = 400
 UNLISTED_AFTER_MS = (300, 4_000)
 ODD_ENTRIES = 6
+# What a task needs, as in `job_body`.
+TASK_DEMAND = {"cpu_millis": 1_000, "memory_mb": 1_000, "accelerators": 1}
 # From the end of the faults: a silent runner's lease must expire. Jobs may be idle until then.
 CALM_AFTER_MS = 11_000
 # Deadly jobs crash runners until they are given up; jobs may be idle for this long after a crash.
@@ -272,7 +279,7 @@
             fault_types.append(self._slow_link)
         faults_by_name = {
             "crash_runner": self._crash_runner,
-            "shrink_runner": self._shrink_runner,
+            "shrink_runners": self._shrink_runners,
             "write_odd_entries": self._write_odd_entries,
             "lose_starts": self._lose_starts,
         }
@@ -403,22 +410,18 @@
             pool.crash(name, back_ms, new_id, self.rng.uniform(*UNLISTED_AFTER_MS))
             await asyncio.sleep(duration_s)
 
-    async def _shrink_runner(self, duration_s: float) -> None:
-        """Shrink a runner for longer than other faults, as its old capacity counts for a time."""
-        pool, runner = self.cluster.pool, self._random_runner()
-        if runner is None:
-            return
-        before = make_runner("", "").capacity
-        small = Capacity(
-            self.rng.randrange(before.cpu_millis // 2),
-            self.rng.randrange(before.memory_mb // 2),
-            self.rng.randrange(before.accelerators // 2),
-        )
-        pool.resize(runner.listed.id, small, self.rng.uniform(0, HEARTBEAT_MS))
-        await asyncio.sleep(3 * duration_s)
-        while runner.mode in ENDED_MODES:
-            await asyncio.sleep(0.1)
-        pool.resize(runner.listed.id, before, self.rng.uniform(0, HEARTBEAT_MS))
+    async def _shrink_runners(self, duration_s: float) -> None:
+        """Leave runners room for one task or none, by one resource, until it counts for a time."""
+        pool = self.cluster.pool
+        for runner in self.rng.sample(pool.runners, self.rng.randint(2, 4)):
+            small = make_runner("", "").capacity
+            name, amount = self.rng.choice(list(TASK_DEMAND.items()))
+            setattr(small, name, amount * self.rng.randrange(2))
+            pool.resize(runner.listed.id, small, self.rng.uniform(0, HEARTBEAT_MS))
+        await asyncio.sleep(2 * SHRUNK_MS / 1_000 + duration_s)
+        for runner in pool.runners:
+            whole = make_runner("", "").capacity
+            pool.resize(runner.listed.id, whole, self.rng.uniform(0, HEARTBEAT_MS))
 
     async def _write_odd_entries(self, duration_s: float) -> None:
         pool = self.cluster.pool
