BUDGET: let a suspect that is not placed leave the room to other work

While a suspect after one crash waited for a runner that had been up for a while, no other work of the same shape was placed on the runners that had been started lately, in each pass. Cause: a shape that did not fit the suspect's candidates was remembered as fitting nowhere, though a suspect has fewer candidates. Change: it is remembered only if all available candidates were tried. Measured: test_suspect_that_is_not_placed_leaves_room_to_work_of_the_same_shape failed before, passes now.

--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -192,21 +192,30 @@
         return self._place_among(stage, indices, candidates)
 
     def _place_among(
-        self, stage: Stage, indices: list[int], candidates: list[Candidate]
+        self,
+        stage: Stage,
+        indices: list[int],
+        candidates: list[Candidate],
+        remembered: bool = True,
     ) -> Placement | None:
-        """Place tasks on candidates, by preemption if none is free."""
+        """Place tasks on candidates, by preemption if none is free.
+
+        :param remembered: whether the outcome holds for all stages of the same shape, as it does
+            if the candidates are all that are available.
+        """
         guaranteed = stage.job.id in self.guaranteed_jobs
         # Free capacity only shrinks during a pass, so a shape that did not fit once never will.
         shape = _shape(stage, len(indices))
         if packing.is_time_critical(stage) and stage.step.gang:
-            found = self._place_time_critical(stage, candidates, indices, guaranteed)
+            found = self._place_time_critical(stage, candidates, indices, guaranteed, remembered)
             if found is not None:
                 return found
         if shape not in self._unplaceable:
             runner_ids = self._find_free_runners(stage, candidates, len(indices))
             if runner_ids:
                 return Placement(stage, indices[: len(runner_ids)], runner_ids, [], guaranteed)
-            self._unplaceable.add(shape)
+            if remembered:
+                self._unplaceable.add(shape)
         return self._preempt(stage, candidates, indices, guaranteed)
 
     def _place_suspects(
@@ -286,7 +295,7 @@
             if runner_ids:
                 guaranteed = stage.job.id in self.guaranteed_jobs
                 return Placement(stage, indices[: len(runner_ids)], runner_ids, [], guaranteed)
-        return self._place_among(stage, indices, candidates)
+        return self._place_among(stage, indices, candidates, remembered=False)
 
     def _harm(self) -> dict[str, float]:
         """Return what the crash of each runner would harm, guaranteed work above all other."""
@@ -302,7 +311,12 @@
         return self._harm_by_runner
 
     def _place_time_critical(
-        self, stage: Stage, candidates: list[Candidate], indices: list[int], guaranteed: bool
+        self,
+        stage: Stage,
+        candidates: list[Candidate],
+        indices: list[int],
+        guaranteed: bool,
+        remembered: bool,
     ) -> Placement | None:
         """Place a time-critical gang on runners that are not slow, by preemption if it pays."""
         fast_candidates = [candidate for candidate in candidates if not candidate.slow]
@@ -313,7 +327,8 @@
             runner_ids = packing.choose(stage, fast_candidates, len(indices), all_or_nothing=True)
             if runner_ids:
                 return Placement(stage, indices, runner_ids, [], guaranteed)
-            self._unplaceable.add(shape)
+            if remembered:
+                self._unplaceable.add(shape)
         if not packing.full_speed_possible(stage, fast_candidates, len(indices)):
             return None
         return self._preempt(
--- a/tests/test_fleet_isolation.py
+++ b/tests/test_fleet_isolation.py
@@ -119,6 +119,15 @@
     assert plan(job_table, candidates) == []
 
 
+def test_suspect_that_is_not_placed_leaves_room_to_work_of_the_same_shape():
+    """BUDGET: no work like a suspect was placed on runners that were started lately."""
+    job_table = job_table_of(job(ID.format(1), accepted_ms=-1_000), job(ID.format(2)))
+    suspect(job_table, 1, start_crashes={0: 1})
+    restarted = candidate("w1")
+    restarted.steady = False
+    assert runners_by_task(plan(job_table, [restarted])) == {(2, 0): "w1"}
+
+
 def test_runner_is_steady_unless_its_process_was_started_lately():
     clock = ManualClock()
     health = RunnerHealth(clock)
