BUDGET: handle a restart once if several polls tell of it

A start that was on its way to a new process of a runner could be blamed for the crash of the process before.

Cause: RunnerLink._poll compared the process in a report with the one known when the poll was sent. Two polls that the new process answers each showed a restart, the second one after starts had been sent to the new process.

Change: the report is compared with the process known when it arrives.

Measured: test_restart_that_two_polls_show_is_handled_once fails before ([2, 2]) and passes after; test_fleet_crashes, test_fleet_ends and test_fleet_paths pass (94).

--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -330,7 +330,7 @@
         self.reachable = True
         self.report_gap_ms = self.report_age_ms()
         self.last_report_ms = self._clock.now_ms()
-        restarted = boot_ms != 0 and report.boot_ms != boot_ms
+        restarted = self.boot_ms != 0 and report.boot_ms != self.boot_ms
         if restarted:
             log.warning("runner_restarted", runner=self.runner.id, boot_ms=report.boot_ms)
             self.acknowledged = 0
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -351,6 +351,24 @@
     run_link(scenario)
 
 
+def test_restart_that_two_polls_show_is_handled_once():
+    """BUDGET: a start on a new process was blamed when a second poll told of the restart."""
+    ended = []
+
+    async def scenario(link, client, clock):
+        link._on_process_ended = lambda link, report, sent_ms: ended.append(report.boot_ms)
+        asyncio.ensure_future(link.poll_now())
+        await clock.sleep_ms(20)
+        client.polls.pop()[1].set_result(report_of(5, 2))
+        await clock.sleep_ms(1)
+        client.polls.pop(0)[1].set_result(report_of(6, 2))
+        await clock.sleep_ms(1)
+        assert link.boot_ms == 2
+
+    run_link(scenario)
+    assert ended == [2]
+
+
 def counts_of(fleet, job_id):
     """Return the most crashes and start crashes of one task of a job, as the planner knows them."""
     planner = fleet.nodes_by_name[fleet.planner_name()].planner
