Check the records of lost runners and the offsets of a shared load

An offset of 2^64 - 1 made the instance follow the jobs from an offset that never comes.

Change: runners whose id or address cannot be used are left out; such an answer is not used, and the topic is loaded from the store. Records of lost runners that cannot be read are counted as such.

Measured: test_odd_lost_runners_are_left_out_and_the_others_loaded and one case of test_load_with_an_offset_out_of_range_is_read_from_the_store fail without the change, all 145 tests of tests/test_odd_records.py and test_odd_peer_messages.py pass with it.

Why it works: what is loaded passes the checks that the other records and answers pass.

--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -44,6 +44,7 @@
     PROGRESS_KEY: "progress",
     MEMBER_KEY: "member",
     SPEEDS_KEY: "speeds",
+    LOST_RUNNERS_KEY: "lost runners",
 }
 ANNOUNCE_RETRY_MS = 1_000
 # Minimum time between two reads of the jobs topic by an instance that is not the planner. Every
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -35,6 +35,7 @@
 from carawayroute.fleet.links import OTHER_PROCESS, RunnerLink
 from carawayroute.fleet.packing import Candidate, is_time_critical
 from carawayroute.fleet.ports import RunnerClient, Store
+from carawayroute.fleet.record_checks import is_address
 from carawayroute.fleet.runner_health import STALL_MS, RunnerHealth
 from carawayroute.fleet.scheduler import Placement, SchedulingPass, StopCost, median_capacity
 from carawayroute.fleet.speeds import RunnerSpeeds
@@ -422,8 +423,12 @@
         await self._writer.write([(LOST_RUNNERS_KEY, record)])
 
     def load_lost_runners(self, record: pb.LostRunners) -> None:
-        """Load the runners that the previous planner could not reach."""
-        self._lost_runners = {lost.id: lost for lost in record.runners}
+        """Load the runners that the previous planner could not reach; odd ones are left out."""
+        self._lost_runners = {
+            lost.id: lost
+            for lost in record.runners
+            if is_address(lost.id) and is_address(lost.address)
+        }
         self._stored_lost_runners = set(self._lost_runners)
 
     def _link_lost_runners(self) -> None:
--- a/packages/library/carawayroute/fleet/record_checks.py
+++ b/packages/library/carawayroute/fleet/record_checks.py
@@ -79,7 +79,7 @@
 
 
 def is_address(text: str) -> bool:
-    """Return whether a text may be the address of an instance."""
+    """Return whether a text may be the address of an instance, or the id or address of a runner."""
     return 0 < len(text) <= MAX_NAME_CHARACTERS and text.isprintable() and " " not in text
 
 
--- a/packages/library/carawayroute/fleet/shared_load.py
+++ b/packages/library/carawayroute/fleet/shared_load.py
@@ -11,7 +11,7 @@
 from carawayroute.clock import Clock
 from carawayroute.fleet.exceptions import StoreError
 from carawayroute.fleet.ports import KeyedRecord, RecordPage, RecordReader
-from carawayroute.fleet.relay import PeerError, Peers
+from carawayroute.fleet.relay import MAX_OFFSET, PeerError, Peers
 from carawayroute.fleet.shared_reader import DRAINING, ReaderChoice, take_records
 from carawayroute.misc import wait_event
 from carawayroute_schema import records_pb2 as pb
@@ -164,6 +164,8 @@
             if first_offset not in (-1, answer.offset):
                 # The peer was started again and has loaded anew.
                 return None, NOT_KEPT
+            if max(answer.offset, answer.end) > MAX_OFFSET:
+                return None, NOT_KEPT
             first_offset = answer.offset
             records.extend(
                 KeyedRecord(record.offset, record.key.decode(errors="replace"), record.value)
--- a/tests/odd_record_builders.py
+++ b/tests/odd_record_builders.py
@@ -48,6 +48,10 @@
         {**usual, "places": [9], "runners": ["w1"]},
         {**usual, "places": [1], "runners": [""]},
         {**usual, "checkpoints": {4: "x"}},
+        {**usual, "crashes": [1, 1]},
+        {**usual, "start_crashes": [1, 1, 1]},
+        {**usual, "survived": b"\x01\x01"},
+        {**usual, "survived": b"\x02"},
     ]
     # The first step is valid: it must not be applied without the others.
     valid = pb.StepProgress(**{**usual, "done": b"\x01"})
@@ -84,11 +88,24 @@
     ]
 
 
+def odd_lost_runners() -> list[pb.LostRunner]:
+    """Return runners that a planner could not reach, with ids or addresses that no runner has."""
+    return [
+        pb.LostRunner(id="", address="10.1.1.1:80"),
+        pb.LostRunner(id="a\r\nb", address="10.1.1.1:80"),
+        pb.LostRunner(id="w1", address=""),
+        pb.LostRunner(id="w1", address="a b"),
+        pb.LostRunner(id="x" * 300, address="10.1.1.1:80"),
+    ]
+
+
 def odd_job_records() -> list[tuple[str, bytes]]:
     """Return records with odd keys or values for the topic of jobs."""
     records = [("a/" + OTHER_ID, one.SerializeToString()) for one in odd_jobs()]
     records += [("m/" + name, one.SerializeToString()) for name, one in odd_members()]
     records += [("s/", value) for value in odd_speeds()]
+    lost = odd_lost_runners()
+    records += [("r/", UNREADABLE), ("r/", pb.LostRunners(runners=lost).SerializeToString())]
     valid = job(OTHER_ID).SerializeToString()
     keys = ("", "a", "a/", "c/", "p/", "m/", "x", "q/" + OTHER_ID, "x" * 255, "\ufffd", "a/\ufffd")
     records += [(key, value) for key in keys for value in (UNREADABLE, valid, b"")]
--- a/tests/test_odd_peer_messages.py
+++ b/tests/test_odd_peer_messages.py
@@ -140,3 +140,29 @@
         assert node.shared_reader.fallbacks_by_reason["gap"] > 0
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("field", ["offset", "end"])
+def test_load_with_an_offset_out_of_range_is_read_from_the_store(field):
+    """An instance would have followed the topic from an offset that never comes."""
+
+    async def scenario(fleet):
+        planner = fleet.planner_name()
+        new = fleet.start_instance("n9")
+        new.shared_load._choice.set_member(
+            pb.Member(instance="n0", address="n0", data_centre="south-a", link_mbps=10**6)
+        )
+
+        async def ask(address, message, timeout_ms):
+            answer = pb.StoreAnswer(offset=1, end=1, detail=1, records=[pb.KeyedRecord(key=b"x/")])
+            setattr(answer, field, 2**64 - 1)
+            return answer.SerializeToString()
+
+        new.shared_load._peers = type("Odd", (), {"ask": staticmethod(ask)})()
+        await fleet.clock.sleep_ms(3_000)
+        assert fleet.planner_name() == planner
+        assert new.jobs_follower.offset < 2**63
+        assert new.jobs_follower.known_end < 2**63
+        assert new.not_ready() == ""
+
+    run_scenario(scenario)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -7,6 +7,7 @@
     UNREADABLE,
     odd_job_records,
     odd_jobs,
+    odd_lost_runners,
     odd_members,
     odd_progress,
     odd_speeds,
@@ -161,3 +162,13 @@
             assert node.unapplied_by_kind == {"member": 1}
 
     run_scenario(scenario)
+
+
+def test_odd_lost_runners_are_left_out_and_the_others_loaded():
+    async def scenario(fleet):
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        usual = pb.LostRunner(id="w7", address="127.0.0.1:9000")
+        planner.load_lost_runners(pb.LostRunners(runners=[*odd_lost_runners(), usual]))
+        assert list(planner._lost_runners) == ["w7"]
+
+    run_scenario(scenario)
