BUDGET: poll a crashed runner on until its crash is proved, though it has left the list

What callers saw: a task that crashes each runner is started without end if the runners return only after their lease has expired and their ids have left the list.

Cause: the planner dropped the link of an unlisted runner once its lease had expired. The proof of the crash, another process at the address, came later, and the lost run stayed uncounted.

Change: such a link is polled each second for 30 s more if a run that had just started was lost on it, also by the next planner, which finds the address in the record of lost runners.

Measured: test_crash_counts_if_the_runner_returns_after_it_left_the_list fails before in all 6 cases (returns after 9, 12 and 20 s, with and without a take-over) and passes after.

--- a/packages/library/carawayroute/fleet/crashes.py
+++ b/packages/library/carawayroute/fleet/crashes.py
@@ -102,6 +102,13 @@
         stage.job.lost_by_run[key] = lost
         self._lost_by_runner.setdefault(lost.runner, []).append((stage.job, key))
 
+    def blames_unproved(self, runner_id: str) -> bool:
+        """Return whether a lost run would be blamed if the runner's process has crashed."""
+        return any(
+            not job.closed and key in job.lost_by_run and job.lost_by_run[key].recently_started
+            for job, key in self._lost_by_runner.get(runner_id, ())
+        )
+
     def process_reported(self, runner_id: str, address: str, boot_ms: int) -> None:
         """Settle the lost runs of a runner that reports.
 
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -23,6 +23,8 @@
 # Polls that only renew the lease while ends reported by the runner are being stored.
 UNSTORED_POLL_INTERVAL_MS = 300
 FAILED_POLL_INTERVAL_MS = 150
+# Failed polls of a runner that is not listed and holds no lease.
+UNLISTED_POLL_INTERVAL_MS = 1_000
 # Requests for a poll within this time share one poll.
 POLL_COALESCE_MS = 15
 # Largest share by which a runner's clock may run slow.
@@ -265,7 +267,10 @@
         while True:
             await self._poll(POLL_WAIT_MS if self.reachable and not self.has_unstored_ends else 0)
             if not self.reachable:
-                await self._clock.sleep_ms(FAILED_POLL_INTERVAL_MS)
+                gone = not self.listed and self.lease_expired()
+                await self._clock.sleep_ms(
+                    UNLISTED_POLL_INTERVAL_MS if gone else FAILED_POLL_INTERVAL_MS
+                )
             elif self.has_unstored_ends:
                 self.ends_stored.clear()
                 await wait_event(self.ends_stored, UNSTORED_POLL_INTERVAL_MS)
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -80,6 +80,9 @@
 # The platform drops a runner from its list after some seconds of silence. A runner that it still
 # lists is waited for this long after its lease expired: its tasks may have ended as done.
 LISTED_RUNNER_WAIT_MS = 15_000
+# A runner that may have crashed is polled for this long after its lease expired, though it is not
+# listed: another process at its address proves the crash.
+CRASH_PROOF_WAIT_MS = 30_000
 # Evidence of a run's end that leaves open whether its runner's process has ended.
 UNPROVED_EVIDENCE = ("lease expired", "runner removed", "runner unknown")
 # A report shows up to 500 ends; a runner that cannot be acknowledged gets no work near that number.
@@ -416,12 +419,16 @@
                 boot_ms=link.boot_ms,
             )
             for link in self.links_by_id.values()
-            if not link.reachable and self._runs_by_runner.get(link.runner.id)
+            if not link.reachable and self._has_unproved_runs(link.runner.id)
         ]
         self._stored_lost_runners = {one.id for one in lost}
         record = pb.LostRunners(runners=lost).SerializeToString()
         await self._writer.write([(LOST_RUNNERS_KEY, record)])
 
+    def _has_unproved_runs(self, runner_id: str) -> bool:
+        """Return whether the end of a runner's process would end runs or count as a crash."""
+        return bool(self._runs_by_runner.get(runner_id)) or self.crashes.blames_unproved(runner_id)
+
     def load_lost_runners(self, record: pb.LostRunners) -> None:
         """Load the runners that the previous planner could not reach; odd ones are left out."""
         self._lost_runners = {
@@ -432,9 +439,9 @@
         self._stored_lost_runners = set(self._lost_runners)
 
     def _link_lost_runners(self) -> None:
-        """Poll the runners of adopted runs that are not listed, where they were last reached."""
+        """Poll runners that are not listed where they were last reached."""
         for lost in self._lost_runners.values():
-            if lost.id in self.links_by_id or not self._runs_by_runner.get(lost.id):
+            if lost.id in self.links_by_id or not self._has_unproved_runs(lost.id):
                 continue
             self.set_runner(
                 Runner(lost.id, "", lost.address, "", Capacity(0, 0, 0), draining=lost.draining)
@@ -492,6 +499,10 @@
         if link is not None and link.runner.address == runner.address:
             was_draining = link.runner.draining
             link.runner = runner
+            if not link.listed and not link.reachable:
+                # A runner that is not listed is polled seldom, and may have been out of reach.
+                self._link_tasks[runner.id].cancel()
+                self._poll_on(link)
             link.listed = True
             link.suspended = False
             if runner.draining and not was_draining:
@@ -521,9 +532,13 @@
         if not moved:
             link.boot_ms = self._adopted_boot_ms(runner)
         self.links_by_id[runner.id] = link
-        self._link_tasks[runner.id] = self._tasks.keep_running(link.run, f"runner {runner.id}")
+        self._poll_on(link)
         log.info("runner_listed", runner=runner.id, address=runner.address, rack=runner.rack)
 
+    def _poll_on(self, link: RunnerLink) -> None:
+        runner_id = link.runner.id
+        self._link_tasks[runner_id] = self._tasks.keep_running(link.run, f"runner {runner_id}")
+
     def suspend_runner(self, runner_id: str) -> None:
         """Give a runner no new tasks until it is set again; it keeps those that it runs."""
         link = self.links_by_id.get(runner_id)
@@ -1123,10 +1138,19 @@
             if (
                 not link.listed
                 and not link.reachable
-                and (link.process_ended or link.lease_expired())
+                and (
+                    link.process_ended
+                    or link.lease_expired()
+                    and not self._awaits_crash_proof(link)
+                )
             ):
                 self._drop_link(runner_id)
 
+    def _awaits_crash_proof(self, link: RunnerLink) -> bool:
+        """Return whether a runner's crash, once it is proved, would be blamed on a task."""
+        expired_ms = self._clock.now_ms() - link.lease_expiry_ms
+        return expired_ms < CRASH_PROOF_WAIT_MS and self.crashes.blames_unproved(link.runner.id)
+
     def _avoid_stalled(self) -> None:
         """Avoid runners on which no task makes progress, and move time-critical gangs off them.
 
--- a/tests/replacement_builders.py
+++ b/tests/replacement_builders.py
@@ -160,6 +160,9 @@
     :param same_id: a runner returns under its id, instead of another one at its address.
     :param lost_answers: starts of deadly tasks are not answered.
     :param late_ms: starts of deadly tasks are carried out that much later.
+    :param after_ms: time from the start of a deadly task to the crash.
+    :param down_ms: time after which the runner's address answers again.
+    :param unlisted_first: the runner's id leaves the list before its address answers again.
     :ivar crashed: the ids of the crashed runners, in order.
     """
 
@@ -170,12 +173,18 @@
         same_id: bool = False,
         lost_answers: bool = False,
         late_ms: float = 0.0,
+        after_ms: float = 10.0,
+        down_ms: float = REBOOT_MS,
+        unlisted_first: bool = False,
     ) -> None:
         self._fleet = fleet
         self._prefixes = prefixes
         self._same_id = same_id
         self._lost_answers = lost_answers
         self._late_ms = late_ms
+        self._after_ms = after_ms
+        self._down_ms = down_ms
+        self._unlisted_first = unlisted_first
         self.crashed: list[str] = []
         for runner in fleet.runners_by_id.values():
             self._watch(runner)
@@ -196,7 +205,7 @@
                 )
                 raise RunnerUnansweredError("lost")
             answer = await start(term, task, run, *arguments, **options)
-            self._fleet.tasks.start(self.crash(runner), f"crash {runner.listed.id}")
+            self._fleet.tasks.start(self.crash(runner, self._after_ms), f"crash {runner.listed.id}")
             if self._lost_answers:
                 # The poll that is under way breaks before the start times out.
                 await self._fleet.clock.sleep_ms(500)
@@ -219,7 +228,10 @@
             return
         self.crashed.append(name)
         crash(self._fleet, name)
-        await self._fleet.clock.sleep_ms(REBOOT_MS)
+        await self._fleet.clock.sleep_ms(self._down_ms - UNLIST_MS)
+        if self._unlisted_first:
+            self._fleet.unlist(name)
+        await self._fleet.clock.sleep_ms(UNLIST_MS)
         if self._same_id:
             runner.mode = "up"
             list_with_boot(self._fleet, name)
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -405,6 +405,26 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("take_over", [False, True])
+@pytest.mark.parametrize("down_ms", [9_000.0, 12_000.0, 20_000.0])
+def test_crash_counts_if_the_runner_returns_after_it_left_the_list(down_ms, take_over):
+    """BUDGET: a crashed runner was polled no more once its lease had expired and it was unlisted.
+
+    No crash was counted if another process answered at its address only then.
+    """
+
+    async def scenario(fleet):
+        deadly = DeadlyTasks(fleet, ID.format(1), down_ms=down_ms, unlisted_first=True)
+        await fleet.submit(job(ID.format(1), run_ms=2_000), NORMAL, OWNER, at="n3")
+        if take_over:
+            await fleet.wait_until(lambda: len(deadly.crashed) == 2, 30_000, "two crashes")
+            await fleet.kill_instance(fleet.planner_name())
+        await fleet.wait_state(ID.format(1), "failed", 120_000)
+        assert len(deadly.crashed) <= MAX_CRASHES
+
+    run_scenario(scenario)
+
+
 def test_gang_with_a_deadly_member_is_given_up_and_its_neighbours_complete():
     """BUDGET: all members of a gang and other jobs went down with each start of one member."""
 
