--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -526,7 +526,7 @@
         if self.planner is None:
             return
         try:
-            self.planner.load_lost_runners(pb.LostRunners.FromString(self._lost_runners))
+            self.planner.lost_runners.load(pb.LostRunners.FromString(self._lost_runners))
         except DecodeError as error:
             log.warning("record_unreadable", key=LOST_RUNNERS_KEY, error=str(error))
 
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -24,7 +24,6 @@
 from carawayroute.fleet.follower import TopicFollower
 from carawayroute.fleet.isolation import Isolation, SuspectWaits
 from carawayroute.fleet.jobs import (
-    LOST_RUNNERS_KEY,
     PROGRESS_KEY,
     SPEEDS_KEY,
     Job,
@@ -33,10 +32,11 @@
     Stage,
 )
 from carawayroute.fleet.links import OTHER_PROCESS, RunnerLink
+from carawayroute.fleet.lost_runners import LostRunners
 from carawayroute.fleet.packing import Candidate, is_time_critical
 from carawayroute.fleet.ports import RunnerClient, Store
-from carawayroute.fleet.record_checks import is_address
 from carawayroute.fleet.runner_health import STALL_MS, RunnerHealth
+from carawayroute.fleet.runs import Run, RunKey
 from carawayroute.fleet.scheduler import Placement, SchedulingPass, StopCost, median_capacity
 from carawayroute.fleet.speeds import RunnerSpeeds
 from carawayroute.fleet.strays import StrayRuns
@@ -52,7 +52,6 @@
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import TaskGroup, wait_event
 from carawayroute.retries import Backoff
-from carawayroute_schema import records_pb2 as pb
 
 PRODUCER = "planner"
 # After a take-over, work is placed once all runners have reported or this time has passed.
@@ -88,8 +87,6 @@
 # A report shows up to 500 ends; a runner that cannot be acknowledged gets no work near that number.
 MAX_UNACKNOWLEDGED_ENDS = 400
 
-# Runners that are lost within this time are stored with one record.
-LOST_RUNNERS_DELAY_MS = 100
 STATUS_INTERVAL_MS = 2_000
 # The record is about 3 KB for 176 runners and is read by every instance.
 SPEEDS_INTERVAL_MS = 6_000
@@ -109,74 +106,11 @@
 
 log = structlog.get_logger()
 
-RunKey = tuple[str, int]
-
 
 class PlannerBehindError(CarawayrouteError):
     """The planner could not read the jobs topic in time."""
 
 
-class Run:
-    """The planner's state of one run of a task.
-
-    :ivar acknowledged_ms: time at which the runner carried out the last start or stop request. Only
-        polls sent later show whether the run exists.
-    :ivar withdrawn: reason why the planner stops the run, or an empty string.
-    :ivar progress_ms: time of the last poll that showed a new percentage.
-    :ivar may_have_begun: a start request may have reached the runner.
-    :ivar crash_counted: a crash of the runner was counted for the run's task.
-    :ivar start_unanswered: a start request went unanswered, and may be carried out late.
-    :ivar started_clock_ms: time on the runner's clock at ``started_ms``.
-    :ivar sampled: its run time is not used for speed estimates (any more); also set for adopted
-        runs, whose start was not observed.
-    """
-
-    __slots__ = (
-        "acknowledged_ms",
-        "checkpoint",
-        "crash_counted",
-        "index",
-        "may_have_begun",
-        "number",
-        "percent",
-        "progress_ms",
-        "runner",
-        "sampled",
-        "stage",
-        "start_unanswered",
-        "started_clock_ms",
-        "started_ms",
-        "withdrawn",
-    )
-
-    def __init__(self, stage: Stage, index: int, number: int, runner: str) -> None:
-        self.stage = stage
-        self.index = index
-        self.number = number
-        self.runner = runner
-        self.acknowledged_ms: float | None = None
-        self.started_ms: float | None = None
-        self.started_clock_ms = 0
-        self.withdrawn = ""
-        self.checkpoint = ""
-        self.percent = -1
-        self.progress_ms: float | None = None
-        self.sampled = False
-        self.start_unanswered = False
-        self.may_have_begun = False
-        self.crash_counted = False
-
-    def started_by(self, at_ms: float) -> bool:
-        """Return whether the run has started before a time, and cannot be started once more."""
-        if self.started_ms is None or self.start_unanswered:
-            return False
-        return self.started_ms < at_ms
-
-    def starts_after(self, at_ms: float) -> bool:
-        """Return whether the run is known to have started at a time or later."""
-        return self.started_ms is not None and self.started_ms >= at_ms
-
-
 class PlannerSettings:
     """Settings of the planner.
 
@@ -271,9 +205,7 @@
         self.unmatched_by_outcome: Counter[str] = Counter()
         self.replacements_by_runner: Counter[str] = Counter()
         self.crashes = CrashLedger(self._on_crash_counted)
-        self._lost_runners: dict[str, pb.LostRunner] = {}
-        self._storing_lost_runners = False
-        self._stored_lost_runners: set[str] = set()
+        self.lost_runners = LostRunners(clock, self._tasks, self._writer.write, self._lost_links)
 
     # ------------------------------------------------------------------ term
 
@@ -403,47 +335,23 @@
     def _on_runner_lost(self, link: RunnerLink) -> None:
         self.runner_health.note_lost(link.runner.id)
         if self._runs_by_runner.get(link.runner.id):
-            self._update_lost_runners()
-
-    def _update_lost_runners(self) -> None:
-        if not self._storing_lost_runners:
-            self._storing_lost_runners = True
-            self._tasks.start(self._store_lost_runners(), "store lost runners")
-
-    async def _store_lost_runners(self) -> None:
-        """Store where runners with runs were last reached, for a planner that finds none listed."""
-        await self._clock.sleep_ms(LOST_RUNNERS_DELAY_MS)
-        self._storing_lost_runners = False
-        lost = [
-            pb.LostRunner(
-                id=link.runner.id,
-                address=link.runner.address,
-                draining=link.runner.draining,
-                boot_ms=link.boot_ms,
-            )
-            for link in self.links_by_id.values()
-            if not link.reachable and self._has_unproved_runs(link.runner.id)
-        ]
-        self._stored_lost_runners = {one.id for one in lost}
-        record = pb.LostRunners(runners=lost).SerializeToString()
-        await self._writer.write([(LOST_RUNNERS_KEY, record)])
+            self.lost_runners.note_lost()
 
     def _has_unproved_runs(self, runner_id: str) -> bool:
         """Return whether the end of a runner's process would end runs or count as a crash."""
         return bool(self._runs_by_runner.get(runner_id)) or self.crashes.blames_unproved(runner_id)
 
-    def load_lost_runners(self, record: pb.LostRunners) -> None:
-        """Load the runners that the previous planner could not reach; odd ones are left out."""
-        self._lost_runners = {
-            lost.id: lost
-            for lost in record.runners
-            if is_address(lost.id) and is_address(lost.address)
-        }
-        self._stored_lost_runners = set(self._lost_runners)
+    def _lost_links(self) -> list[RunnerLink]:
+        """Return the links to runners with runs that are out of reach."""
+        return [
+            link
+            for link in self.links_by_id.values()
+            if not link.reachable and self._has_unproved_runs(link.runner.id)
+        ]
 
     def _link_lost_runners(self) -> None:
         """Poll runners that are not listed where they were last reached."""
-        for lost in self._lost_runners.values():
+        for lost in self.lost_runners.inherited_by_id.values():
             if lost.id in self.links_by_id or not self._has_unproved_runs(lost.id):
                 continue
             self.set_runner(
@@ -552,7 +460,7 @@
         """Return the start of the process that adopted runs were sent to, 0 if unknown."""
         if not self._runs_by_runner.get(runner.id):
             return 0
-        lost = self._lost_runners.get(runner.id)
+        lost = self.lost_runners.inherited_by_id.get(runner.id)
         if lost is not None and lost.boot_ms:
             return lost.boot_ms
         return runner.boot_ms
@@ -658,8 +566,7 @@
         :param sent_ms: time at which the poll was sent.
         """
         self._reported.set()
-        if link.runner.id in self._stored_lost_runners:
-            self._update_lost_runners()
+        self.lost_runners.note_report(link.runner.id)
         self.runner_health.note_process(link.runner.id, report.boot_ms)
         self.crashes.process_reported(link.runner.id, link.runner.address, report.boot_ms)
         for ended in report.ended:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -168,7 +168,7 @@
     async def scenario(fleet):
         planner = fleet.nodes_by_name[fleet.planner_name()].planner
         usual = pb.LostRunner(id="w7", address="127.0.0.1:9000")
-        planner.load_lost_runners(pb.LostRunners(runners=[*odd_lost_runners(), usual]))
-        assert list(planner._lost_runners) == ["w7"]
+        planner.lost_runners.load(pb.LostRunners(runners=[*odd_lost_runners(), usual]))
+        assert list(planner.lost_runners.inherited_by_id) == ["w7"]
 
     run_scenario(scenario)
