BUDGET: take a task as sound by its run time on the runner's own clock

A task that crashes its runners soon after its start could be taken to have survived a start, so that it was blamed only for late crashes from then on.

Cause: a task has survived its start once its runner reports it 0.3 s later; the time was taken at the arrival of the report, which may have been on its way for longer than the run lasted.

Change: the time from the start to the report is taken on the runner's clock, from the answers.

Measured: test_report_that_arrives_late_does_not_clear_a_deadly_task (reports delayed by 0.5 s, a crash 0.1 s after the start) fails before and passes after.

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -126,6 +126,7 @@
     :ivar may_have_begun: a start request may have reached the runner.
     :ivar crash_counted: a crash of the runner was counted for the run's task.
     :ivar start_unanswered: a start request went unanswered, and may be carried out late.
+    :ivar started_clock_ms: time on the runner's clock at ``started_ms``.
     :ivar sampled: its run time is not used for speed estimates (any more); also set for adopted
         runs, whose start was not observed.
     """
@@ -143,6 +144,7 @@
         "sampled",
         "stage",
         "start_unanswered",
+        "started_clock_ms",
         "started_ms",
         "withdrawn",
     )
@@ -154,6 +156,7 @@
         self.runner = runner
         self.acknowledged_ms: float | None = None
         self.started_ms: float | None = None
+        self.started_clock_ms = 0
         self.withdrawn = ""
         self.checkpoint = ""
         self.percent = -1
@@ -673,7 +676,7 @@
             (item for item in report.running if not self._runs_on(link, item)),
         )
         for item in report.running:
-            self._apply_running(link, item)
+            self._apply_running(link, item, report.clock_ms)
         for key, run in list(self._runs_by_runner.get(link.runner.id, {}).items()):
             if key in listed:
                 continue
@@ -707,7 +710,11 @@
         run = self.runs_by_key.get((item.task, item.run))
         return run is not None and run.runner == link.runner.id
 
-    def _apply_running(self, link: RunnerLink, item: RunningTask) -> None:
+    def _apply_running(self, link: RunnerLink, item: RunningTask, clock_ms: int) -> None:
+        """Update a run that a runner reports.
+
+        :param clock_ms: time of the report on the runner's clock.
+        """
         run = self.runs_by_key.get((item.task, item.run))
         if run is None or run.runner != link.runner.id:
             log.warning("stray_run", task=item.task, run=item.run, runner=link.runner.id)
@@ -717,9 +724,11 @@
         run.may_have_begun = True
         if run.started_ms is None:
             run.started_ms = now_ms
+            run.started_clock_ms = clock_ms
             run.stage.job.begun = True
             self._changed.set()
-        note_running(run.stage, run.index, now_ms - run.started_ms)
+        # The report may have been on its way for longer than the run has lasted.
+        note_running(run.stage, run.index, clock_ms - run.started_clock_ms)
         if item.checkpoint and item.checkpoint != run.checkpoint:
             run.checkpoint = item.checkpoint
         if item.percent != run.percent or run.progress_ms is None:
@@ -1326,6 +1335,7 @@
                 return
             run.acknowledged_ms = self._clock.now_ms()
             run.started_ms = run.acknowledged_ms
+            run.started_clock_ms = clock_ms
             run.may_have_begun = True
             stage.job.begun = True
             return
--- a/tests/replacement_builders.py
+++ b/tests/replacement_builders.py
@@ -92,6 +92,34 @@
     refuse_calls(fleet, runner_id, "hold", "start", "stop")
 
 
+def delay_reports(fleet, prefix: str, delay_ms: float) -> None:
+    """Poll a runner after each start of a task, and deliver reports that show the task late.
+
+    :param prefix: the ids of the tasks begin with this.
+    """
+
+    def wrap(client):
+        hold, start = client.hold, client.start
+
+        async def start_and_poll(runner, term, task, *arguments):
+            answer = await start(runner, term, task, *arguments)
+            planner = fleet.nodes_by_name[fleet.planner_name()].planner
+            if task.startswith(prefix):
+                fleet.tasks.start(planner.links_by_id[runner.id].poll_now(), "poll")
+            return answer
+
+        async def hold_late(*arguments):
+            report = await hold(*arguments)
+            if any(item.task.startswith(prefix) for item in report.running):
+                await fleet.clock.sleep_ms(delay_ms)
+            return report
+
+        client.hold, client.start = hold_late, start_and_poll
+
+    for client in fleet.runner_clients_by_name.values():
+        wrap(client)
+
+
 def list_with_boot(fleet, runner_id: str) -> None:
     """Write a runner's entry with the start of its process."""
     runner = fleet.runners_by_id[runner_id]
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -24,6 +24,7 @@
     call_fields,
     crash,
     crash_and_replace,
+    delay_reports,
     holder_of,
     list_at,
     lost_runners,
@@ -425,6 +426,23 @@
     run_scenario(scenario)
 
 
+def test_report_that_arrives_late_does_not_clear_a_deadly_task():
+    """BUDGET: a task was taken as sound as a report from before the crash arrived long after it."""
+
+    async def scenario(fleet):
+        deadly = DeadlyTasks(fleet, ID.format(1), after_ms=100.0)
+        delay_reports(fleet, ID.format(1), 500.0)
+        await fleet.submit(job(ID.format(1), run_ms=2_000), NORMAL, OWNER)
+        await fleet.wait_until(lambda: deadly.crashed, 2_000, "a crash")
+        await fleet.clock.sleep_ms(1_000)
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        assert not planner.job_table.jobs_by_id[ID.format(1)].stage(0, 0).survived[0]
+        await fleet.wait_state(ID.format(1), "failed", 60_000)
+        assert len(deadly.crashed) <= MAX_CRASHES
+
+    run_scenario(scenario)
+
+
 def test_gang_with_a_deadly_member_is_given_up_and_its_neighbours_complete():
     """BUDGET: all members of a gang and other jobs went down with each start of one member."""
 
