BUDGET: start an overdue gang of suspects together if there are fewer runners than suspects

A gang of 20 small tasks whose members had two crashes each did not start within 5 s on eight empty runners, while another step of its job ran. If no other step ran, the job counted as idle and started after 1.8 s.

Cause: an overdue gang was placed only with a runner of its own for each suspect.

Change: if that is not possible, an overdue gang is placed on free runners as other work is.

--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -237,7 +237,14 @@
         if not overdue:
             return None
         chosen = self.suspects.choose_least_harmful(stage, candidates, len(suspects), self._harm())
-        return self._place_around(stage, candidates, suspects, others, chosen)
+        placement = self._place_around(stage, candidates, suspects, others, chosen)
+        if placement is None and stage.step.gang:
+            # There may be fewer runners than suspects.
+            runner_ids = self._find_free_runners(stage, candidates, len(indices))
+            if runner_ids:
+                guaranteed = stage.job.id in self.guaranteed_jobs
+                return Placement(stage, indices, runner_ids, [], guaranteed)
+        return placement
 
     def _place_isolated(
         self, stage: Stage, candidates: list[Candidate], suspects: list[int], others: list[int]
--- a/tests/test_fleet_isolation.py
+++ b/tests/test_fleet_isolation.py
@@ -187,6 +187,16 @@
     assert runners_by_task(plan(job_table, candidates, overdue=overdue)) == {(1, 0): "w1"}
 
 
+def test_gang_with_more_suspects_than_runners_does_not_wait_for_ever():
+    """BUDGET: a gang whose members were suspects waited for a runner for each of them."""
+    job_table = job_table_of(job(ID.format(1), [step(6, gang=True)]))
+    candidates = [candidate("w0"), candidate("w1")]
+    stage = suspect(job_table, 1, start_crashes=dict.fromkeys(range(6), 2))
+    assert plan(job_table, candidates) == []
+    overdue = {(stage.key, 0)}
+    assert len(runners_by_task(plan(job_table, candidates, overdue=overdue))) == 6
+
+
 def test_other_tasks_of_a_job_do_not_wait_for_its_suspects():
     job_table = job_table_of(job(ID.format(1), [step(3)]), job(ID.format(9), [step(2)]))
     candidates = [candidate("w0")]
