--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -433,6 +433,10 @@
         deadly = DeadlyTasks(fleet, ID.format(1), after_ms=100.0)
         delay_reports(fleet, ID.format(1), 500.0)
         await fleet.submit(job(ID.format(1), run_ms=2_000), NORMAL, OWNER)
+        await fleet.wait_until(lambda: deadly.crashed, 2_000, "a crash")
+        await fleet.clock.sleep_ms(1_000)
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        assert not planner.job_table.jobs_by_id[ID.format(1)].stage(0, 0).survived[0]
         await fleet.wait_state(ID.format(1), "failed", 60_000)
         assert len(deadly.crashed) <= MAX_CRASHES
 
