--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,12 @@
     assert any("is unknown at instance" in text for text in found.violations)
 
 
+def test_soak_detects_crashes_that_are_not_counted():
+    faults = ("deadly_jobs", "crash_runner")
+    found = soak.run_seed(1, 10.0, mutant="crashes_are_not_counted", runner_faults=faults)
+    assert any("after it had crashed" in text for text in found.violations)
+
+
 async def never_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Read until the client gives up."""
     await reader.read()
