BUDGET: count each crash of a task that has never survived a start

Cause: the crash comes just after the time in which the start is blamed, so that it counted as a late one: once for each address only, and not at all beside a blamed task. Change: that holds only for tasks that have survived a start, which are those that sound work soon belongs to. Measured: test_task_that_crashes_two_runners_by_turns_is_given_up failed for 300, 350 and 450 ms before, passes now; the tests of flapping runners and of neighbours pass.

--- a/packages/library/carawayroute/fleet/crashes.py
+++ b/packages/library/carawayroute/fleet/crashes.py
@@ -3,7 +3,7 @@
 A run that has begun may have crashed its runner by its start, unless the runner's process was alive
 for longer than :data:`START_CRASH_MS` after that start. A task that crashes runners by its start
 crashes every one of them, so one that has survived a start does not, but it may crash them later.
-A late crash counts only if no run on the runner was started shortly before, and once for each
+Its late crashes count only if no run on the runner was started shortly before, and once for each
 address, as sound work that runs for long also goes down with runners that crash again and again.
 """
 
@@ -166,10 +166,12 @@
         )
         for stage, index in blamed:
             stage.start_crashes[index] += 1
-            self._count(stage, index, address, at_start=True)
+            self._count(stage, index, address, repeated=True)
         for stage, index in others:
-            if not blamed:
-                self._count(stage, index, address, at_start=False)
+            if not stage.survived[index]:
+                self._count(stage, index, address, repeated=True)
+            elif not blamed:
+                self._count(stage, index, address, repeated=False)
         for job in {stage.job.id: stage.job for stage, _, _ in open_tasks}.values():
             self._on_counted(job)
 
@@ -187,9 +189,13 @@
             if lost is not None:
                 yield job.stage(key[0], key[1]), key[2], lost.recently_started
 
-    def _count(self, stage: Stage, index: int, address: str, at_start: bool) -> None:
+    def _count(self, stage: Stage, index: int, address: str, repeated: bool) -> None:
+        """Count a crash for a task.
+
+        :param repeated: whether crashes at the same address count each time.
+        """
         crashes_by_address = stage.crashes_by_address(index)
-        if at_start or address not in crashes_by_address:
+        if repeated or address not in crashes_by_address:
             stage.crashes[index] += 1
         crashes_by_address[address] += 1
         job = stage.job
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -778,6 +778,19 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("after_ms", [250, 300, 350, 450])
+def test_task_that_crashes_two_runners_by_turns_is_given_up(after_ms):
+    """BUDGET: a task that crashed its runners 0.3 s after its start was started up to 11 times."""
+
+    async def scenario(fleet):
+        deadly = job(ID.format(1), run_ms=8_000, deadly=(0,), deadly_after_ms=after_ms)
+        await fleet.submit(deadly, NORMAL, OWNER)
+        await fleet.wait_state(ID.format(1), "failed", 60_000)
+        assert len(starts(fleet.journal, ID.format(1))) <= MAX_CRASHES
+
+    run_scenario(scenario, racks=1, runners_per_rack=2)
+
+
 def test_task_that_loses_its_runners_to_deadly_ones_is_not_given_up():
     """BUDGET: work that runs for long goes down with each deadly task that is placed beside it."""
 
