--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -24,7 +24,7 @@
 MIN_DRAIN_MS = 3_300
 DRAIN_CHECK_MS = 50
 # Reserved for closing servers and connections before the platform sends SIGKILL.
-SHUTDOWN_MS = 700
+SHUTDOWN_MS = 1_200
 
 log = structlog.get_logger()
 
