--- a/tests/soak.py
+++ b/tests/soak.py
@@ -63,15 +63,10 @@
     "shrink_runners",
     "write_odd_entries",
     "lose_starts",
+    "late_deadly_jobs",
 )
 # Those that are injected by default, also in CI.
-DEFAULT_RUNNER_FAULTS: tuple[str, ...] = (
-    "deadly_jobs",
-    "crash_runner",
-    "shrink_runners",
-    "write_odd_entries",
-    "lose_starts",
-)
+DEFAULT_RUNNER_FAULTS: tuple[str, ...] = RUNNER_FAULTS
 DEADLY_PROBABILITY = 0.08
 # Time from the start of a task that crashes its runner to the crash.
 DEADLY_AFTER_MS = {"deadly_jobs": 10, "late_deadly_jobs": 300}
--- a/tests/soak_mutants.py
+++ b/tests/soak_mutants.py
@@ -90,7 +90,7 @@
 def crashes_are_not_counted() -> None:
     """Count no crashes of runners for the tasks that ran there."""
     crashes = importlib.import_module("carawayroute.fleet.crashes")
-    crashes.CrashLedger._count = lambda self, stage, index, at_start: None
+    crashes.CrashLedger.process_crashed = lambda self, *crash: None
 
 
 def crashes_are_not_stored() -> None:
