LOST: count a run's crash once, also if the planner changes before the run has ended

Cause: an adopted run on a restarted process is held until a stop is acknowledged, as its start may come late. Its crash was counted at once, but only the planner's memory knew that; each planner that took over before the run had ended counted it again, as a crash by the start. Change: the progress record names the latest run of each task for which a crash was counted (crashed_runs); older records read as none. Why it works: run numbers only rise, and the count and the run's number are stored with the same record.

--- a/packages/library/carawayroute/fleet/crashes.py
+++ b/packages/library/carawayroute/fleet/crashes.py
@@ -39,7 +39,9 @@
     number: int
     started_ms: float | None
     may_have_begun: bool
-    crash_counted: bool
+
+    @property
+    def crash_counted(self) -> bool: ...
 
 
 def is_start_crash(started_ms: float | None, last_alive_ms: float | None) -> bool:
@@ -179,7 +181,7 @@
         """Yield the runs that may have begun and are not counted yet, and mark them as counted."""
         for run in runs:
             if run.may_have_begun and not run.crash_counted:
-                run.crash_counted = True
+                run.stage.crashed_runs[run.index] = run.number
                 yield run
 
     def _take_lost(self, runner_id: str) -> Iterator[tuple[Stage, int, bool]]:
--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -44,6 +44,7 @@
     :ivar failed_run: latest run of a gang that was counted as failed.
     :ivar crashes: crashes of runners with a run of each task on the runner.
     :ivar start_crashes: those crashes that came soon after each task's start.
+    :ivar crashed_runs: number of the latest run of each task for which a crash was counted.
     :ivar survived: 1 for each task that was running on a runner well after its start, which a task
         that crashes its runners never is.
     """
@@ -51,6 +52,7 @@
     __slots__ = (
         "_crashes_by_address",
         "checkpoints",
+        "crashed_runs",
         "crashes",
         "demand",
         "done",
@@ -81,6 +83,7 @@
         self.failed_run = 0
         self.crashes = [0] * count
         self.start_crashes = [0] * count
+        self.crashed_runs = [0] * count
         self._crashes_by_address: dict[int, Counter[str]] = {}
         self.survived = bytearray(count)
         self.runners = [""] * count
@@ -168,6 +171,7 @@
             failed_run=self.failed_run,
             crashes=self.crashes if any(self.crashes) else (),
             start_crashes=self.start_crashes if any(self.start_crashes) else (),
+            crashed_runs=self.crashed_runs if any(self.crashed_runs) else (),
             survived=bytes(self.survived) if any(self.survived) else b"",
         )
 
@@ -196,6 +200,7 @@
         count = self.step.count
         self.crashes = list(record.crashes) or [0] * count
         self.start_crashes = list(record.start_crashes) or [0] * count
+        self.crashed_runs = list(record.crashed_runs) or [0] * count
         self.survived = bytearray(record.survived) or bytearray(count)
         self.runners = [record.runners[place - 1] if place else "" for place in record.places]
         self.checkpoints = dict(record.checkpoints)
--- a/packages/library/carawayroute/fleet/record_checks.py
+++ b/packages/library/carawayroute/fleet/record_checks.py
@@ -51,7 +51,8 @@
         if lengths != {count}:
             raise RecordError(f"progress of step {item.step} does not have {count} tasks")
         # Records of tasks under which no runner has crashed omit these counts.
-        if not {len(item.crashes), len(item.start_crashes), len(item.survived)} <= {0, count}:
+        counts = (item.crashes, item.start_crashes, item.crashed_runs, item.survived)
+        if not {len(one) for one in counts} <= {0, count}:
             raise RecordError(f"crashes of step {item.step} are not those of {count} tasks")
         if any(done > 1 for done in item.done + item.survived) or any(
             place > len(item.runners) for place in item.places
--- a/packages/library/carawayroute/fleet/runs.py
+++ b/packages/library/carawayroute/fleet/runs.py
@@ -14,7 +14,6 @@
     :ivar withdrawn: reason why the planner stops the run, or an empty string.
     :ivar progress_ms: time of the last poll that showed a new percentage.
     :ivar may_have_begun: a start request may have reached the runner.
-    :ivar crash_counted: a crash of the runner was counted for the run's task.
     :ivar start_unanswered: a start request went unanswered, and may be carried out late.
     :ivar started_clock_ms: time on the runner's clock at ``started_ms``.
     :ivar sampled: its run time is not used for speed estimates (any more); also set for adopted
@@ -24,7 +23,6 @@
     __slots__ = (
         "acknowledged_ms",
         "checkpoint",
-        "crash_counted",
         "index",
         "may_have_begun",
         "number",
@@ -54,7 +52,11 @@
         self.sampled = False
         self.start_unanswered = False
         self.may_have_begun = False
-        self.crash_counted = False
+
+    @property
+    def crash_counted(self) -> bool:
+        """Return whether a crash of the runner was counted for the run, also by another planner."""
+        return self.stage.crashed_runs[self.index] >= self.number
 
     def started_by(self, at_ms: float) -> bool:
         """Return whether the run has started before a time, and cannot be started once more."""
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -37,7 +37,7 @@
 from structlog.testing import capture_logs
 
 from carawayroute.clock import Clock
-from carawayroute.fleet.crashes import MAX_CRASHES, MAX_START_CRASHES
+from carawayroute.fleet.crashes import MAX_CRASHES, MAX_START_CRASHES, CrashLedger
 from carawayroute.fleet.exceptions import (
     RunnerError,
     RunnerNotListeningError,
@@ -48,6 +48,7 @@
 from carawayroute.fleet.jobs import PROGRESS_KEY, RecordError
 from carawayroute.fleet.links import RunnerLink
 from carawayroute.fleet.record_checks import check_progress
+from carawayroute.fleet.runs import Run
 from carawayroute_schema import records_pb2 as pb
 from carawayroute_standins.fleet.judge import starts
 from carawayroute_standins.fleet.pool import BACK_MS
@@ -83,7 +84,7 @@
     assert (stage.crashes, stage.start_crashes) == ([0, 0], [0, 0])
 
 
-@pytest.mark.parametrize("field", ["crashes", "start_crashes"])
+@pytest.mark.parametrize("field", ["crashes", "start_crashes", "crashed_runs"])
 def test_record_with_counts_of_another_number_of_tasks_is_refused(field):
     stage = stage_of()
     record = stage.to_record()
@@ -804,3 +805,23 @@
         await fleet.wait_state(ID.format(1), "completed", 120_000)
 
     run_scenario(scenario, racks=1, runners_per_rack=2)
+
+
+@pytest.mark.parametrize("planners", [2, 4])
+def test_crash_is_counted_once_by_planners_that_follow_each_other(planners):
+    """LOST: each planner counted the same crash again, and sound work was given up after one."""
+    stage = stage_of()
+    stage.runs = [1, 1]
+    stage.runners = ["w1", "w1"]
+    for _ in range(planners):
+        ledger = CrashLedger(lambda job: None)
+        runs = [Run(stage, index, 1, "w1") for index in (0, 1)]
+        for run in runs:
+            run.may_have_begun = True
+        ledger.process_crashed("w1", "127.0.0.1:9000", "process restarted", runs, None)
+        # The next planner has the state as it is stored.
+        record = stage.to_record()
+        stage = stage_of()
+        stage.apply(record)
+    assert (stage.crashes, stage.start_crashes) == ([1, 1], [1, 1])
+    assert not stage.job.failed
