Packing: look first at the fullest rack, and stop at the first one that suits

Cause: for each gang the tasks were placed in every rack, sorted and all, to compare the racks by what they leave free. The best rack is the fullest one that suits, so racks are ordered by free accelerators and the search stops there. Decisions are the same.

--- a/packages/library/carawayroute/fleet/packing.py
+++ b/packages/library/carawayroute/fleet/packing.py
@@ -154,26 +154,39 @@
     if least and not any(candidate.free.accelerators >= least for candidate in candidates):
         return None
     best: list[str] | None = None
-    best_rank: tuple[int, int, int] | None = None
+    best_rank: tuple[int, int] | None = None
     time_critical = is_time_critical(stage)
     slow = {one.runner.id for one in candidates if one.slow} if time_critical else set()
-    for domain in domains(stage, candidates):
-        if (
-            all_or_nothing
-            and sum(count_fitting_tasks(stage, candidate) for candidate in domain) < count
-        ):
+    # The fullest domains come first, so that the first one that suits is the best.
+    for domain in sorted(domains(stage, candidates), key=_free_accelerators):
+        if all_or_nothing and not _holds(stage, domain, count):
             continue
         runner_ids = best_fit(stage, domain, count)
         if not runner_ids:
             continue
-        left = sum(candidate.free.accelerators for candidate in domain)
         unsuited = sum(1 for runner_id in runner_ids if runner_id in slow)
-        rank = (-len(runner_ids), unsuited, left)
+        if len(runner_ids) == count and not unsuited:
+            return runner_ids
+        rank = (-len(runner_ids), unsuited)
         if best_rank is None or rank < best_rank:
             best, best_rank = runner_ids, rank
     return best
 
 
+def _free_accelerators(candidates: list[Candidate]) -> int:
+    return sum([candidate.free.accelerators for candidate in candidates])
+
+
+def _holds(stage: Stage, candidates: list[Candidate], count: int) -> bool:
+    """Return whether ``count`` tasks of a stage currently fit on the runners together."""
+    left = count
+    for candidate in candidates:
+        left -= count_fitting_tasks(stage, candidate)
+        if left <= 0:
+            return True
+    return False
+
+
 def most_when_empty(stage: Stage, candidates: list[Candidate]) -> int:
     """Return how many tasks of a stage would fit in one domain if the runners were empty."""
     return max(
