--- a/packages/library/carawayroute/fleet/preemption.py
+++ b/packages/library/carawayroute/fleet/preemption.py
@@ -25,11 +25,12 @@
     :ivar stopped: it has already been chosen in this pass.
     """
 
-    __slots__ = ("cost", "indices", "stage", "stopped", "tasks_by_runner")
+    __slots__ = ("cost", "indices", "stage", "stopped", "tasks_by_runner", "value_rate")
 
     def __init__(self, stage: Stage, indices: list[int], lost_ms: float, value_rate: float) -> None:
         self.stage = stage
         self.indices = indices
+        self.value_rate = value_rate
         starts = max(stage.runs[index] for index in indices)
         self.cost = (lost_ms + RESTART_MS) * value_rate * max(1, starts)
         self.stopped = False
@@ -52,6 +53,13 @@
         self.victims = victims
         self.cost = cost
 
+    def displaced_value(self, for_ms: float) -> float:
+        """Return the value that the victims would earn in the time for which they are displaced.
+
+        :param for_ms: expected run time of the work that takes their place.
+        """
+        return for_ms * sum(victim.value_rate for victim in self.victims)
+
 
 def group_by_runner(victims: Iterable[Victim]) -> dict[str, list[Victim]]:
     """Return the victims by runner, cheapest first."""
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -477,6 +477,9 @@
         """
         if not guaranteed and not is_all_or_nothing(stage):
             return None
+        if not guaranteed and any(stage.failures):
+            # It may fail again, and its victims' work would be lost for nothing.
+            return None
         if self._victim_searches >= MAX_VICTIM_SEARCHES:
             return None
         victims = self._victims(stage, guaranteed)
@@ -498,7 +501,9 @@
         found = preemption.choose(stage, candidates, count, victims, spread)
         if found is None and at_any_cost:
             found = preemption.choose(stage, candidates, count, victims, spread=True)
-        cost = found.cost if found is not None else math.inf
+        cost = math.inf
+        if found is not None:
+            cost = found.cost + found.displaced_value(self.estimate_ms(stage))
         if found is None or cost > most:
             if remembered:
                 self._fits.note_cost(key, count, cost)
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -186,6 +186,41 @@
     assert plan(job_table, candidates, lost_ms=8_500) == []
 
 
+def full_of_checkpointed_work(*jobs):
+    """Return jobs and eight runners that are full of batch tasks of 6 s, which save checkpoints."""
+    batch = job(ID.format(9), [step(64, 1, estimate_ms=6_000, checkpoints=True)], BATCH, OTHER)
+    job_table = job_table_of(*jobs, batch)
+    assign(stage_of(job_table, 9), {n: f"w{n // 8}" for n in range(64)})
+    return job_table, two_racks(free=0)
+
+
+def test_long_gang_does_not_displace_work_that_earns_as_much_in_its_time():
+    """In a burst of all kinds, long gangs stopped thousands of batch tasks of 6 s.
+
+    Nothing that the tasks had done was lost, but the runners earned no more than before.
+    """
+    gang = job(ID.format(1), [step(4, 8, gang=True, estimate_ms=20_000)], NORMAL, OTHER)
+    job_table, candidates = full_of_checkpointed_work(gang)
+    assert plan(job_table, candidates) == []
+
+
+def test_short_urgent_gang_displaces_batch_work():
+    gang = job(ID.format(1), [step(4, 8, gang=True, estimate_ms=500)], URGENT, OTHER)
+    job_table, candidates = full_of_checkpointed_work(gang)
+    (placement,) = plan(job_table, candidates)
+    assert len(placement.runner_ids) == 4
+    assert sum(len(victim.indices) for victim in placement.victims) == 32
+
+
+def test_gang_that_has_failed_preempts_only_within_its_guarantee():
+    """A gang that could not be done preempted others' work for each of its three attempts."""
+    for team, preempts in ((OTHER, False), (OWNER, True)):
+        gang = job(ID.format(1), [step(4, 8, gang=True, estimate_ms=500)], URGENT, team)
+        job_table, candidates = full_of_checkpointed_work(gang)
+        stage_of(job_table, 1).record_failure(0, run=1)
+        assert bool(plan(job_table, candidates)) == preempts
+
+
 def test_small_urgent_jobs_rank_before_large_batch_jobs():
     candidates = [candidate("w0", free=8)]
     large = job(ID.format(1), [step(8, 1, estimate_ms=9_000)], BATCH, OTHER)
