Planner: send nothing after a pause before a heartbeat confirms the term

Operators of similar systems report processes that, paused for seconds, acted on a permission that had run out. It could happen here: a planner whose process was frozen, or its machine suspended, sent holds, starts and stops of its old term as soon as it ran again; only runners that knew the newer term refused them. Change: each request to a runner passes a guard that notices a pause by a clock that goes on during suspensions, and waits for the end of a heartbeat begun after the pause. A store that cannot be reached confirms nothing and forbids nothing, as before.

--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -75,6 +75,7 @@
         self._newest_seen_ms = 0.0
         self._claim_jitter_ms = random.uniform(0, CLAIM_JITTER_MS)
         self._given_up_term = 0
+        self._confirmations: list[asyncio.Future[None]] = []
         self.term = 0
         self.accelerators = 0
         self.candidate = True
@@ -196,7 +197,7 @@
         """Send heartbeats while this process holds the term, and claim it when it is vacant."""
         while True:
             if self.is_leader:
-                await self._append(pb.Leader(instance=self._holder, term=self.term))
+                await self._beat()
                 await self._clock.sleep_ms(HEARTBEAT_INTERVAL_MS)
             elif self._may_claim():
                 log.info(
@@ -208,6 +209,26 @@
             else:
                 await self._clock.sleep_ms(CHECK_INTERVAL_MS)
 
+    async def _beat(self) -> None:
+        """Append a heartbeat, and release those who wait for one that begins now."""
+        waiting, self._confirmations = self._confirmations, []
+        await self._append(pb.Leader(instance=self._holder, term=self.term))
+        if not self.is_leader:
+            return
+        for confirmation in waiting:
+            if not confirmation.done():
+                confirmation.set_result(None)
+
+    async def confirm(self) -> None:
+        """Return once a heartbeat that begins after this call has ended.
+
+        Does not return if it shows that the term is lost. A store that cannot be reached shows
+        nothing: the term is kept then, as always while no other instance is known to hold it.
+        """
+        confirmation = asyncio.get_running_loop().create_future()
+        self._confirmations.append(confirmation)
+        await confirmation
+
     async def resign(self) -> None:
         """Resign the term, so that another instance can claim it without waiting for a timeout.
 
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -512,6 +512,7 @@
             self._make_runners_follower,
             self.leadership.step_down,
             self._set_accelerators,
+            self.leadership.confirm,
         )
         try:
             planner.speeds.load(pb.RunnerSpeeds.FromString(self._speeds))
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 import structlog
@@ -34,6 +34,7 @@
 from carawayroute.fleet.links import OTHER_PROCESS, RunnerLink
 from carawayroute.fleet.lost_runners import LostRunners
 from carawayroute.fleet.packing import Candidate, is_time_critical
+from carawayroute.fleet.pause_guard import GuardedRunnerClient, PauseGuard
 from carawayroute.fleet.ports import RunnerClient, Store
 from carawayroute.fleet.runner_health import STALL_MS, RunnerHealth
 from carawayroute.fleet.runs import Run, RunKey
@@ -144,6 +145,8 @@
     :param make_runners_follower: creates the follower of the platform's list of runners.
     :param on_term_lost: called with the planner's term when the planner is fenced or ends.
     :param on_capacity: called with the number of accelerators of the usable runners.
+    :param confirm_term: returns once a heartbeat that begins after the call has ended, and not at
+        all if the term is lost.
     :ivar placing: if false, no scheduling passes are run.
     :ivar given_up_by_evidence: number of runs ended without a reported end.
     :ivar unmatched_by_outcome: number of reported ends that matched no known run.
@@ -164,12 +167,14 @@
         make_runners_follower: Callable[["Planner"], TopicFollower],
         on_term_lost: Callable[[int], None],
         on_capacity: Callable[[int], None],
+        confirm_term: Callable[[], Awaitable[None]],
     ) -> None:
         self.term = term
         self._settings = settings
         self._clock = clock
         self._store = store
-        self._orders = orders
+        self.pause_guard = PauseGuard(clock, confirm_term)
+        self._orders = GuardedRunnerClient(orders, self.pause_guard)
         self.job_table = job_table
         self._jobs_follower = jobs_follower
         self._configuration = configuration
@@ -216,6 +221,7 @@
             await self._take_over()
             while True:
                 await self._wait_change()
+                self.pause_guard.notice()
                 if self.placing:
                     await self._try_pass()
         except StoreFencedError:
