Entry: tell callers to return while they still wait, and refuse truthfully what is not sent

Also 13 answers 504 to requests that reached no runner: the last attempt within the callers' time was sent to the store with some 50 ms left for an answer, after the instance had been refused by it before. Change: Retry-After is at most a third of the time that the caller still waits; while the store fails, a request with less than 300 ms for the answer is refused at once and not sent.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -31,10 +31,14 @@
 
 # A store outage is expected to last as long again as it already has, so that time is the
 # retry-after, within these bounds. Callers retry only a few times; the upper bound is also a share
-# of the time in which the job's result still counts, so that the attempts are spread over it.
+# of the time in which the job's result still counts, so that the attempts are spread over it, and
+# of the time that the caller still waits, as it does not return later.
 MIN_RETRY_AFTER_MS = 1_000
 RETRY_AFTER_SHARE = 0.2
+RETRY_AFTER_WAIT_SHARE = 1 / 3
 MAX_RETRY_AFTER_MS = 5_000
+# While the store fails, a request is not sent to it with less time left for the answer.
+MIN_FAILING_STORE_WAIT_MS = 300
 # Reloading the state after a term takes a few milliseconds; loading it at startup takes longer.
 MAX_LOAD_WAIT_MS = 400
 # The state of an open job is refreshed before it is returned if it is older than this.
@@ -235,9 +239,13 @@
         :raises NotAcceptedError: the record was not stored.
         :raises OutcomeUnknownError: the record may have been stored.
         """
+        sent = self._writer.sent_write(key)
+        store_fails = self._writer.failing_ms > 0 and sent is None
+        if store_fails and wait_ms - RESPONSE_MARGIN_MS < MIN_FAILING_STORE_WAIT_MS:
+            log.info("request_not_stored", job=job_id, key=key[:1], error="too little time is left")
+            raise NotAcceptedError("the store is not available", False, MIN_RETRY_AFTER_MS)
         try:
             async with asyncio.timeout(max(0.0, wait_ms - RESPONSE_MARGIN_MS) / 1000):
-                sent = self._writer.sent_write(key)
                 if sent is not None:
                     # An earlier attempt of this request, which may be stored already.
                     await asyncio.shield(sent)
@@ -245,7 +253,11 @@
                 offset_by_key = await self._writer.write([(key, value)])
         except (StoreRefusedError, StoreRejectedError) as error:
             log.info("request_not_stored", job=job_id, key=key[:1], error=str(error))
-            most_ms = min(MAX_RETRY_AFTER_MS, RETRY_AFTER_SHARE * late_limit_ms)
+            most_ms = min(
+                MAX_RETRY_AFTER_MS,
+                RETRY_AFTER_SHARE * late_limit_ms,
+                RETRY_AFTER_WAIT_SHARE * wait_ms,
+            )
             retry_ms = max(MIN_RETRY_AFTER_MS, min(most_ms, self._writer.failing_ms))
             raise NotAcceptedError("the store is not available", False, retry_ms) from error
         except (StoreUnansweredError, TimeoutError) as error:
