--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -132,6 +132,17 @@
             "evidence",
             lambda: node.planner.given_up_by_evidence if node.planner else {},
         )
+        self.metrics.counts(
+            "runs_withdrawn",
+            "Runs that this term's planner stopped, or ended before they were started.",
+            "reason",
+            lambda: node.planner.withdrawn_by_reason if node.planner else {},
+        )
+        gauge(
+            "pauses",
+            "Pauses of the process in this term, after which the planner confirmed its term.",
+            lambda: node.planner.pause_guard.pauses if node.planner else 0,
+        )
         self.metrics.counts(
             "ends_unmatched",
             "Ends reported in this term that matched no known run.",
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -150,6 +150,7 @@
     :ivar placing: if false, no scheduling passes are run.
     :ivar given_up_by_evidence: number of runs ended without a reported end.
     :ivar unmatched_by_outcome: number of reported ends that matched no known run.
+    :ivar withdrawn_by_reason: number of runs that the planner ended before their time.
     :ivar crashes: counts crashes of runners by task.
     :ivar replacements_by_runner: how often another process answered at a runner's address.
     """
@@ -208,6 +209,7 @@
         self.placing = True
         self.given_up_by_evidence: Counter[str] = Counter()
         self.unmatched_by_outcome: Counter[str] = Counter()
+        self.withdrawn_by_reason: Counter[str] = Counter()
         self.replacements_by_runner: Counter[str] = Counter()
         self.crashes = CrashLedger(self._on_crash_counted)
         self.lost_runners = LostRunners(clock, self._tasks, self._writer.write, self._lost_links)
@@ -804,19 +806,21 @@
 
     # ------------------------------------------------------------------ withdrawing
 
-    def _withdraw_gang(self, stage: Stage, number: int, reason: str) -> None:
+    def _withdraw_gang(self, stage: Stage, number: int, reason: str, detail: str = "") -> None:
         keys = [(stage.task(index), number) for index in stage.placed()]
-        self._withdraw_all(keys, reason)
+        self._withdraw_all(keys, reason, detail)
 
     def _withdraw_job(self, job: Job) -> None:
         for stage in job.stages_by_key.values():
             keys = [(stage.task(index), stage.runs[index]) for index in stage.placed()]
-            self._withdraw_all(keys, job.state)
+            self._withdraw_all(keys, f"job {job.state}")
 
-    def _withdraw_all(self, keys: list[RunKey], reason: str) -> None:
+    def _withdraw_all(self, keys: list[RunKey], reason: str, detail: str = "") -> None:
         """Stop those of the given runs that are not being stopped yet.
 
         A run for which no start request has been sent ends at once.
+
+        :param reason: one of few, by which runs are counted.
         """
         found = [self.runs_by_key.get(key) for key in keys]
         runs = [run for run in found if run is not None and not run.withdrawn]
@@ -824,8 +828,14 @@
         for run in runs:
             run.withdrawn = reason
             run.acknowledged_ms = None
-            task = run.stage.task(run.index)
-            log.info("run_withdrawn", task=task, run=run.number, runner=run.runner, reason=reason)
+            self.withdrawn_by_reason[reason] += 1
+            log.info(
+                "run_withdrawn",
+                task=run.stage.task(run.index),
+                run=run.number,
+                runner=run.runner,
+                reason=f"{reason} {detail}" if detail else reason,
+            )
         for run in runs:
             task = run.stage.task(run.index)
             if run.stage.ordered_runs[run.index] < run.number:
@@ -1165,7 +1175,7 @@
             for victim in placement.victims
             for index in victim.indices
         ]
-        self._withdraw_all(preempted, f"preempted by {placement.stage.job.id}")
+        self._withdraw_all(preempted, "preempted", f"by {placement.stage.job.id}")
         await self._persist([placement.stage.job])
         if not await self._wait_ended(preempted):
             log.warning("preemption_timed_out", job=placement.stage.job.id)
@@ -1304,6 +1314,6 @@
         if certain:
             self._end_run(key, run, "refused", run.checkpoint)
         elif run.stage.step.gang:
-            self._withdraw_gang(run.stage, run.number, f"start failed: {reason}")
+            self._withdraw_gang(run.stage, run.number, "start failed", reason)
         else:
-            self._withdraw_all([key], f"start failed: {reason}")
+            self._withdraw_all([key], "start failed", reason)
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -1377,6 +1377,24 @@
     run_scenario(scenario)
 
 
+def test_runs_that_are_ended_before_their_time_are_counted_by_reason():
+    async def scenario(fleet):
+        planner = fleet.nodes_by_name[fleet.planner_name()].planner
+        answer_ms = fleet.store.answer_ms
+        await preempt_unsent_work(fleet)
+        fleet.store.answer_ms = answer_ms
+        # The other members of a gang are withdrawn once one has ended as done.
+        assert planner.withdrawn_by_reason.keys() == {"preempted", "job completed"}
+        await fleet.submit(job(ID.format(3), [step(3)], run_ms=5_000), NORMAL, OWNER)
+        await fleet.wait_state(ID.format(3), "running", 2_000)
+        await fleet.cancel(ID.format(3))
+        await fleet.wait_until(lambda: not planner.runs_by_key, 5_000, "the runs have ended")
+        assert planner.withdrawn_by_reason["job cancelled"] == 3
+        assert len(planner.withdrawn_by_reason) == 3
+
+    run_scenario(scenario)
+
+
 def test_large_gang_is_withdrawn_before_its_starts_were_sent():
     """The end of each member withdraws all others, which must not nest."""
 
