--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -125,6 +125,7 @@
         )
         self._reserved = 0
         self._victim_searches = 0
+        self._backlog_share = 0.0
         self._fits = FitCache()
         self._eligible_by_service_label: dict[tuple[str, str], list[Candidate]] = {}
         self._fast_by_service_label: dict[tuple[str, str], list[Candidate]] = {}
@@ -146,6 +147,7 @@
                 for stage in job.open_stages(self.wall_ms)
             ]
         waiting = [stage for stage in stages if self._is_waiting(stage)]
+        self._backlog_share = self._share_of_fleet(waiting)
         waiting.sort(key=self._rank)
         placements = []
         for stage in waiting[:MAX_STAGES_PER_PASS]:
@@ -157,6 +159,12 @@
                 self._reserve(stage)
         return placements
 
+    def _share_of_fleet(self, stages: list[Stage]) -> float:
+        """Return the accelerators that stages wait for, as a share of all that the fleet has."""
+        wanted = sum(stage.demand.accelerators * len(stage.waiting()) for stage in stages)
+        available = sum(one.runner.capacity.accelerators for one in self.candidates)
+        return wanted / max(1, available)
+
     @staticmethod
     def _is_waiting(stage: Stage) -> bool:
         if stage.step.gang:
@@ -513,7 +521,9 @@
             found = preemption.choose(stage, candidates, count, victims, spread=True)
         cost = math.inf
         if found is not None:
-            cost = found.cost + found.displaced_value(self.estimate_ms(stage))
+            displaced = found.displaced_value(self.estimate_ms(stage))
+            # While little waits, the victims are soon placed elsewhere.
+            cost = found.cost + min(1.0, self._backlog_share) * displaced
         if found is None or cost > most:
             if remembered:
                 self._fits.note_cost(key, count, cost)
