--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -209,10 +209,10 @@
 
 def test_long_gang_displaces_batch_work_while_nothing_else_waits():
     """On quiet days, gangs waited for work that could have gone on elsewhere, and were late."""
-    gang = job(ID.format(1), [step(2, 8, gang=True, estimate_ms=20_000)], NORMAL, OTHER)
+    gang = job(ID.format(1), [step(4, 8, gang=True, estimate_ms=20_000)], NORMAL, OTHER)
     job_table, candidates = full_of_checkpointed_work(gang)
     (placement,) = plan(job_table, candidates)
-    assert sum(len(victim.indices) for victim in placement.victims) == 16
+    assert sum(len(victim.indices) for victim in placement.victims) == 32
 
 
 def test_short_urgent_gang_displaces_batch_work():
