--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -15,6 +15,7 @@
 import random
 import re
 import shutil
+import signal
 import socket
 import struct
 import sys
@@ -37,6 +38,8 @@
 STOP_MS = 100
 STORE_ANSWER_S = 0.004
 REMEMBERED_APPENDS = 5
+PORTS = (12_000, 32_000)
+_chosen_ports: set[int] = set()
 KEY = "key-of-tenant-1"
 SERVICE = "order-desk"
 CALLERS_HOST = "jobs.example"
@@ -82,10 +85,18 @@
 
 
 def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that nothing listens on, below those that outgoing connections take."""
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _chosen_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _chosen_ports.add(port)
+        return port
 
 
 class Record:
@@ -1009,6 +1020,9 @@
     """
 
     async def play() -> list[str]:
+        # A script that is terminated ends its processes as well.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         fleet = Fleet(Path(folder), options.get("bounds"))
         try:
             async with asyncio.timeout(limit_s):
@@ -1025,7 +1039,7 @@
 
     try:
         broken = asyncio.run(play())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"cannot run: {type(error).__name__}: {error}", file=sys.stderr)
         sys.exit(2)
     sys.exit(1 if broken else 0)
