Refused connections are no proof that a leaving runner has ended

A runner that had announced that it leaves was taken as ended after two refused polls, though the network refused them and the process ran on.

The cause is the rule itself: an announcement says that a process will end, not that a path that breaks afterwards shows it. Runs on a leaving runner now end without a report only if another process answers at its address, if its entry was removed less than two heartbeat intervals after its last write (the platform removes silent ones after three), or with the lease. The interval comes from the platform's settings; without it the removal proves nothing.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -57,6 +57,7 @@
                 settings.cores,
                 settings.link_mbps,
                 settings.seeds,
+                settings.runner_heartbeat_ms,
             ),
             self.clock,
             self.direct_store,
--- a/packages/daemon/carawayrouted/platform/settings.py
+++ b/packages/daemon/carawayrouted/platform/settings.py
@@ -49,6 +49,8 @@
     :ivar max_lease_ms: longest lease that runners grant.
     :ivar stop_timeout_ms: longest time that a runner takes to stop a run.
     :ivar grace_ms: time from SIGTERM to SIGKILL.
+    :ivar runner_heartbeat_ms: time between two writes of a runner's entry in the store, 0 if it is
+        not known.
     :ivar state_retention_ms: how long the state of an ended job can be queried.
     """
 
@@ -64,6 +66,7 @@
         "peer",
         "readiness",
         "region",
+        "runner_heartbeat_ms",
         "seeds",
         "state_retention_ms",
         "stop_timeout_ms",
@@ -105,6 +108,7 @@
         self.stop_timeout_ms = int(bounds.number("stop_timeout_ms", 0, MAX_UINT32))
         self.grace_ms = int(bounds.number("grace_s", 0, MAX_SECONDS) * 1000)
         self.state_retention_ms = int(bounds.number("status_s", 0, MAX_SECONDS) * 1000)
+        self.runner_heartbeat_ms = int(fields.number("heartbeat_ms", 0, MAX_UINT32, default=0))
         cpu_share = limits.number("cpu_share", 0, MAX_CORES, default=1.0)
         self.cores = cpu_share * limits.number("cores", 0, MAX_CORES, default=1.0)
         self.link_mbps = limits.number("link_mbps", 0, MAX_UINT32, default=1000.0)
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -30,10 +30,6 @@
 # Largest share by which a runner's clock may run slow.
 MAX_CLOCK_DRIFT = 0.02
 LEASE_MARGIN_MS = 150
-# A leaving runner has ended if it refuses connections for at least this long and in this many
-# polls, which come every FAILED_POLL_INTERVAL_MS.
-NOT_LISTENING_MS = 250
-NOT_LISTENING_POLLS = 2
 # A runner whose last report is older than this gets no new tasks.
 MAX_REPORT_AGE_MS = 2_600
 # Reason of a refusal by another process than the one that the request names.
@@ -69,6 +65,7 @@
     :ivar last_alive_ms: time of the last sign of life of the runner's process, an answer or the
         break of a connection on which it was due to answer later; ``None`` without one.
     :ivar listed: whether the platform's list of runners names this runner.
+    :ivar left: whether the platform's list shows that the runner has left as it had announced.
     :ivar suspended: whether the runner gets no new tasks, as its entry in the list is not usable.
     :ivar withheld: numbers of ends that must never be acknowledged to this process of the runner.
     """
@@ -106,8 +103,6 @@
         self._replacement_noted = False
         self._replaced_ms: float | None = None
         self._order_limiter = OrderLimiter()
-        self._refused_polls = 0
-        self._refused_since_ms = 0.0
         self._pending_poll: asyncio.Future | None = None
         self.lease_expiry_ms = initial_lease_expiry_ms
         self.boot_ms = 0
@@ -122,6 +117,7 @@
         self._clock_fell_back_ms: float | None = None
         self.ends_stored = asyncio.Event()
         self.listed = True
+        self.left = False
         self.suspended = False
         self.withheld: set[int] = set()
 
@@ -147,14 +143,10 @@
     def process_ended(self) -> bool:
         """Return whether the runner's process, and so every task on it, has certainly ended.
 
-        Refused connections count only for a runner that announced that it leaves: the network may
-        refuse connections to one that runs on.
+        Refused connections show nothing, whether the runner is leaving or not: the network may
+        refuse them for a process that runs on.
         """
-        if self.replaced:
-            return True
-        if not self.runner.draining or self._refused_polls < NOT_LISTENING_POLLS:
-            return False
-        return self._clock.now_ms() - self._refused_since_ms >= NOT_LISTENING_MS
+        return self.replaced or self.left and not self.reachable
 
     @property
     def has_unstored_ends(self) -> bool:
@@ -326,7 +318,6 @@
         self._sample_clock(report.clock_ms, sent_ms)
         if self._clock_fell_back_ms is not None and sent_ms >= self._clock_fell_back_ms:
             self._clock_fell_back_ms = None
-        self._refused_polls = 0
         self._address_confirmed = True
         self._replacement_noted = False
         self._replaced_ms = None
@@ -391,11 +382,3 @@
             log.warning("runner_unreachable", runner=self.runner.id, error=str(error))
             self._on_unreachable(self)
         self.reachable = False
-        if not isinstance(error, RunnerNotListeningError):
-            self._refused_polls = 0
-            return
-        if not self._refused_polls:
-            self._refused_since_ms = self._clock.now_ms()
-        self._refused_polls += 1
-        if self._refused_polls == NOT_LISTENING_POLLS:
-            log.warning("runner_not_listening", runner=self.runner.id, error=str(error))
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -87,6 +87,7 @@
     :param cores: processor cores that the instance may use.
     :param link_mbps: network link speed in Mbit/s.
     :param seeds: addresses of some peers, used before any state is read; they may be outdated.
+    :param runner_heartbeat_ms: time between two writes of a runner's entry in the platform's list.
     """
 
     __slots__ = (
@@ -98,6 +99,7 @@
         "job_retention_ms",
         "max_lease_ms",
         "region",
+        "runner_heartbeat_ms",
         "seeds",
         "stop_ms",
     )
@@ -114,6 +116,7 @@
         cores: float = 1.0,
         link_mbps: float = 1_000.0,
         seeds: tuple[str, ...] = (),
+        runner_heartbeat_ms: int = 1_500,
     ) -> None:
         self.instance = instance
         self.address = address
@@ -125,6 +128,7 @@
         self.cores = cores
         self.link_mbps = link_mbps
         self.seeds = seeds
+        self.runner_heartbeat_ms = runner_heartbeat_ms
 
 
 def election_delay_ms(cores: float, link_mbps: float) -> float:
@@ -498,6 +502,7 @@
             self.settings.max_lease_ms,
             self.settings.stop_ms,
             self.settings.job_retention_ms + RETENTION_MARGIN_MS,
+            self.settings.runner_heartbeat_ms,
         )
         self.jobs_follower.set_read_interval(0.0)
         planner = Planner(
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -22,7 +22,7 @@
     StoreError,
     StoreFencedError,
 )
-from carawayroute.fleet.follower import TopicFollower
+from carawayroute.fleet.follower import MAX_LOGGED_AGE_MS, TopicFollower
 from carawayroute.fleet.isolation import Isolation, SuspectWaits
 from carawayroute.fleet.jobs import (
     PROGRESS_KEY,
@@ -87,6 +87,10 @@
 # A runner that may have crashed is polled for this long after its lease expired, though it is not
 # listed: another process at its address proves the crash.
 CRASH_PROOF_WAIT_MS = 30_000
+# The platform removes an entry when its runner has left, or after three heartbeat intervals of
+# silence. One that is removed within this many intervals of its last write shows that the runner
+# has left.
+LEFT_HEARTBEATS = 2
 # Evidence of a run's end that leaves open whether its runner's process has ended.
 UNPROVED_EVIDENCE = ("lease expired", "runner removed", "runner unknown")
 # A report shows up to 500 ends; a runner that cannot be acknowledged gets no work near that number.
@@ -123,13 +127,20 @@
     :param max_lease_ms: longest lease duration that a runner accepts from any planner.
     :param stop_ms: longest time that stopping a run takes.
     :param retention_ms: time for which the state of an ended job is kept.
+    :param heartbeat_ms: time between two writes of a runner's entry in the platform's list.
     """
 
-    __slots__ = ("lease_ms", "max_lease_ms", "retention_ms", "stop_ms")
+    __slots__ = ("heartbeat_ms", "lease_ms", "max_lease_ms", "retention_ms", "stop_ms")
 
     def __init__(
-        self, lease_ms: int, max_lease_ms: int, stop_ms: int, retention_ms: int = 120_000
+        self,
+        lease_ms: int,
+        max_lease_ms: int,
+        stop_ms: int,
+        retention_ms: int = 120_000,
+        heartbeat_ms: int = 1_500,
     ) -> None:
+        self.heartbeat_ms = heartbeat_ms
         self.retention_ms = retention_ms
         self.lease_ms = lease_ms
         self.max_lease_ms = max_lease_ms
@@ -198,6 +209,7 @@
         self._used_by_runner: dict[str, Capacity] = {}
         self._preempted_ms = -math.inf
         self._lease_expiry_by_removed_runner: dict[str, float] = {}
+        self._entry_after_ms_by_runner: dict[str, float] = {}
         self._changed = asyncio.Event()
         self._reported = asyncio.Event()
         self.run_times = RunTimeEstimator()
@@ -433,7 +445,9 @@
                 self._link_tasks[runner.id].cancel()
                 self._poll_on(link)
             link.listed = True
+            link.left = False
             link.suspended = False
+            self._note_entry(runner.id)
             if runner.draining and not was_draining:
                 log.info("runner_draining", runner=runner.id)
             return
@@ -461,9 +475,14 @@
         if not moved:
             link.boot_ms = self._adopted_boot_ms(runner)
         self.links_by_id[runner.id] = link
+        self._note_entry(runner.id)
         self._poll_on(link)
         log.info("runner_listed", runner=runner.id, address=runner.address, rack=runner.rack)
 
+    def _note_entry(self, runner_id: str) -> None:
+        """Note the time after which a runner's entry was written."""
+        self._entry_after_ms_by_runner[runner_id] = self._runners_follower.current_as_of_ms
+
     def _poll_on(self, link: RunnerLink) -> None:
         runner_id = link.runner.id
         self._link_tasks[runner_id] = self._tasks.keep_running(link.run, f"runner {runner_id}")
@@ -484,11 +503,29 @@
         return runner.boot_ms
 
     def remove_runner(self, runner_id: str) -> None:
-        """Mark a runner as no longer listed; its tasks may run on until its lease expires."""
+        """Mark a runner as no longer listed; its tasks may run on until its lease expires.
+
+        The entry of a runner that is leaving and was not silent before shows that it has left.
+        """
+        entry_after_ms = self._entry_after_ms_by_runner.pop(runner_id, -math.inf)
         link = self.links_by_id.get(runner_id)
-        if link is not None and link.listed:
-            log.info("runner_unlisted", runner=runner_id, reachable=link.reachable)
-            link.listed = False
+        if link is None or not link.listed:
+            return
+        silent_ms = self._clock.now_ms() - entry_after_ms
+        link.listed = False
+        link.left = (
+            link.runner.draining and silent_ms < LEFT_HEARTBEATS * self._settings.heartbeat_ms
+        )
+        log.info(
+            "runner_unlisted",
+            runner=runner_id,
+            reachable=link.reachable,
+            draining=link.runner.draining,
+            silent_ms=round(min(silent_ms, MAX_LOGGED_AGE_MS)),
+            left=link.left,
+        )
+        if link.left:
+            self._changed.set()
 
     def remove_unlisted(self, listed: set[str]) -> None:
         """Mark all runners as no longer listed that a complete new list does not contain."""
@@ -531,7 +568,7 @@
         if link.replaced:
             return "process replaced"
         if link.process_ended:
-            return "process ended"
+            return "runner left"
         expired_ms = self._clock.now_ms() - link.lease_expiry_ms
         if expired_ms <= (LISTED_RUNNER_WAIT_MS if link.listed else 0):
             return ""
--- a/packages/standins/carawayroute_standins/fleet/pool.py
+++ b/packages/standins/carawayroute_standins/fleet/pool.py
@@ -11,6 +11,8 @@
 
 # A runner writes its entry this often.
 HEARTBEAT_MS = 1_500
+# Its entry is removed after this many heartbeat intervals of silence.
+SILENT_HEARTBEATS = 3
 # A process that has crashed is followed by another one after this time, and unlisted after that.
 BACK_MS = 3_300
 UNLISTED_MS = 3_600
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -40,6 +40,7 @@
 from carawayroute.fleet.ports import KeyedRecord, RecordPage
 from carawayroute.fleet.relay import PeerError
 from carawayroute_standins.fleet.judge import find_violations, starts
+from carawayroute_standins.fleet.pool import HEARTBEAT_MS, SILENT_HEARTBEATS
 from carawayroute_standins.fleet.taskrunner import make_runner
 from carawayroute_standins.virtual import run_virtual
 
@@ -611,7 +612,7 @@
 
 
 def test_task_of_a_runner_that_left_as_announced_restarts_at_once():
-    """A leaving runner that refuses connections has ended; its lease need not expire."""
+    """A leaving runner whose entry is removed has ended; its lease need not expire."""
 
     async def scenario(fleet):
         await fleet.submit(job(ID.format(1), run_ms=1_500), NORMAL, OWNER)
@@ -621,19 +622,27 @@
         await fleet.clock.sleep_ms(200)
         holder.restart_empty()
         holder.mode = "gone"
+        fleet.unlist(holder.listed.id)
         await fleet.wait_state(ID.format(1), "completed", 3_500)
 
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("draining", [False, True])
 @pytest.mark.parametrize("refused_ms", [1_000, 6_000])
-def test_task_of_a_runner_that_refuses_connections_is_not_started_twice(refused_ms):
-    """Refused connections were taken for the end of a process that ran on behind a cut."""
+def test_task_of_a_runner_that_refuses_connections_is_not_started_twice(refused_ms, draining):
+    """Refused connections were taken for the end of a process that ran on behind a cut.
+
+    Guards against TWICE on a runner that had announced that it leaves (review/1).
+    """
 
     async def scenario(fleet):
         await fleet.submit(job(ID.format(1), run_ms=7_500), NORMAL, OWNER)
         await fleet.clock.sleep_ms(500)
         holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
+        if draining:
+            fleet.list(holder.listed.id, draining=True)
+            await fleet.clock.sleep_ms(200)
         holder.mode = "refusing"
         await fleet.clock.sleep_ms(refused_ms)
         holder.mode = "up"
@@ -643,6 +652,48 @@
     run_scenario(scenario)
 
 
+def test_task_of_a_leaving_runner_that_is_unlisted_for_its_silence_is_not_started_twice():
+    """The removal of an entry that was not renewed shows no end: the runner may be cut off."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=7_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(500)
+        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
+        fleet.list(holder.listed.id, draining=True)
+        await fleet.clock.sleep_ms(200)
+        holder.mode = "refusing"
+        await fleet.clock.sleep_ms(SILENT_HEARTBEATS * HEARTBEAT_MS)
+        fleet.unlist(holder.listed.id)
+        await fleet.clock.sleep_ms(1_000)
+        holder.mode = "up"
+        await fleet.wait_state(ID.format(1), "completed", 3_000)
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+
+    run_scenario(scenario)
+
+
+def test_entry_removed_after_an_outage_of_the_store_shows_no_departure():
+    """Entries also lapse while the store is down, though their runners run on."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=7_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(500)
+        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
+        fleet.list(holder.listed.id, draining=True)
+        await fleet.clock.sleep_ms(200)
+        fleet.store.mode = "silent"
+        holder.mode = "refusing"
+        await fleet.clock.sleep_ms(SILENT_HEARTBEATS * HEARTBEAT_MS)
+        fleet.unlist(holder.listed.id)
+        fleet.store.mode = "up"
+        await fleet.clock.sleep_ms(1_000)
+        holder.mode = "up"
+        await fleet.wait_state(ID.format(1), "completed", 3_500)
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+
+    run_scenario(scenario)
+
+
 def test_task_of_a_runner_that_resets_connections_is_not_restarted():
     """A runner that resets connections is still alive, and its tasks may still run."""
 
@@ -659,9 +710,7 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize(
-    ("mode", "evidence"), [("cut", "lease expired"), ("gone", "process ended")]
-)
+@pytest.mark.parametrize(("mode", "evidence"), [("cut", "lease expired"), ("gone", "runner left")])
 def test_given_up_runs_are_counted_by_evidence(mode, evidence):
     async def scenario(fleet):
         await fleet.submit(job(ID.format(1), run_ms=4_000), NORMAL, OWNER)
@@ -672,6 +721,7 @@
             fleet.list(holder.listed.id, draining=True)
             await fleet.clock.sleep_ms(200)
             holder.restart_empty()
+            fleet.unlist(holder.listed.id)
         holder.mode = mode
         await fleet.wait_until(
             lambda: len(starts(fleet.journal, ID.format(1))) == 2, 30_000, "another start"
--- a/tests/test_odd_settings.py
+++ b/tests/test_odd_settings.py
@@ -31,6 +31,7 @@
         (("bounds", "grace_s"), "-1", "grace_s"),
         (("bounds", "hold_max_ms"), HUGE_NUMBER, "hold_max_ms"),
         (("bounds", "status_s"), '"120"', "status_s"),
+        (("heartbeat_ms",), '"1500"', "heartbeat_ms"),
         (("listen", "front"), '"10.1.0.19:70000"', "front"),
         (("listen", "front"), '"10.1.0.19:8\u0665"', "front"),
         (("listen", "ready"), '"10.1.0.19"', "ready"),
