A planner's leases end with what confirms its term, by the store or by all instances

Nothing ended the old planner's renewals, so the successor's wait rested on an assumption. A lease now ends at most 10 s after the term was last confirmed, and a successor waits that long from the start of its own term. So that an outage of the store for all stops no work, every other instance is asked once heartbeats have failed for 3 s: whoever takes the term later has answered before, and counts from its own start. One that knows a newer term ends the planner.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -96,6 +96,11 @@
             "Records of the jobs topic that are known to exist and have not been read.",
             lambda: node.jobs_follower.behind_records,
         )
+        gauge(
+            "term_unconfirmed_ms",
+            "Time since the term of the planner here was last confirmed, 0 without one.",
+            lambda: node.leadership.unconfirmed_ms() if node.leadership.term else 0,
+        )
         gauge("log_lines", "Log lines written.", lambda: self._output.lines)
         gauge("log_lines_dropped", "Log lines dropped.", lambda: self._output.dropped)
         gauge(
--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -1,6 +1,7 @@
 """Leader election: the instance whose record opened the newest term in the store is the planner."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from contextlib import suppress
@@ -76,6 +77,7 @@
         self._claim_jitter_ms = random.uniform(0, CLAIM_JITTER_MS)
         self._given_up_term = 0
         self._confirmations: list[asyncio.Future[None]] = []
+        self._confirmed_ms = -math.inf
         self.term = 0
         self.accelerators = 0
         self.candidate = True
@@ -229,6 +231,21 @@
         self._confirmations.append(confirmation)
         await confirmation
 
+    def unconfirmed_ms(self) -> float:
+        """Return the time since the term was last known to be the newest one, infinite if never.
+
+        Counts from when the request was sent that confirmed it, and includes suspensions.
+        """
+        return self._clock.now_with_suspensions_ms() - self._confirmed_ms
+
+    def note_confirmed(self, term: int, sent_ms: float) -> None:
+        """Note that a term was the newest one.
+
+        :param sent_ms: time with suspensions at which the request was sent that shows it.
+        """
+        if term and term == self.term:
+            self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+
     async def resign(self) -> None:
         """Resign the term, so that another instance can claim it without waiting for a timeout.
 
@@ -250,6 +267,7 @@
         leader.address = self._address
         leader.accelerators = min(self.accelerators, MAX_ACCELERATORS)
         at = max(self._end, self.follower.offset)
+        sent_ms = self._clock.now_with_suspensions_ms()
         try:
             result = await self._store.append(
                 LEADER_TOPIC, [(LEADER_KEY, leader.SerializeToString())], at=at
@@ -263,6 +281,7 @@
             log.warning("heartbeat_failed", term=self.term, error=str(error))
             return
         self._apply(KeyedRecord(result.offset, LEADER_KEY, leader.SerializeToString()))
+        self.note_confirmed(leader.term or result.offset + 1, sent_ms)
 
     async def _catch_up(self, end: int) -> None:
         try:
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -1,6 +1,7 @@
 """The planner's link to one runner: polls it, renews its lease and acknowledges ended tasks."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 
 import structlog
@@ -56,6 +57,8 @@
         clock time at which its poll was sent, or with ``None`` and the time of the proof.
     :param moved: the platform's list changed the runner's address. Until the runner answers there,
         other processes at the new address show nothing of the one at the old address.
+    :param lease_limit_ms: returns the clock time by which all leases that are granted now must have
+        expired.
     :ivar lease_expiry_ms: clock time by which every lease of the runner has certainly expired.
     :ivar boot_ms: wall clock of the runner's start as last reported, 0 if unknown.
     :ivar acknowledged: number of the last end that is stored, acknowledged with the next poll.
@@ -87,6 +90,7 @@
             ["RunnerLink", RunnerReport | None, float], None
         ] = lambda link, report, sent_ms: None,
         moved: bool = False,
+        lease_limit_ms: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.runner = runner
         self._term = term
@@ -94,6 +98,7 @@
         self._clock = clock
         self._lease_ms = lease_ms
         self._lease_bound_ms = lease_bound_ms
+        self._lease_limit_ms = lease_limit_ms
         self._on_report = on_report
         self._on_fenced = on_fenced
         self._on_unreachable = on_unreachable
@@ -165,13 +170,15 @@
     def lease_until_ms(self) -> int:
         """Return the end of a lease that starts now, on the runner's clock in ms.
 
-        Returns 0 while the runner's clock is unknown. The expiry by this instance's clock allows
-        for twice the largest drift and a margin.
+        Returns 0 while the runner's clock is unknown, or if no lease may be granted now. The expiry
+        by this instance's clock allows for twice the largest drift and a margin.
         """
-        if self._clock_sample is None:
+        now_ms = self._clock.now_ms()
+        lease_ms = min(self._lease_ms, self._lease_limit_ms() - now_ms)
+        if self._clock_sample is None or lease_ms <= 0:
             return 0
         clock_ms, at_ms = self._clock_sample
-        until_ms = clock_ms + (self._clock.now_ms() - at_ms) + self._lease_ms
+        until_ms = clock_ms + (now_ms - at_ms) + lease_ms
         lease_expiry_ms = (
             at_ms + (until_ms - clock_ms) * (1 + 2 * MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
         )
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -28,6 +28,7 @@
 from carawayroute.fleet.runner_list import RunnerList
 from carawayroute.fleet.shared_load import SharedLoad
 from carawayroute.fleet.shared_reader import ReaderChoice, SharedReader, SharedReadServer
+from carawayroute.fleet.term_confirmation import TermConfirmation, serve_confirmation
 from carawayroute.fleet.types import Configuration
 from carawayroute.fleet.writer import LogWriter
 from carawayroute.misc import TaskGroup, new_id
@@ -187,6 +188,9 @@
             settings.address,
             self._election_delay_ms,
         )
+        self.term_confirmation = TermConfirmation(
+            self.leadership, peers, clock, self._other_addresses
+        )
         self._own_member = pb.Member(
             instance=settings.instance,
             address=settings.address,
@@ -251,6 +255,7 @@
             (self.jobs_follower.run, "follow jobs"),
             (self.leadership.follower.run, "follow terms"),
             (self.leadership.run, "leadership"),
+            (self.term_confirmation.run, "term confirmation"),
             (self.writer.run, "writer"),
             (self._find_members, "members"),
             (self._announce, "announce"),
@@ -339,6 +344,8 @@
         call.wait_ms = min(call.wait_ms, MAX_PEER_CALL_WAIT_MS)
         if call.kind in (pb.StoreCall.LOOK_UP_JOB, pb.StoreCall.COUNT_PENDING):
             answer = await serve_lookup(call, self.service)
+        elif call.kind == pb.StoreCall.CONFIRM_TERM:
+            answer = serve_confirmation(call, self.leadership)
         elif call.kind == pb.StoreCall.SHARED_NEWEST:
             answer = await self.shared_load.serve(call)
         elif call.kind == pb.StoreCall.SHARED_READ:
@@ -398,6 +405,14 @@
             if member.region == self.settings.region:
                 self.store.same_region_addresses.add(member.address)
 
+    def _other_addresses(self) -> set[str]:
+        """Return the addresses of all other instances that have announced themselves."""
+        return {
+            address
+            for name, address in self._address_by_member.items()
+            if name != self.settings.instance
+        }
+
     async def _find_members(self) -> None:
         """Publish this instance's address and learn those of others before the jobs are loaded."""
         own = self._own_member
@@ -518,6 +533,7 @@
             self.leadership.step_down,
             self._set_accelerators,
             self.leadership.confirm,
+            self.leadership.unconfirmed_ms,
         )
         try:
             planner.speeds.load(pb.RunnerSpeeds.FromString(self._speeds))
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -32,7 +32,7 @@
     LostRun,
     Stage,
 )
-from carawayroute.fleet.links import OTHER_PROCESS, RunnerLink
+from carawayroute.fleet.links import MAX_CLOCK_DRIFT, OTHER_PROCESS, RunnerLink
 from carawayroute.fleet.lost_runners import LostRunners
 from carawayroute.fleet.packing import Candidate, is_time_critical
 from carawayroute.fleet.pause_guard import GuardedRunnerClient, PauseGuard
@@ -81,6 +81,11 @@
 # Runners that start whatever they are told to get no work while their entries are older than this.
 MAX_LISTING_AGE_MS = 2_500
 
+# Leases may be renewed for this long without a confirmation of the planner's term, also where
+# runners grant shorter ones: the longest outages of the store that the platform names last 9 s.
+MIN_UNCONFIRMED_LEASES_MS = 10_000
+LEASE_BOUND_MARGIN_MS = 500
+
 # The platform drops a runner from its list after some seconds of silence. A runner that it still
 # lists is waited for this long after its lease expired: its tasks may have ended as done.
 LISTED_RUNNER_WAIT_MS = 15_000
@@ -149,7 +154,22 @@
     @property
     def lease_bound_ms(self) -> float:
         """Return the time within which the longest lease has certainly expired."""
-        return self.max_lease_ms * 1.04 + 500
+        return _certain_ms(self.max_lease_ms)
+
+    @property
+    def max_unconfirmed_ms(self) -> int:
+        """Return the time after a confirmation of the term by which its leases expire."""
+        return max(self.max_lease_ms, MIN_UNCONFIRMED_LEASES_MS)
+
+    @property
+    def inherited_lease_bound_ms(self) -> float:
+        """Return the time after a term's start within which all earlier leases have expired."""
+        return _certain_ms(self.max_unconfirmed_ms)
+
+
+def _certain_ms(duration_ms: float) -> float:
+    """Return the time within which a duration has passed on any runner's clock."""
+    return duration_ms * (1 + 2 * MAX_CLOCK_DRIFT) + LEASE_BOUND_MARGIN_MS
 
 
 class Planner:
@@ -162,6 +182,7 @@
     :param on_capacity: called with the number of accelerators of the usable runners.
     :param confirm_term: returns once a heartbeat that begins after the call has ended, and not at
         all if the term is lost.
+    :param term_unconfirmed_ms: returns the time since the term was last known to be the newest one.
     :ivar placing: if false, no scheduling passes are run.
     :ivar given_up_by_evidence: number of runs ended without a reported end.
     :ivar unmatched_by_outcome: number of reported ends that matched no known run.
@@ -184,6 +205,7 @@
         on_term_lost: Callable[[int], None],
         on_capacity: Callable[[int], None],
         confirm_term: Callable[[], Awaitable[None]],
+        term_unconfirmed_ms: Callable[[], float],
     ) -> None:
         self.term = term
         self._settings = settings
@@ -196,6 +218,7 @@
         self._configuration = configuration
         self._on_term_lost = on_term_lost
         self._on_capacity = on_capacity
+        self._term_unconfirmed_ms = term_unconfirmed_ms
         self._tasks = TaskGroup()
         self._writer = LogWriter(
             store, clock, jobs_follower.topic, PRODUCER, term, retry_until_stored=True
@@ -430,7 +453,17 @@
         self._changed.set()
 
     def _inherited_lease_expiry_ms(self) -> float:
-        return self._term_start_ms + self._settings.lease_bound_ms
+        """Return the clock time by which the leases of earlier planners have certainly expired.
+
+        An earlier planner that is cut off from the store, and may renew leases still, was confirmed
+        for the last time before this term began.
+        """
+        return self._term_start_ms + self._settings.inherited_lease_bound_ms
+
+    def _lease_limit_ms(self) -> float:
+        """Return the clock time by which leases that are granted now must have expired."""
+        left_ms = self._settings.max_unconfirmed_ms - self._term_unconfirmed_ms()
+        return self._clock.now_ms() + left_ms
 
     # ------------------------------------------------------------------ runners
 
@@ -471,6 +504,7 @@
             self._on_runner_replaced,
             self._on_process_ended,
             moved,
+            self._lease_limit_ms,
         )
         if not moved:
             link.boot_ms = self._adopted_boot_ms(runner)
--- a/packages/standins/carawayroute_standins/fleet/peers.py
+++ b/packages/standins/carawayroute_standins/fleet/peers.py
@@ -1,6 +1,6 @@
 """Connections between instances in one event loop, over the emulated network's links."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping, Sequence
 from typing import Protocol
 
 from carawayroute.clock import Clock
@@ -22,6 +22,7 @@
 
     :param servers_by_name: the running instances.
     :param unreachable: instances without connections to their peers.
+    :param cut_between: pairs of groups of instances without connections between the groups.
     """
 
     def __init__(
@@ -31,12 +32,23 @@
         network: Network,
         servers_by_name: Mapping[str, PeerServer],
         unreachable: set[str],
+        cut_between: Sequence[tuple[Collection[str], Collection[str]]] = (),
     ) -> None:
         self._instance = instance
         self._clock = clock
         self._network = network
         self._servers_by_name = servers_by_name
         self._unreachable = unreachable
+        self._cut_between = cut_between
+
+    def _is_cut(self, address: str) -> bool:
+        if {address, self._instance} & self._unreachable:
+            return True
+        return any(
+            (address in one and self._instance in other)
+            or (address in other and self._instance in one)
+            for one, other in self._cut_between
+        )
 
     async def ask(self, address: str, message: bytes, timeout_ms: float) -> bytes:
         """Send a message to a peer and return its reply.
@@ -44,7 +56,7 @@
         :raises PeerError: the peer is stopped or unreachable, or no reply arrived in time.
         """
         peer = self._servers_by_name.get(address)
-        if peer is None or {address, self._instance} & self._unreachable:
+        if peer is None or self._is_cut(address):
             await self._clock.sleep_ms(timeout_ms)
             raise PeerError(address)
         network = self._network
--- a/packages/standins/carawayroute_standins/fleet/world.py
+++ b/packages/standins/carawayroute_standins/fleet/world.py
@@ -1,6 +1,7 @@
 """Runs a fleet in one event loop: instances, the emulated store and runners, with faults."""
 
 import asyncio
+from collections.abc import Collection
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.entry import NoSuchJobError
@@ -37,8 +38,10 @@
     :param region_by_instance: regions of the instances that are not in the store's region.
     :param data_centre_by_instance: data centres of instances, by default one for each region.
     :param guarding: whether runners refuse starts that exceed their capacity.
+    :param max_lease_ms: longest lease that runners grant.
     :ivar network: links to the instances, unlimited by default.
     :ivar unreachable_peers: instances without connections to their peers.
+    :ivar cut_between: pairs of groups of instances without connections between the groups.
     :ivar pool: the runners, which may crash, change their capacity or find odd entries.
     """
 
@@ -53,6 +56,7 @@
         region_by_instance: dict[str, str] | None = None,
         data_centre_by_instance: dict[str, str] | None = None,
         guarding: bool = True,
+        max_lease_ms: int = MAX_LEASE_MS,
     ) -> None:
         self.clock = Clock(wall_offset_ms=1_000_000.0)
         self.journal = Journal(self.clock)
@@ -64,6 +68,7 @@
         self.gangs = GangRegistry()
         self.tasks = TaskGroup()
         self.unreachable_peers: set[str] = set()
+        self.cut_between: list[tuple[Collection[str], Collection[str]]] = []
         self.nodes_by_name: dict[str, FleetNode] = {}
         self.runner_clients_by_name: dict[str, InMemoryRunnerClient] = {}
         self.pool = RunnerPool(
@@ -71,6 +76,7 @@
         )
         self.runners_by_id = self.pool.by_id
         self._guarding = guarding
+        self._max_lease_ms = max_lease_ms
         self.store.put(formats.configuration_topic, formats.configuration_key, configuration)
         number = 0
         for rack in range(racks):
@@ -89,7 +95,7 @@
             self.journal,
             self.gangs,
             stop_ms=STOP_MS,
-            max_lease_ms=MAX_LEASE_MS,
+            max_lease_ms=self._max_lease_ms,
             **{"guarding": self._guarding, **options},
         )
         self.pool.add(runner)
@@ -121,14 +127,19 @@
                 name,
                 region,
                 self._data_centre_by_instance.get(name, f"{region}-a"),
-                MAX_LEASE_MS,
+                self._max_lease_ms,
                 STOP_MS,
                 seeds=("n1", "n2", "n3"),
             ),
             self.clock,
             self.store.client_for(name),
             InMemoryPeers(
-                name, self.clock, self.network, self.nodes_by_name, self.unreachable_peers
+                name,
+                self.clock,
+                self.network,
+                self.nodes_by_name,
+                self.unreachable_peers,
+                self.cut_between,
             ),
             orders,
             self.formats,
