Log the age of a term that was never confirmed as a finite number

A term that is gained by reading its record, as the answer to the claim was lost, is unconfirmed until the next heartbeat. Rounding its infinite age would have ended the task that asks the peers, until it was started again.

--- a/packages/library/carawayroute/fleet/term_confirmation.py
+++ b/packages/library/carawayroute/fleet/term_confirmation.py
@@ -17,6 +17,7 @@
 from google.protobuf.message import DecodeError
 
 from carawayroute.clock import Clock
+from carawayroute.fleet.follower import MAX_LOGGED_AGE_MS
 from carawayroute.fleet.leadership import Leadership
 from carawayroute.fleet.relay import PeerError, Peers
 from carawayroute_schema import records_pb2 as pb
@@ -77,7 +78,7 @@
             term=term,
             peers=len(addresses),
             confirmed=confirmed,
-            unconfirmed_ms=round(self._leadership.unconfirmed_ms()),
+            unconfirmed_ms=round(min(self._leadership.unconfirmed_ms(), MAX_LOGGED_AGE_MS)),
         )
 
     async def _ask(self, address: str, term: int) -> int:
