The cancel of a job that is not known is stored before it is answered with 410

The 410 was true when it was given, and nothing kept it true. The cancel is now on record first, so that a submission stored after it ends as cancelled without a start; JobTable applied such cancels already, for pages of newest records. The planner removes cancels without a job after the retention time of ended jobs. If the cancel cannot be stored the caller is answered 503 or 504. The same holds for a submission that the store executes late, and for one that another instance is still accepting.

--- a/packages/library/carawayroute/fleet/entry.py
+++ b/packages/library/carawayroute/fleet/entry.py
@@ -559,22 +559,36 @@
     async def cancel(self, job_id: str, wait_ms: float) -> None:
         """Store the cancellation of a job; a job whose end is stored is left as it is.
 
+        The cancellation of a job that has not been accepted is stored as well: a submission that
+        was not answered may still be stored by another instance, and must not run then.
+
         :param wait_ms: time until the caller's deadline.
-        :raises NoSuchJobError: no such job has been accepted.
+        :raises NoSuchJobError: no such job has been accepted, and none with its id will run.
         :raises StateUnknownError: whether the job exists cannot be read now.
         :raises NotAcceptedError: the cancellation was not stored.
         :raises OutcomeUnknownError: the cancellation may have been stored.
         """
         until_ms = self._clock.now_ms() + wait_ms
-        status = await self._find(job_id, wait_ms)
+        try:
+            status = await self._find(job_id, wait_ms)
+        except NoSuchJobError:
+            await self._store_cancel(job_id, until_ms, "")
+            raise
         check_ms = min(MAX_CANCEL_CHECK_MS, wait_ms - RESPONSE_MARGIN_MS)
         status = await self._renew_old(job_id, status, check_ms)
-        if status.ended:
-            return
+        if not status.ended:
+            await self._store_cancel(job_id, until_ms, status.state)
+
+    async def _store_cancel(self, job_id: str, until_ms: float, state: str) -> None:
+        """Store a cancellation.
+
+        :param until_ms: clock time of the caller's deadline.
+        :param state: state of the job, empty if it has not been accepted.
+        """
         left_ms = until_ms - self._clock.now_ms()
         cancel = pb.Cancel(entry=self._name, at_ms=self._clock.wall_ms())
         await self._write(CANCEL_KEY + job_id, cancel.SerializeToString(), job_id, left_ms)
-        log.info("job_cancelled", job=job_id, was=status.state)
+        log.info("job_cancelled", job=job_id, was=state)
         self._on_stored()
 
     def _can_count_pending(self) -> bool:
--- a/packages/library/carawayroute/fleet/jobs.py
+++ b/packages/library/carawayroute/fleet/jobs.py
@@ -462,6 +462,7 @@
         self.offset = 0
         self._offset_by_key: dict[str, int] = {}
         self._early_records_by_job: dict[str, dict[str, tuple[int, bytes]]] = {}
+        self._early_since_ms_by_job: dict[str, float] = {}
         self.unreadable_ids: set[str] = set()
 
     @property
@@ -497,6 +498,7 @@
             raise RecordError("unknown kind of record")
         if job is None:
             self._early_records_by_job.setdefault(job_id, {})[kind] = (offset, value)
+            self._early_since_ms_by_job.setdefault(job_id, now_ms)
             return None
         if kind == CANCEL_KEY:
             job.cancel_stored = True
@@ -534,6 +536,7 @@
         self.unreadable_ids.discard(job_id)
         job = self.jobs_by_id[job_id] = self.open_by_id[job_id] = Job(record)
         errors = []
+        self._early_since_ms_by_job.pop(job_id, None)
         for kind, (offset, early) in self._early_records_by_job.pop(job_id, {}).items():
             try:
                 self._apply(kind, job_id, offset, early, now_ms)
@@ -610,6 +613,18 @@
         early.pop(kind, None)
         if not early:
             self._early_records_by_job.pop(job_id, None)
+            self._early_since_ms_by_job.pop(job_id, None)
+
+    def early_cancels_before(self, before_ms: float) -> list[str]:
+        """Return the ids of jobs that were cancelled before a time and have never been accepted.
+
+        :param before_ms: clock time at which the cancellations had been applied here.
+        """
+        return [
+            job_id
+            for job_id, since_ms in self._early_since_ms_by_job.items()
+            if since_ms < before_ms and CANCEL_KEY in self._early_records_by_job[job_id]
+        ]
 
     def forget_removed(self, keys: set[str], end: int) -> None:
         """Remove the jobs whose records were removed from the store.
@@ -621,6 +636,10 @@
             key = JOB_KEY + job_id
             if key not in keys and self._offset_by_key.get(key, end) < end:
                 self.forget(job_id)
+        for job_id, records in list(self._early_records_by_job.items()):
+            for kind, (offset, _) in list(records.items()):
+                if kind + job_id not in keys and offset < end:
+                    self._drop(kind, job_id)
 
     def forget(self, job_id: str) -> list[str]:
         """Remove a job and return the keys of its records."""
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -25,6 +25,7 @@
 from carawayroute.fleet.follower import MAX_LOGGED_AGE_MS, TopicFollower
 from carawayroute.fleet.isolation import Isolation, SuspectWaits
 from carawayroute.fleet.jobs import (
+    CANCEL_KEY,
     PROGRESS_KEY,
     SPEEDS_KEY,
     Job,
@@ -1102,8 +1103,13 @@
             self._purge_ended_jobs(now_ms)
 
     def _purge_ended_jobs(self, now_ms: float) -> None:
-        """Delete the records of jobs that ended longer ago than the retention time."""
-        records: list[tuple[str, bytes]] = []
+        """Delete the records of jobs that ended longer ago than the retention time.
+
+        Cancellations of jobs that were never accepted are kept as long: submissions are given up
+        before.
+        """
+        unused = self.job_table.early_cancels_before(now_ms - self._settings.retention_ms)
+        records = [(CANCEL_KEY + job_id, b"") for job_id in unused[:MAX_RECORDS_PER_PURGE]]
         for job in list(self.job_table.jobs_by_id.values()):
             if job.ended_ms is None or now_ms - job.ended_ms < self._settings.retention_ms:
                 continue
