A submission that outlasted its caller's deadline in a paused instance is not accepted

Callers gave up on a frozen instance, and it accepted their job when it woke: the job ran though nobody waited for it.

The deadline was counted from when the request was read, and an instance that is frozen reads it seconds late. It now measures pauses of its process, as the planner did (one class serves both), and takes a pause that has just ended off the caller's wait. If nothing is left, the answer is 503 and nothing is stored.

Failed before, with the check taken out: submission_that_outlasts_its_callers_wait_in_a_frozen_instance_is_not_accepted (real processes) and submission_may_use_what_a_pause_has_left_of_its_callers_wait.

--- a/packages/daemon/carawayrouted/instance.py
+++ b/packages/daemon/carawayrouted/instance.py
@@ -8,6 +8,7 @@
 
 from carawayroute.clock import Clock
 from carawayroute.fleet.node import FleetNode, FleetSettings
+from carawayroute.fleet.pause_guard import PauseMeter
 from carawayroute.misc import TaskGroup
 from carawayrouted.closing import close_servers
 from carawayrouted.fleet_metrics import FleetMetrics
@@ -65,11 +66,13 @@
             self.runners_client,
             StoreFormat(),
         )
+        self._pauses = PauseMeter(self.clock)
         self.callers = CallerApp(
             self.node.service,
             lambda: self.node.configuration,
             self.node.configuration_is_current,
             self.metrics.count_call,
+            self._pauses.recent_ms,
         )
         self._server_runners: list[web.ServerRunner] = []
         self._tasks = TaskGroup()
@@ -231,6 +234,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         log.info("started", data_centre=settings.data_centre, region=settings.region)
         self.node.start()
+        self._tasks.keep_running(self._pauses.run, "pauses")
         links = self._tasks.keep_running(self.links.run, "peers")
         await self._serve(self.callers.handle, settings.callers.host, settings.callers.port)
         await self._serve(self._ready, settings.readiness.host, settings.readiness.port)
--- a/packages/daemon/carawayrouted/platform/callers.py
+++ b/packages/daemon/carawayrouted/platform/callers.py
@@ -58,6 +58,8 @@
     :param configuration_is_current: returns whether queues and keys that are not in the
         configuration in force do not exist.
     :param count: called with each request's method, status and duration in ms.
+    :param recent_pause_ms: returns for how long a request that is read now may have waited while
+        the process was paused.
     :ivar open_requests: requests in progress; those that are ended have an unknown outcome.
     """
 
@@ -67,11 +69,13 @@
         configuration: Callable[[], Configuration | None],
         configuration_is_current: Callable[[], bool],
         count: Callable[[str, int, float], None],
+        recent_pause_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._service = service
         self._configuration = configuration
         self._configuration_is_current = configuration_is_current
         self._count = count
+        self._recent_pause_ms = recent_pause_ms
         self.open_requests = OpenRequests()
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
@@ -117,6 +121,11 @@
         wait_ms = _wait_ms(request)
         try:
             if request.method == "POST":
+                wait_ms -= self._recent_pause_ms()
+                if wait_ms <= 0:
+                    # The caller has given up, and may have cancelled the job or repeated it.
+                    log.info("submission_too_late", job=job_id, wait_ms=round(wait_ms))
+                    return _reply(503, retry_after_ms=1_000)
                 body = await _read_body(request, configuration.limits.body_bytes)
                 if body is None:
                     return _reply(413)
--- a/packages/library/carawayroute/fleet/pause_guard.py
+++ b/packages/library/carawayroute/fleet/pause_guard.py
@@ -7,6 +7,9 @@
 
 After a pause nothing is sent before a heartbeat that was begun after it has come to its end. If
 another instance has taken over, the heartbeat shows it and the planner ends.
+
+Submissions that arrived in a pause may be older than their callers' deadlines; `PauseMeter` tells
+by how much.
 """
 
 from collections.abc import Awaitable, Callable
@@ -20,10 +23,50 @@
 # Well above the longest scheduling pass, and below the time after which a silent planner is
 # replaced.
 MAX_PAUSE_MS = 1_000
+NOTICE_INTERVAL_MS = 100
+# What had arrived in a pause is read and handled within this time after it.
+SETTLE_MS = 300
 
 log = structlog.get_logger()
 
 
+class PauseMeter:
+    """Measures pauses of the process, during which its timers do not run."""
+
+    __slots__ = ("_clock", "_ended_ms", "_last_ms", "_pause_ms")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._last_ms: float | None = None
+        self._pause_ms = 0.0
+        self._ended_ms = 0.0
+
+    def notice(self) -> float:
+        """Return the length of a pause since the last call in ms, 0 if there was none.
+
+        Called several times a second while the process runs.
+        """
+        now_ms = self._clock.now_with_suspensions_ms()
+        last_ms, self._last_ms = self._last_ms, now_ms
+        if last_ms is None or now_ms - last_ms <= MAX_PAUSE_MS:
+            return 0.0
+        self._pause_ms = now_ms - last_ms
+        self._ended_ms = now_ms
+        return self._pause_ms
+
+    def recent_ms(self) -> float:
+        """Return for how long what is handled now may have waited in a pause, 0 without one."""
+        self.notice()
+        ended_for_ms = self._clock.now_with_suspensions_ms() - self._ended_ms
+        return self._pause_ms if ended_for_ms < SETTLE_MS else 0.0
+
+    async def run(self) -> None:
+        """Notice pauses until cancelled."""
+        while True:
+            self.notice()
+            await self._clock.sleep_ms(NOTICE_INTERVAL_MS)
+
+
 class PauseGuard:
     """Notices that the process was paused, and waits until its permission is confirmed.
 
@@ -32,21 +75,19 @@
     :ivar pauses: number of pauses.
     """
 
-    __slots__ = ("_clock", "_confirm", "_last_ms", "_unconfirmed", "pauses")
+    __slots__ = ("_confirm", "_meter", "_unconfirmed", "pauses")
 
     def __init__(self, clock: Clock, confirm: Callable[[], Awaitable[None]]) -> None:
-        self._clock = clock
         self._confirm = confirm
-        self._last_ms = clock.now_with_suspensions_ms()
+        self._meter = PauseMeter(clock)
+        self._meter.notice()
         self._unconfirmed = 0
         self.pauses = 0
 
     def notice(self) -> None:
         """Notice a pause since the last call; called several times a second while it runs."""
-        now_ms = self._clock.now_with_suspensions_ms()
-        paused_ms = now_ms - self._last_ms
-        self._last_ms = now_ms
-        if paused_ms <= MAX_PAUSE_MS:
+        paused_ms = self._meter.notice()
+        if not paused_ms:
             return
         self.pauses += 1
         self._unconfirmed = self.pauses
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -1,7 +1,10 @@
 """Builders of test data for the fleet."""
 
+import asyncio
 import json
+from unittest import mock
 
+from aiohttp.streams import StreamReader
 from aiohttp.test_utils import make_mocked_request
 from hypothesis import strategies as st
 
@@ -242,13 +245,17 @@
     return journal
 
 
-def caller_app(node: FleetNode) -> CallerApp:
-    """Return the callers' API of an instance."""
+def caller_app(node: FleetNode, recent_pause_ms: float = 0.0) -> CallerApp:
+    """Return the callers' API of an instance.
+
+    :param recent_pause_ms: how long its process has just been paused.
+    """
     return CallerApp(
         node.service,
         lambda: node.configuration,
         node.configuration_is_current,
         lambda *counted: None,
+        lambda: recent_pause_ms,
     )
 
 
@@ -258,6 +265,16 @@
     return (await app.handle(make_mocked_request("GET", path, headers=headers))).status
 
 
+async def submit_status(app: CallerApp, path: str, key: str, body: bytes) -> int:
+    """Return the status of a POST request to an instance's API."""
+    headers = {"Host": "h", "Authorization": f"Bearer {key}"}
+    payload = StreamReader(mock.Mock(_reading_paused=False), 2**16, loop=asyncio.get_running_loop())
+    payload.feed_data(body)
+    payload.feed_eof()
+    request = make_mocked_request("POST", path, headers=headers, payload=payload)
+    return (await app.handle(request)).status
+
+
 @st.composite
 def job_history(draw, job_id: str) -> list[KeyedRecord]:
     """Return the records of a job that runs, is cancelled or ends, and may be purged."""
--- a/tests/test_fleet_pauses.py
+++ b/tests/test_fleet_pauses.py
@@ -1,12 +1,17 @@
 """Tests of a planner whose process is paused: it sends nothing before its term is confirmed."""
 
 import asyncio
+import json
 
-from fleet_builders import NORMAL, OWNER, job, run_scenario, step
+import pytest
+from fleet_builders import NORMAL, OWNER, caller_app, job, run_scenario, step, submit_status
 
 from carawayroute import clock as clock_module
+from carawayroute.clock import ManualClock
 from carawayroute.fleet.leadership import LEADER_KEY, LEADER_TOPIC
+from carawayroute.fleet.pause_guard import MAX_PAUSE_MS, SETTLE_MS, PauseMeter
 from carawayroute_schema import records_pb2 as pb
+from carawayroute_standins.fleet.taskspec import TaskSpec
 
 JOB_ID = "0000000000000001"
 PAUSE_MS = 4_000
@@ -101,3 +106,28 @@
         fleet.store.mode = "up"
 
     run_scenario(scenario)
+
+
+def test_pause_meter_tells_how_long_what_is_handled_now_may_have_waited():
+    clock = ManualClock()
+    meter = PauseMeter(clock)
+    assert meter.recent_ms() == 0.0
+    clock.ms += MAX_PAUSE_MS - 1
+    assert meter.recent_ms() == 0.0
+    clock.ms += PAUSE_MS
+    assert meter.recent_ms() == pytest.approx(PAUSE_MS, abs=1)
+    clock.ms += SETTLE_MS / 2
+    assert meter.recent_ms() == pytest.approx(PAUSE_MS, abs=1)
+    clock.ms += SETTLE_MS / 2
+    assert meter.recent_ms() == 0.0
+
+
+def test_submission_may_use_what_a_pause_has_left_of_its_callers_wait():
+    async def scenario(fleet):
+        body = json.dumps({"spec": TaskSpec.encode(300), "steps": [{"count": 1, "cpu": 1}]})
+        for pause_ms, status in ((2_000.0, 200), (3_000.0, 503)):
+            app = caller_app(fleet.nodes_by_name["n1"], pause_ms)
+            path = f"{NORMAL.prefix}{round(pause_ms):016x}"
+            assert await submit_status(app, path, "key-owner", body.encode()) == status
+
+    run_scenario(scenario)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -79,6 +79,30 @@
     run_scenario(tmp_path, scenario, instances=1)
 
 
+def test_submission_that_outlasts_its_callers_wait_in_a_frozen_instance_is_not_accepted(tmp_path):
+    """UNASKED: the instance accepted it when it woke, and the job ran though nobody waited."""
+
+    async def scenario(cluster):
+        planner = await cluster.wait_planner()
+        frozen, other = [name for name in cluster.processes_by_name if name != planner]
+        cluster.processes_by_name[frozen].send_signal(signal.SIGSTOP)
+        path = "/render/" + ID.format(1)
+        headers = {**CALLER_HEADERS, "X-Carawayroute-Deadline-Ms": "1500"}
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(1.5):
+                await cluster.call(frozen, "POST", path, job_body(20_000), headers)
+        await asyncio.sleep(1)
+        cluster.processes_by_name[frozen].send_signal(signal.SIGCONT)
+        await asyncio.sleep(2)
+        assert (await cluster.call(other, "GET", path))[0] == 410
+        assert starts(cluster.journal, ID.format(1)) == []
+        # Later submissions are accepted.
+        assert (await cluster.call(frozen, "POST", path, job_body(300), headers))[0] == 200
+        await cluster.wait_state(other, path, "completed")
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_jobs_complete_after_planner_is_killed(tmp_path):
     async def scenario(cluster):
         for number in range(5):
