A leaving runner that the last planner lost is not taken as gone by the next one

The next planner polls runners that its predecessor could not reach and that are not listed, by adding and removing them. With the change to departures the removal looked like that of an entry that had just been written, so that a leaving runner behind refused connections was taken as ended and its task was started twice. No entry is removed there, so the link is only marked as not listed.

Found by reading the change that brought it; leaving_runner_that_the_last_planner_could_not_reach_is_not_taken_as_ended failed before.

--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -411,7 +411,8 @@
             self.set_runner(
                 Runner(lost.id, "", lost.address, "", Capacity(0, 0, 0), draining=lost.draining)
             )
-            self.remove_runner(lost.id)
+            # The list does not name it, which is no removal of its entry.
+            self.links_by_id[lost.id].listed = False
 
     def _on_runner_replaced(self, link: RunnerLink) -> None:
         self.replacements_by_runner[link.runner.id] += 1
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -672,6 +672,28 @@
     run_scenario(scenario)
 
 
+def test_leaving_runner_that_the_last_planner_could_not_reach_is_not_taken_as_ended():
+    """TWICE: the next planner polls it although it is not listed, which shows no departure."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=7_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(500)
+        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
+        fleet.list(holder.listed.id, draining=True)
+        await fleet.clock.sleep_ms(200)
+        holder.mode = "refusing"
+        await fleet.clock.sleep_ms(SILENT_HEARTBEATS * HEARTBEAT_MS)
+        fleet.unlist(holder.listed.id)
+        await fleet.clock.sleep_ms(200)
+        await fleet.kill_instance(fleet.planner_name())
+        await fleet.wait_until(fleet.planner_name, 3_000, "another planner")
+        await fleet.clock.sleep_ms(500)
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+        await fleet.wait_state(ID.format(1), "completed", 30_000)
+
+    run_scenario(scenario)
+
+
 def test_entry_removed_after_an_outage_of_the_store_shows_no_departure():
     """Entries also lapse while the store is down, though their runners run on."""
 
