--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -13,6 +13,7 @@
 from carawayroute.exceptions import CarawayrouteError
 from carawayroute.fleet import isolation, ranking
 from carawayroute.fleet.crashes import CrashLedger, is_start_crash, note_running
+from carawayroute.fleet.departures import Departures
 from carawayroute.fleet.exceptions import (
     RunnerError,
     RunnerNotListeningError,
@@ -93,10 +94,6 @@
 # A runner that may have crashed is polled for this long after its lease expired, though it is not
 # listed: another process at its address proves the crash.
 CRASH_PROOF_WAIT_MS = 30_000
-# The platform removes an entry when its runner has left, or after three heartbeat intervals of
-# silence. One that is removed within this many intervals of its last write shows that the runner
-# has left.
-LEFT_HEARTBEATS = 2
 # Evidence of a run's end that leaves open whether its runner's process has ended.
 UNPROVED_EVIDENCE = ("lease expired", "runner removed", "runner unknown")
 # A report shows up to 500 ends; a runner that cannot be acknowledged gets no work near that number.
@@ -189,6 +186,7 @@
     :ivar unmatched_by_outcome: number of reported ends that matched no known run.
     :ivar withdrawn_by_reason: number of runs that the planner ended before their time.
     :ivar crashes: counts crashes of runners by task.
+    :ivar departures: tells runners that have left from runners that fell silent.
     :ivar replacements_by_runner: how often another process answered at a runner's address.
     """
 
@@ -225,6 +223,9 @@
             store, clock, jobs_follower.topic, PRODUCER, term, retry_until_stored=True
         )
         self._runners_follower = make_runners_follower(self)
+        self.departures = Departures(
+            clock, settings.heartbeat_ms, lambda: self._runners_follower.current_as_of_ms
+        )
         self.links_by_id: dict[str, RunnerLink] = {}
         self._link_tasks: dict[str, asyncio.Task] = {}
         self.runs_by_key: dict[RunKey, Run] = {}
@@ -233,7 +234,6 @@
         self._used_by_runner: dict[str, Capacity] = {}
         self._preempted_ms = -math.inf
         self._lease_expiry_by_removed_runner: dict[str, float] = {}
-        self._entry_after_ms_by_runner: dict[str, float] = {}
         self._changed = asyncio.Event()
         self._reported = asyncio.Event()
         self.run_times = RunTimeEstimator()
@@ -482,7 +482,6 @@
             link.listed = True
             link.left = False
             link.suspended = False
-            self._note_entry(runner.id)
             if runner.draining and not was_draining:
                 log.info("runner_draining", runner=runner.id)
             return
@@ -511,14 +510,9 @@
         if not moved:
             link.boot_ms = self._adopted_boot_ms(runner)
         self.links_by_id[runner.id] = link
-        self._note_entry(runner.id)
         self._poll_on(link)
         log.info("runner_listed", runner=runner.id, address=runner.address, rack=runner.rack)
 
-    def _note_entry(self, runner_id: str) -> None:
-        """Note the time after which a runner's entry was written."""
-        self._entry_after_ms_by_runner[runner_id] = self._runners_follower.current_as_of_ms
-
     def _poll_on(self, link: RunnerLink) -> None:
         runner_id = link.runner.id
         self._link_tasks[runner_id] = self._tasks.keep_running(link.run, f"runner {runner_id}")
@@ -543,21 +537,18 @@
 
         The entry of a runner that is leaving and was not silent before shows that it has left.
         """
-        entry_after_ms = self._entry_after_ms_by_runner.pop(runner_id, -math.inf)
+        silence_ms = self.departures.take_silence_ms(runner_id)
         link = self.links_by_id.get(runner_id)
         if link is None or not link.listed:
             return
-        silent_ms = self._clock.now_ms() - entry_after_ms
         link.listed = False
-        link.left = (
-            link.runner.draining and silent_ms < LEFT_HEARTBEATS * self._settings.heartbeat_ms
-        )
+        link.left = self.departures.is_departure(link.runner.draining, silence_ms)
         log.info(
             "runner_unlisted",
             runner=runner_id,
             reachable=link.reachable,
             draining=link.runner.draining,
-            silent_ms=round(min(silent_ms, MAX_LOGGED_AGE_MS)),
+            silent_ms=round(min(silence_ms, MAX_LOGGED_AGE_MS)),
             left=link.left,
         )
         if link.left:
--- a/packages/library/carawayroute/fleet/runner_list.py
+++ b/packages/library/carawayroute/fleet/runner_list.py
@@ -37,6 +37,7 @@
             return
         if self.error_by_runner.pop(record.key, None) is not None:
             log.info("runner_entry_usable", runner=record.key)
+        self._planner.departures.note_entry(record.key, record.offset)
         self._planner.set_runner(runner)
 
     def _note_unusable(self, runner_id: str, error: str) -> None:
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -694,6 +694,30 @@
     run_scenario(scenario)
 
 
+def test_entry_that_is_loaded_again_and_removed_for_its_silence_shows_no_departure():
+    """TWICE: the list was loaded anew, as its old records had expired, and the entry looked new."""
+
+    async def scenario(fleet):
+        await fleet.submit(job(ID.format(1), run_ms=7_000), NORMAL, OWNER)
+        await fleet.clock.sleep_ms(500)
+        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
+        other = next(name for name in fleet.runners_by_id if name != holder.listed.id)
+        fleet.list(holder.listed.id, draining=True)
+        await fleet.clock.sleep_ms(200)
+        holder.mode = "refusing"
+        await fleet.clock.sleep_ms(SILENT_HEARTBEATS * HEARTBEAT_MS - 500)
+        fleet.list(other)
+        fleet.store.compact(fleet.formats.runners_topic)
+        await fleet.clock.sleep_ms(500)
+        fleet.unlist(holder.listed.id)
+        await fleet.clock.sleep_ms(1_000)
+        holder.mode = "up"
+        await fleet.wait_state(ID.format(1), "completed", 3_500)
+        assert len(starts(fleet.journal, ID.format(1))) == 1
+
+    run_scenario(scenario)
+
+
 def test_entry_removed_after_an_outage_of_the_store_shows_no_departure():
     """Entries also lapse while the store is down, though their runners run on."""
 
