Test: real processes confirm a term over their links through an outage of the store

An outage of 13 s for all instances, with leases of 8 s: all four tasks of a job run on and none is started again.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -103,6 +103,26 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_work_goes_on_while_the_store_is_away_for_all(tmp_path):
+    """The instances confirm the planner's term over their links, beyond the longest lease."""
+
+    async def scenario(cluster):
+        planner = await cluster.wait_planner()
+        path = "/render/" + ID.format(1)
+        assert (await cluster.call("n1", "POST", path, job_body(18_000, count=4)))[0] == 200
+        async with asyncio.timeout(5):
+            while len(starts(cluster.journal, ID.format(1))) < 4:
+                await asyncio.sleep(0.05)
+        cluster.store.mode = "silent"
+        await asyncio.sleep(13)
+        assert await cluster.planner() == planner
+        cluster.store.mode = "up"
+        await cluster.wait_state("n1", path, "completed")
+        assert len(starts(cluster.journal, ID.format(1))) == 4
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_jobs_complete_after_planner_is_killed(tmp_path):
     async def scenario(cluster):
         for number in range(5):
