Leases last through the longest outage beside an instance that is down

With an instance down or replaced, not all can confirm the planner's term, and an outage of the store of 9 s ended all running work: the next heartbeat was answered up to 1.2 s after it and the next poll renewed the lease up to 1 s later, beyond the 10 s.

Leases now last 12 s after the last confirmation. So that a successor waits no longer for it, it counts from the last heartbeat that it read before its claim, or from its own last answer, instead of from its own start: 13.0 s after the planner fell silent, 12.5 s before for leases of 10 s. The claim is conditional, so every heartbeat before it has been read.

--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -78,6 +78,10 @@
         self._given_up_term = 0
         self._confirmations: list[asyncio.Future[None]] = []
         self._confirmed_ms = -math.inf
+        # When the last record before this process's claim was read, and when this process last
+        # confirmed the term of another one.
+        self._seen_before_claim_ms = 0.0
+        self._other_confirmed_ms = 0.0
         self.term = 0
         self.accelerators = 0
         self.candidate = True
@@ -124,10 +128,13 @@
                 error=str(error),
             )
             return
+        now_ms = self._clock.now_ms()
+        if not leader.term and leader.instance == self._holder:
+            self._seen_before_claim_ms = self._newest_seen_ms if self._newest else now_ms
         self._newest = leader
         self._newest_offset = record.offset
         self._newest_term = leader.term or record.offset + 1
-        self._newest_seen_ms = self._clock.now_ms()
+        self._newest_seen_ms = now_ms
         self._claim_jitter_ms = random.uniform(0, CLAIM_JITTER_MS)
         is_own = leader.instance == self._holder and not leader.resigned
         term = self.current_term()
@@ -246,6 +253,24 @@
         if term and term == self.term:
             self._confirmed_ms = max(self._confirmed_ms, sent_ms)
 
+    def confirm_other(self, term: int) -> bool:
+        """Return whether no term is known that is newer than another instance's.
+
+        :param term: the term of the instance that asks.
+        """
+        if self.current_term() > term:
+            return False
+        self._other_confirmed_ms = self._clock.now_ms()
+        return True
+
+    def earlier_terms_confirmed_ms(self) -> float:
+        """Return the clock time after which no term before this process's own was confirmed.
+
+        The claim succeeded only because every heartbeat before it had been read here, and the
+        holder of an earlier term needs the answer of this process to be confirmed without one.
+        """
+        return max(self._seen_before_claim_ms, self._other_confirmed_ms)
+
     async def resign(self) -> None:
         """Resign the term, so that another instance can claim it without waiting for a timeout.
 
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -534,6 +534,7 @@
             self._set_accelerators,
             self.leadership.confirm,
             self.leadership.unconfirmed_ms,
+            self.leadership.earlier_terms_confirmed_ms(),
         )
         try:
             planner.speeds.load(pb.RunnerSpeeds.FromString(self._speeds))
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -84,8 +84,9 @@
 MAX_LISTING_AGE_MS = 2_500
 
 # Leases may be renewed for this long without a confirmation of the planner's term, also where
-# runners grant shorter ones: the longest outages of the store that the platform names last 9 s.
-MIN_UNCONFIRMED_LEASES_MS = 10_000
+# runners grant shorter ones: the longest outages of the store that the platform names last 9 s, and
+# up to 2.5 s pass until the next heartbeat is answered and the next poll renews the lease.
+MIN_UNCONFIRMED_LEASES_MS = 12_000
 LEASE_BOUND_MARGIN_MS = 500
 
 # The platform drops a runner from its list after some seconds of silence. A runner that it still
@@ -161,7 +162,7 @@
 
     @property
     def inherited_lease_bound_ms(self) -> float:
-        """Return the time after a term's start within which all earlier leases have expired."""
+        """Return the time after which no lease of a term holds that is not confirmed again."""
         return _certain_ms(self.max_unconfirmed_ms)
 
 
@@ -181,6 +182,7 @@
     :param confirm_term: returns once a heartbeat that begins after the call has ended, and not at
         all if the term is lost.
     :param term_unconfirmed_ms: returns the time since the term was last known to be the newest one.
+    :param earlier_terms_confirmed_ms: clock time after which no earlier term was confirmed.
     :ivar placing: if false, no scheduling passes are run.
     :ivar given_up_by_evidence: number of runs ended without a reported end.
     :ivar unmatched_by_outcome: number of reported ends that matched no known run.
@@ -205,6 +207,7 @@
         on_capacity: Callable[[int], None],
         confirm_term: Callable[[], Awaitable[None]],
         term_unconfirmed_ms: Callable[[], float],
+        earlier_terms_confirmed_ms: float,
     ) -> None:
         self.term = term
         self._settings = settings
@@ -218,6 +221,7 @@
         self._on_term_lost = on_term_lost
         self._on_capacity = on_capacity
         self._term_unconfirmed_ms = term_unconfirmed_ms
+        self._earlier_terms_confirmed_ms = earlier_terms_confirmed_ms
         self._tasks = TaskGroup()
         self._writer = LogWriter(
             store, clock, jobs_follower.topic, PRODUCER, term, retry_until_stored=True
@@ -457,10 +461,9 @@
     def _inherited_lease_expiry_ms(self) -> float:
         """Return the clock time by which the leases of earlier planners have certainly expired.
 
-        An earlier planner that is cut off from the store, and may renew leases still, was confirmed
-        for the last time before this term began.
+        One of them may be cut off from the store, and renew leases still.
         """
-        return self._term_start_ms + self._settings.inherited_lease_bound_ms
+        return self._earlier_terms_confirmed_ms + self._settings.inherited_lease_bound_ms
 
     def _lease_limit_ms(self) -> float:
         """Return the clock time by which leases that are granted now must have expired."""
--- a/packages/library/carawayroute/fleet/term_confirmation.py
+++ b/packages/library/carawayroute/fleet/term_confirmation.py
@@ -6,8 +6,8 @@
 as ended once the leases of the old planner have expired.
 
 The planner cannot tell the two apart by itself, so it asks all other instances. One that takes the
-term later has answered before, and counts the leases from its own term's start. So only an answer
-of each of them confirms the term: one that does not answer may hold the next one.
+term later has answered before, and counts the leases from its last answer at the earliest. So only
+an answer of each of them confirms the term: one that does not answer may hold the next one.
 """
 
 import asyncio
@@ -93,9 +93,9 @@
 
 def serve_confirmation(call: pb.StoreCall, leadership: Leadership) -> pb.StoreAnswer:
     """Return the answer to a peer that asks whether its term is the newest one known here."""
-    if leadership.current_term() > call.epoch:
-        return pb.StoreAnswer(outcome=pb.StoreAnswer.FENCED)
     if not leadership.follower.loaded.is_set():
         # Another process of this instance may have held a newer term.
         return pb.StoreAnswer(outcome=pb.StoreAnswer.REFUSED, reason="the terms are not loaded")
+    if not leadership.confirm_other(call.epoch):
+        return pb.StoreAnswer(outcome=pb.StoreAnswer.FENCED)
     return pb.StoreAnswer()
