--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -611,15 +611,21 @@
     run_scenario(scenario)
 
 
+async def leaving_runner(fleet, run_ms):
+    """Submit a job, and return its runner once that has announced that it leaves."""
+    await fleet.submit(job(ID.format(1), run_ms=run_ms), NORMAL, OWNER)
+    await fleet.clock.sleep_ms(500)
+    holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
+    fleet.list(holder.listed.id, draining=True)
+    await fleet.clock.sleep_ms(200)
+    return holder
+
+
 def test_task_of_a_runner_that_left_as_announced_restarts_at_once():
     """A leaving runner whose entry is removed has ended; its lease need not expire."""
 
     async def scenario(fleet):
-        await fleet.submit(job(ID.format(1), run_ms=1_500), NORMAL, OWNER)
-        await fleet.clock.sleep_ms(500)
-        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
-        fleet.list(holder.listed.id, draining=True)
-        await fleet.clock.sleep_ms(200)
+        holder = await leaving_runner(fleet, run_ms=1_500)
         holder.restart_empty()
         holder.mode = "gone"
         fleet.unlist(holder.listed.id)
@@ -656,11 +662,7 @@
     """The removal of an entry that was not renewed shows no end: the runner may be cut off."""
 
     async def scenario(fleet):
-        await fleet.submit(job(ID.format(1), run_ms=7_000), NORMAL, OWNER)
-        await fleet.clock.sleep_ms(500)
-        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
-        fleet.list(holder.listed.id, draining=True)
-        await fleet.clock.sleep_ms(200)
+        holder = await leaving_runner(fleet, run_ms=7_000)
         holder.mode = "refusing"
         await fleet.clock.sleep_ms(SILENT_HEARTBEATS * HEARTBEAT_MS)
         fleet.unlist(holder.listed.id)
@@ -676,11 +678,7 @@
     """TWICE: the next planner polls it although it is not listed, which shows no departure."""
 
     async def scenario(fleet):
-        await fleet.submit(job(ID.format(1), run_ms=7_000), NORMAL, OWNER)
-        await fleet.clock.sleep_ms(500)
-        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
-        fleet.list(holder.listed.id, draining=True)
-        await fleet.clock.sleep_ms(200)
+        holder = await leaving_runner(fleet, run_ms=7_000)
         holder.mode = "refusing"
         await fleet.clock.sleep_ms(SILENT_HEARTBEATS * HEARTBEAT_MS)
         fleet.unlist(holder.listed.id)
@@ -698,12 +696,8 @@
     """TWICE: the list was loaded anew, as its old records had expired, and the entry looked new."""
 
     async def scenario(fleet):
-        await fleet.submit(job(ID.format(1), run_ms=7_000), NORMAL, OWNER)
-        await fleet.clock.sleep_ms(500)
-        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
+        holder = await leaving_runner(fleet, run_ms=7_000)
         other = next(name for name in fleet.runners_by_id if name != holder.listed.id)
-        fleet.list(holder.listed.id, draining=True)
-        await fleet.clock.sleep_ms(200)
         holder.mode = "refusing"
         await fleet.clock.sleep_ms(SILENT_HEARTBEATS * HEARTBEAT_MS - 500)
         fleet.list(other)
@@ -722,11 +716,7 @@
     """Entries also lapse while the store is down, though their runners run on."""
 
     async def scenario(fleet):
-        await fleet.submit(job(ID.format(1), run_ms=7_000), NORMAL, OWNER)
-        await fleet.clock.sleep_ms(500)
-        holder = fleet.runners_by_id[str(fleet.journal.all("task_started")[0].fields["runner"])]
-        fleet.list(holder.listed.id, draining=True)
-        await fleet.clock.sleep_ms(200)
+        holder = await leaving_runner(fleet, run_ms=7_000)
         fleet.store.mode = "silent"
         holder.mode = "refusing"
         await fleet.clock.sleep_ms(SILENT_HEARTBEATS * HEARTBEAT_MS)
