--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -575,8 +575,11 @@
         self._temporary = Path(tempfile.mkdtemp(prefix="review-"))
         self._servers: list[web.AppRunner] = []
 
-    async def open(self, nodes: int = 3) -> None:
-        """Start the store and the processes of the deploy file."""
+    async def open(self, nodes: int = 3, spare: int = 0) -> None:
+        """Start the store and the processes of the deploy file.
+
+        :param spare: number of further addresses, for processes that are started later.
+        """
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         server = web.AppRunner(self.store.app(), access_log=None, shutdown_timeout=0.05)
         await server.setup()
@@ -584,10 +587,10 @@
         await site.start()
         self._servers.append(server)
         self._store_port = site._server.sockets[0].getsockname()[1]
-        hosts = [f"127.0.0.{11 + number}" for number in range(nodes)]
+        hosts = [f"127.0.0.{11 + number}" for number in range(nodes + spare)]
         self._ports = {name: _free_port(hosts) for name in ("front", "ready", "control", "peer")}
-        self._hosts = hosts
-        for number, host in enumerate(hosts):
+        self.hosts = hosts
+        for number, host in enumerate(hosts[:nodes]):
             await self.start_node(f"front-south-a-{number + 1}", host)
 
     async def start_node(self, name: str, host: str) -> None:
@@ -604,7 +607,7 @@
             "zones": {"south-a": "south"},
             "listen": {what: f"{host}:{ports[what]}" for what in ("front", "ready", "control")},
             "internal_ports": [ports["peer"], ports["peer"]],
-            "seeds": [f"{one}:{ports['control']}" for one in self._hosts[:3]],
+            "seeds": [f"{one}:{ports['control']}" for one in self.hosts[:3]],
             "bootstrap": True,
             "in_fault_budget": False,
             "limits": {
@@ -656,6 +659,14 @@
         log.close()
         self.addresses[name] = host
 
+    async def remove_node(self, name: str) -> None:
+        """End a process for good, as a machine that is removed."""
+        process = self.processes.pop(name)
+        process.kill()
+        await process.wait()
+        del self.addresses[name]
+        self.record.write("node_removed", node=name)
+
     def put_config(self, fields: dict) -> None:
         """Put a configuration as the operator."""
         self.store.put("keyed.op", "config", json.dumps(fields).encode())
