--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,7 @@
 TASKS = 700
 RUN_MS = 12_000
 ONE_WAY_MS = 8
-OUTAGE_S = 4.2
+OUTAGE_S = 3.9
 
 
 async def play(case: Case) -> str:
