Log how many waiting steps a pass skipped, and how many ends a report listed

planner_status said how many steps wait, not how many of them the pass had looked at; run_given_up did not say how many ends the report had that lacks the run.

--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -63,6 +63,7 @@
     :ivar boot_ms: wall clock of the runner's start as last reported, 0 if unknown.
     :ivar acknowledged: number of the last end that is stored, acknowledged with the next poll.
     :ivar last_handled: number of the last end that the planner has processed.
+    :ivar listed_ends: number of ends in the last report.
     :ivar report_gap_ms: time between the last two reports, -1 before the second one.
     :ivar unmatched_ends: numbers of unacknowledged ends that matched no run known to the planner.
     :ivar last_alive_ms: time of the last sign of life of the runner's process, an answer or the
@@ -115,6 +116,7 @@
         self.boot_ms = 0
         self.last_report_ms: float | None = None
         self.last_alive_ms: float | None = None
+        self.listed_ends = 0
         self.report_gap_ms = -1.0
         self.reachable = False
         self.acknowledged = 0
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -252,6 +252,7 @@
         self._job_values: ranking.JobValues | None = None
         self._idle_since_by_job: dict[str, float] = {}
         self._failed_passes = 0
+        self._skipped_stages = 0
         self._storing_known_runners: frozenset[str] = frozenset()
         self._known_runners_ms = -math.inf
         self.standing = standing.StandingJobs()
@@ -638,6 +639,7 @@
             lease_expired_ms_ago=round(now_ms - self._lease_expiry_ms(run.runner)),
             listed=link is not None and link.listed,
             ends_unacknowledged=link.unacknowledged_ends if link is not None else 0,
+            ends_listed=link.listed_ends if link is not None else 0,
         )
         stage = run.stage
         if stage.ordered_runs[run.index] >= run.number and not stage.step.long_running:
@@ -661,6 +663,7 @@
         :param sent_ms: time at which the poll was sent.
         """
         self._reported.set()
+        link.listed_ends = len(report.ended)
         self.lost_runners.note_report(link.runner.id)
         self.runner_health.note_process(link.runner.id, report.boot_ms)
         self.crashes.process_reported(link.runner.id, link.runner.address, report.boot_ms)
@@ -1155,7 +1158,7 @@
         preempting = started_ms - self._preempted_ms >= PREEMPTION_INTERVAL_MS
         if preempting:
             self._preempted_ms = started_ms
-        placements = SchedulingPass(
+        scheduling = SchedulingPass(
             self.job_table,
             configuration,
             candidates,
@@ -1168,7 +1171,9 @@
             self._isolation([*candidates, *avoided], stages),
             stages,
             preempting,
-        ).run()
+        )
+        placements = scheduling.run()
+        self._skipped_stages = scheduling.skipped
         took_ms = self._clock.now_ms() - started_ms
         if placements:
             self._launch(placements)
@@ -1260,6 +1265,7 @@
             term=self.term,
             jobs=len(self.job_table.open_by_id),
             waiting=len(waiting),
+            skipped=self._skipped_stages,
             first_waiting=waiting[:STATUS_LIST_LIMIT],
             runs=len(self.runs_by_key),
             withdrawn=sum(1 for run in self.runs_by_key.values() if run.withdrawn),
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -82,6 +82,7 @@
     :param suspects: placement of tasks that are suspected of crashing runners.
     :param stages: all stages that are due; collected from the open jobs by default.
     :param preempting: whether work beyond guarantees may preempt.
+    :ivar skipped: number of waiting stages that the last run did not try to place.
     """
 
     def __init__(
@@ -123,6 +124,7 @@
         self._headroom = HEADROOM_SHARE * sum(
             candidate.runner.capacity.accelerators for candidate in candidates
         )
+        self.skipped = 0
         self._reserved = 0
         self._victim_searches = 0
         self._backlog_share = 0.0
@@ -149,6 +151,7 @@
         waiting = [stage for stage in stages if self._is_waiting(stage)]
         self._backlog_share = self._share_of_fleet(waiting)
         waiting.sort(key=self._rank)
+        self.skipped = max(0, len(waiting) - MAX_STAGES_PER_PASS)
         placements = []
         for stage in waiting[:MAX_STAGES_PER_PASS]:
             placement = self._place(stage) or self._place_idle(stage)
