Search room for waiting work in turns, so that none is left out of every pass

A pass searched room for the first 400 steps of the ranking only, and a step without a place keeps its rank.

Now a pass goes through all waiting steps. One whose demand was found unmet earlier in the pass, or that the runners could not hold if they were empty, is passed over at no cost; searches are still limited to 400 a pass, of which half go by rank and half to those that were left out the longest. If any was left out, the next pass follows at once.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -20,7 +20,7 @@
 from carawayroute.fleet.admission import AdmissionController
 from carawayroute.fleet.isolation import Isolation
 from carawayroute.fleet.jobs import JOB_KEY, JobTable, Stage
-from carawayroute.fleet.scheduler import Placement, SchedulingPass, StopCost
+from carawayroute.fleet.scheduler import PassTurns, Placement, SchedulingPass, StopCost
 from carawayroute.fleet.speeds import RunnerSpeeds
 from carawayroute.fleet.types import CallerLimits, Configuration, Runner
 
@@ -87,6 +87,7 @@
         self.slowdown_by_id = {
             runner.id: self.rng.choice(SLOWDOWN_FACTORS) for runner in self.runners
         }
+        self.turns = PassTurns()
         self.job_values: ranking.JobValues | None = None
         self.arrivals_by_id = {arrival.job.id: arrival for arrival in arrivals_in_order}
         self.free_by_id = {runner.id: runner.capacity.copy() for runner in self.runners}
@@ -199,6 +200,7 @@
             self._stop_cost,
             self.job_values,
             suspects=self._isolation(candidates),
+            turns=self.turns,
         ).run()
         for placement in placements:
             self._start_placement(placement)
--- a/packages/library/carawayroute/fleet/packing.py
+++ b/packages/library/carawayroute/fleet/packing.py
@@ -10,6 +10,7 @@
 from carawayroute.fleet.jobs import Stage
 from carawayroute.fleet.speeds import SLOW_RATIO
 from carawayroute.fleet.types import Capacity, Runner
+from carawayroute_schema import records_pb2 as pb
 
 # With a deadline below this many times the work, a slow runner alone makes a job late: the slowest
 # third of the users' runners takes 1.3 times as long as a typical one, and the longest task of a
@@ -61,12 +62,50 @@
 
 def can_run(stage: Stage, runner: Runner) -> bool:
     """Return whether a runner is eligible for a stage by service, label and drain state."""
-    if runner.service != stage.job.record.service or runner.draining:
+    return _is_eligible(stage.job.record.service, stage.step.label, runner)
+
+
+def _is_eligible(service: str, label: str, runner: Runner) -> bool:
+    if runner.service != service or runner.draining:
         return False
-    label = stage.step.label
     return not label or label in runner.labels
 
 
+class EmptyRoom:
+    """What runners would hold if they were empty, an upper bound by service and label.
+
+    :param candidates: all runners that may get work.
+    """
+
+    __slots__ = ("_bounds", "_candidates")
+
+    def __init__(self, candidates: Iterable[Candidate]) -> None:
+        self._candidates = list(candidates)
+        # The largest amount of each resource on one runner, and that of all runners.
+        self._bounds: dict[tuple[str, str], tuple[Capacity, Capacity]] = {}
+
+    def may_hold_step(self, service: str, step: pb.Step) -> bool:
+        """Return whether a task of a step may fit, of a gang all tasks at once."""
+        largest, total = self._bounds_of(service, step.label)
+        demand = Capacity.needed_by(step)
+        if not largest.count_fitting(demand, 1):
+            return False
+        return not step.gang or total.count_fitting(demand, step.count) >= step.count
+
+    def _bounds_of(self, service: str, label: str) -> tuple[Capacity, Capacity]:
+        found = self._bounds.get((service, label))
+        if found is None:
+            # Nothing fits where there is no runner, also what needs nothing.
+            largest, total = Capacity(-1, -1, -1), Capacity(0, 0, 0)
+            for candidate in self._candidates:
+                if _is_eligible(service, label, candidate.runner):
+                    capacity = candidate.runner.capacity
+                    largest.raise_to(capacity)
+                    total.subtract(capacity, -1)
+            found = self._bounds[service, label] = largest, total
+        return found
+
+
 def group_by_rack(candidates: Iterable[Candidate]) -> dict[str, list[Candidate]]:
     """Return candidates by rack."""
     by_rack: dict[str, list[Candidate]] = {}
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -42,7 +42,13 @@
 from carawayroute.fleet.ports import RunnerClient, Store
 from carawayroute.fleet.runner_health import STALL_MS, RunnerHealth
 from carawayroute.fleet.runs import Run, RunKey
-from carawayroute.fleet.scheduler import Placement, SchedulingPass, StopCost, median_capacity
+from carawayroute.fleet.scheduler import (
+    PassTurns,
+    Placement,
+    SchedulingPass,
+    StopCost,
+    median_capacity,
+)
 from carawayroute.fleet.speeds import RunnerSpeeds
 from carawayroute.fleet.strays import StrayRuns
 from carawayroute.fleet.types import (
@@ -252,7 +258,7 @@
         self._job_values: ranking.JobValues | None = None
         self._idle_since_by_job: dict[str, float] = {}
         self._failed_passes = 0
-        self._skipped_stages = 0
+        self._pass_turns = PassTurns()
         self._storing_known_runners: frozenset[str] = frozenset()
         self._known_runners_ms = -math.inf
         self.standing = standing.StandingJobs()
@@ -1158,7 +1164,7 @@
         preempting = started_ms - self._preempted_ms >= PREEMPTION_INTERVAL_MS
         if preempting:
             self._preempted_ms = started_ms
-        scheduling = SchedulingPass(
+        placements = SchedulingPass(
             self.job_table,
             configuration,
             candidates,
@@ -1171,10 +1177,12 @@
             self._isolation([*candidates, *avoided], stages),
             stages,
             preempting,
-        )
-        placements = scheduling.run()
-        self._skipped_stages = scheduling.skipped
+            self._pass_turns,
+        ).run()
         took_ms = self._clock.now_ms() - started_ms
+        if self._pass_turns.stages.skipped:
+            # Others get their turn in the next pass.
+            self._changed.set()
         if placements:
             self._launch(placements)
         # Leave most of the CPU to requests and reports, however long a pass takes.
@@ -1265,7 +1273,7 @@
             term=self.term,
             jobs=len(self.job_table.open_by_id),
             waiting=len(waiting),
-            skipped=self._skipped_stages,
+            skipped=self._pass_turns.stages.skipped,
             first_waiting=waiting[:STATUS_LIST_LIMIT],
             runs=len(self.runs_by_key),
             withdrawn=sum(1 for run in self.runs_by_key.values() if run.withdrawn),
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -9,9 +9,10 @@
 from carawayroute.fleet.jobs import JobTable, Stage
 from carawayroute.fleet.packing import Candidate
 from carawayroute.fleet.preemption import Victim
+from carawayroute.fleet.turns import Turns
 from carawayroute.fleet.types import Capacity, Configuration
 
-# The remaining stages wait for the next pass.
+# Stages for which a pass searches room. Others whose demand was found unmet are passed over.
 MAX_STAGES_PER_PASS = 400
 # Value that preemption may lose, as a share of the value that the placed job gains.
 MAX_PREEMPTION_COST_SHARE = 0.4
@@ -69,6 +70,18 @@
         self.isolated = isolated
 
 
+class PassTurns:
+    """What the passes of a term share, so that no waiting work is left out of all of them.
+
+    :ivar stages: stages for which room is searched.
+    """
+
+    __slots__ = ("stages",)
+
+    def __init__(self) -> None:
+        self.stages = Turns(MAX_STAGES_PER_PASS)
+
+
 class SchedulingPass:
     """One scheduling pass over a snapshot of the fleet.
 
@@ -82,7 +95,7 @@
     :param suspects: placement of tasks that are suspected of crashing runners.
     :param stages: all stages that are due; collected from the open jobs by default.
     :param preempting: whether work beyond guarantees may preempt.
-    :ivar skipped: number of waiting stages that the last run did not try to place.
+    :param turns: what this pass shares with the ones before; nothing by default.
     """
 
     def __init__(
@@ -99,6 +112,7 @@
         suspects: Isolation | None = None,
         stages: list[Stage] | None = None,
         preempting: bool = True,
+        turns: PassTurns | None = None,
     ) -> None:
         self.job_table = job_table
         self.configuration = configuration
@@ -114,6 +128,7 @@
         self.wall_ms = wall_ms
         self.estimate_ms = estimate_ms
         self.stop_cost = stop_cost
+        self._empty_room = packing.EmptyRoom((*candidates, *avoided))
         self.guaranteed_jobs = ranking.urgent_within_guarantees(
             list(job_table.open_by_id.values()), configuration
         )
@@ -124,7 +139,10 @@
         self._headroom = HEADROOM_SHARE * sum(
             candidate.runner.capacity.accelerators for candidate in candidates
         )
-        self.skipped = 0
+        self._turns = turns or PassTurns()
+        # Demands for which no room was found, with the gain for which work could be stopped.
+        self._unmet: dict[tuple, float] = {}
+        self._search_put_off = False
         self._reserved = 0
         self._victim_searches = 0
         self._backlog_share = 0.0
@@ -151,17 +169,67 @@
         waiting = [stage for stage in stages if self._is_waiting(stage)]
         self._backlog_share = self._share_of_fleet(waiting)
         waiting.sort(key=self._rank)
-        self.skipped = max(0, len(waiting) - MAX_STAGES_PER_PASS)
+        self._turns.stages.begin_pass()
         placements = []
-        for stage in waiting[:MAX_STAGES_PER_PASS]:
-            placement = self._place(stage) or self._place_idle(stage)
+        for stage in waiting:
+            demand = self._demand(stage)
+            gain = self._preemption_gain(stage)
+            placement = None
+            if not self._is_unmet(demand, gain) and self._may_ever_fit(stage):
+                if not self._turns.stages.admit(stage.key):
+                    continue
+                self._search_put_off = False
+                placement = self._place(stage) or self._place_idle(stage)
             if placement is not None:
                 self._commit(placement)
                 placements.append(placement)
-            elif self._needs_reservation(stage):
+                continue
+            if not self._search_put_off:
+                self._note_unmet(demand, gain)
+            if self._needs_reservation(stage):
                 self._reserve(stage)
         return placements
 
+    def _demand(self, stage: Stage) -> tuple | None:
+        """Return what decides whether a stage can be placed, ``None`` if more than that does.
+
+        Free capacity only shrinks during a pass, so that of all stages with the same demand only
+        the first one that cannot be placed is searched room for.
+        """
+        if any(stage.crashes):
+            # Where suspects of crashing runners are placed depends on each of them.
+            return None
+        job = stage.job
+        return (
+            shape_of(stage),
+            len(stage.waiting()),
+            packing.is_time_critical(stage),
+            job.record.priority,
+            job.id in self.guaranteed_jobs,
+            job.id in self.idle_jobs,
+            any(stage.failures),
+        )
+
+    def _preemption_gain(self, stage: Stage) -> float:
+        """Return the value of a stage's job if it decides whether work is stopped for it."""
+        if stage.job.id in self.guaranteed_jobs or not is_all_or_nothing(stage):
+            return 0.0
+        return self._gain(stage)
+
+    def _gain(self, stage: Stage) -> float:
+        return self._value_share(stage) * self.job_values.value_of(stage.job.record)
+
+    def _is_unmet(self, demand: tuple | None, gain: float) -> bool:
+        return demand is not None and gain <= self._unmet.get(demand, -math.inf)
+
+    def _may_ever_fit(self, stage: Stage) -> bool:
+        """Return whether a stage may fit once the runners are empty."""
+        return self._empty_room.may_hold_step(stage.job.record.service, stage.step)
+
+    def _note_unmet(self, demand: tuple | None, gain: float) -> None:
+        if demand is not None:
+            self._unmet[demand] = max(gain, self._unmet.get(demand, gain))
+
     def _share_of_fleet(self, stages: list[Stage]) -> float:
         """Return the accelerators that stages wait for, as a share of all that the fleet has."""
         wanted = sum(stage.demand.accelerators * len(stage.waiting()) for stage in stages)
@@ -502,13 +570,10 @@
             # It may fail again, and its victims' work would be lost for nothing.
             return None
         if self._victim_searches >= MAX_VICTIM_SEARCHES:
+            self._search_put_off = True
             return None
         count = len(indices)
-        gain = (
-            self._value_share(stage)
-            * self.job_values.value_of(stage.job.record)
-            * (gain_share or 1.0)
-        )
+        gain = self._gain(stage) * (gain_share or 1.0)
         at_any_cost = guaranteed and not gain_share
         most = LARGEST_COST if at_any_cost else MAX_PREEMPTION_COST_SHARE * gain
         spread = not self._full_speed_possible(stage, candidates, count)
--- /dev/null
+++ b/packages/library/carawayroute/fleet/turns.py
@@ -0,0 +1,51 @@
+"""Turns of waiting work at the searches for room, of which a pass can make only so many.
+
+Load pattern: some work cannot be placed for the time being, as the only runners that it may use are
+away or full. It keeps its rank from pass to pass. If each pass searched room only for the first
+stages of the ranking, a few hundred such stages would keep it from ever getting to the others.
+
+Half of the searches of a pass go by rank, so that important work is placed first. The others go to
+the stages that were left out the longest ago, whatever their rank.
+"""
+
+from itertools import islice
+
+StageKey = tuple[str, int, int]
+
+
+class Turns:
+    """Admits a limited number of stages in each pass; those that are left out come first later.
+
+    :param limit: number of stages that are admitted in a pass.
+    :ivar skipped: number of times that a stage was left out in the current pass.
+    """
+
+    __slots__ = ("_by_rank", "_left_out", "_limit", "_reserved", "skipped")
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        # Ordered by the pass in which a stage was first left out.
+        self._left_out: dict[StageKey, None] = {}
+        self._reserved: frozenset[StageKey] = frozenset()
+        self._by_rank = limit
+        self.skipped = 0
+
+    def begin_pass(self) -> None:
+        """Reserve up to half of the admissions for stages that were left out before."""
+        self._reserved = frozenset(islice(self._left_out, self._limit // 2))
+        for key in self._reserved:
+            del self._left_out[key]
+        self._by_rank = self._limit - len(self._reserved)
+        self.skipped = 0
+
+    def admit(self, key: StageKey) -> bool:
+        """Return whether it is a stage's turn in this pass; stages ask in order of rank."""
+        if key in self._reserved:
+            return True
+        if self._by_rank > 0:
+            self._by_rank -= 1
+            self._left_out.pop(key, None)
+            return True
+        self.skipped += 1
+        self._left_out.setdefault(key)
+        return False
--- a/packages/library/carawayroute/fleet/types.py
+++ b/packages/library/carawayroute/fleet/types.py
@@ -182,6 +182,12 @@
         self.memory_mb = min(self.memory_mb, bound.memory_mb)
         self.accelerators = min(self.accelerators, bound.accelerators)
 
+    def raise_to(self, bound: "Capacity") -> None:
+        """Raise each resource to its value in ``bound`` where it is smaller."""
+        self.cpu_millis = max(self.cpu_millis, bound.cpu_millis)
+        self.memory_mb = max(self.memory_mb, bound.memory_mb)
+        self.accelerators = max(self.accelerators, bound.accelerators)
+
     def copy(self) -> "Capacity":
         """Return an independent copy."""
         return Capacity(self.cpu_millis, self.memory_mb, self.accelerators)
