--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -74,12 +74,14 @@
     """What the passes of a term share, so that no waiting work is left out of all of them.
 
     :ivar stages: stages for which room is searched.
+    :ivar victim_searches: stages for which work is searched that may be stopped.
     """
 
-    __slots__ = ("stages",)
+    __slots__ = ("stages", "victim_searches")
 
     def __init__(self) -> None:
         self.stages = Turns(MAX_STAGES_PER_PASS)
+        self.victim_searches = Turns(MAX_VICTIM_SEARCHES)
 
 
 class SchedulingPass:
@@ -144,7 +146,6 @@
         self._unmet: dict[tuple, float] = {}
         self._search_put_off = False
         self._reserved = 0
-        self._victim_searches = 0
         self._backlog_share = 0.0
         self._fits = FitCache()
         self._eligible_by_service_label: dict[tuple[str, str], list[Candidate]] = {}
@@ -170,6 +171,7 @@
         self._backlog_share = self._share_of_fleet(waiting)
         waiting.sort(key=self._rank)
         self._turns.stages.begin_pass()
+        self._turns.victim_searches.begin_pass()
         placements = []
         for stage in waiting:
             demand = self._demand(stage)
@@ -569,9 +571,6 @@
         if not guaranteed and any(stage.failures):
             # It may fail again, and its victims' work would be lost for nothing.
             return None
-        if self._victim_searches >= MAX_VICTIM_SEARCHES:
-            self._search_put_off = True
-            return None
         count = len(indices)
         gain = self._gain(stage) * (gain_share or 1.0)
         at_any_cost = guaranteed and not gain_share
@@ -583,7 +582,10 @@
         victims = self._victims(stage, guaranteed)
         if not victims:
             return None
-        self._victim_searches += 1
+        # Work beyond guarantees may not preempt in each pass, so that it cannot queue for one.
+        if not self._turns.victim_searches.admit(stage.key, queued=guaranteed):
+            self._search_put_off = True
+            return None
         found = preemption.choose(stage, candidates, count, victims, spread)
         if found is None and at_any_cost:
             found = preemption.choose(stage, candidates, count, victims, spread=True)
--- a/packages/library/carawayroute/fleet/turns.py
+++ b/packages/library/carawayroute/fleet/turns.py
@@ -38,8 +38,11 @@
         self._by_rank = self._limit - len(self._reserved)
         self.skipped = 0
 
-    def admit(self, key: StageKey) -> bool:
-        """Return whether it is a stage's turn in this pass; stages ask in order of rank."""
+    def admit(self, key: StageKey, queued: bool = True) -> bool:
+        """Return whether it is a stage's turn in this pass; stages ask in order of rank.
+
+        :param queued: whether the stage is remembered if it is left out.
+        """
         if key in self._reserved:
             return True
         if self._by_rank > 0:
@@ -47,5 +50,6 @@
             self._left_out.pop(key, None)
             return True
         self.skipped += 1
-        self._left_out.setdefault(key)
+        if queued:
+            self._left_out.setdefault(key)
         return False
--- a/tests/test_fleet_unplaceable.py
+++ b/tests/test_fleet_unplaceable.py
@@ -5,6 +5,7 @@
 
 import pytest
 from fleet_builders import (
+    BATCH,
     NORMAL,
     OTHER,
     OWNER,
@@ -18,6 +19,7 @@
     step,
 )
 
+from carawayroute.fleet import scheduler
 from carawayroute.fleet.scheduler import PassTurns, SchedulingPass, StopCost
 from carawayroute.fleet.turns import Turns
 from carawayroute_standins.fleet.judge import starts
@@ -209,6 +211,26 @@
     assert [key for key in keys if turns.admit(key)] == keys[:4]
 
 
+# ------------------------------------------------------------------ guarantees
+
+
+def test_guaranteed_work_makes_room_behind_work_that_no_preemption_helps():
+    """Urgent jobs without a place used up the searches for victims in each pass."""
+    jobs = labelled(40, lambda n: step(1, 0, memory_mb=1_000 + n, label=RACK))
+    owner = job(SMALL, [step(1, 8)], URGENT, OWNER, accepted_ms=50)
+    borrowed = job(ID.format(0xB00), [step(4, 8)], BATCH, OTHER)
+    lasting = job(ID.format(0xC00), [step(1, 8, cpu_millis=64_000)], URGENT, OWNER)
+    job_table = job_table_of(*jobs, owner, borrowed, lasting)
+    candidates = racks(free=0)
+    for one in candidates:
+        one.free.accelerators = 0
+    ids = [one.runner.id for one in candidates]
+    assign(job_table.jobs_by_id[borrowed.id].stage(0, 0), dict(enumerate(ids[:4])))
+    assign(job_table.jobs_by_id[lasting.id].stage(0, 0), {0: "last"})
+    turns = PassTurns()
+    assert passes_until(SMALL, 8, turns, job_table, candidates) > 1
+
+
 # ------------------------------------------------------------------ in the fleet
 
 
@@ -229,3 +251,11 @@
         await fleet.wait_state(SMALL, "completed", 5_000)
 
     run_scenario(scenario)
+
+
+def test_limits_of_a_pass_are_read_when_its_turns_begin(monkeypatch):
+    """The experiments compare policies without victim searches."""
+    monkeypatch.setattr(scheduler, "MAX_VICTIM_SEARCHES", 0)
+    turns = PassTurns()
+    turns.victim_searches.begin_pass()
+    assert not turns.victim_searches.admit(("a", 0, 0))
