Give up the reservation of a gang that is not placed

A gang that waits gets a reservation: room that no other work may use, one gang at a time.

While at least half of each resource of the fleet is free, jobs that have had nothing running for 1.8 s may use reserved room. On a loaded fleet a gang leaves the reservation to others after 15 s, for 15 s.

--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -9,7 +9,7 @@
 from carawayroute.fleet.jobs import JobTable, Stage
 from carawayroute.fleet.packing import Candidate
 from carawayroute.fleet.preemption import Victim
-from carawayroute.fleet.turns import Turns
+from carawayroute.fleet.turns import ReservationTurns, Turns
 from carawayroute.fleet.types import Capacity, Configuration
 
 # Stages for which a pass searches room. Others whose demand was found unmet are passed over.
@@ -75,13 +75,15 @@
 
     :ivar stages: stages for which room is searched.
     :ivar victim_searches: stages for which work is searched that may be stopped.
+    :ivar reservations: gangs that hold a reservation.
     """
 
-    __slots__ = ("stages", "victim_searches")
+    __slots__ = ("reservations", "stages", "victim_searches")
 
     def __init__(self) -> None:
         self.stages = Turns(MAX_STAGES_PER_PASS)
         self.victim_searches = Turns(MAX_VICTIM_SEARCHES)
+        self.reservations = ReservationTurns()
 
 
 class SchedulingPass:
@@ -146,6 +148,7 @@
         self._unmet: dict[tuple, float] = {}
         self._search_put_off = False
         self._reserved = 0
+        self._reserved_room: dict[str, Capacity] = {}
         self._backlog_share = 0.0
         self._fits = FitCache()
         self._eligible_by_service_label: dict[tuple[str, str], list[Candidate]] = {}
@@ -495,14 +498,24 @@
             candidate for candidate in self.avoided if packing.can_run(stage, candidate.runner)
         ]
         indices = stage.waiting()
-        runner_ids = self._find_free_runners(stage, candidates, len(indices))
-        if runner_ids is None and self._mostly_free():
-            runner_ids = packing.best_fit(stage, candidates, len(indices))
-        if not runner_ids or (stage.step.gang and len(runner_ids) < len(indices)):
+        runner_ids = self._find_for_idle(stage, candidates, len(indices))
+        if not runner_ids and self._release_reserved():
+            runner_ids = self._find_for_idle(stage, candidates, len(indices))
+        if not runner_ids:
             return None
         guaranteed = stage.job.id in self.guaranteed_jobs
         return Placement(stage, indices[: len(runner_ids)], runner_ids, [], guaranteed)
 
+    def _find_for_idle(
+        self, stage: Stage, candidates: list[Candidate], count: int
+    ) -> list[str] | None:
+        runner_ids = self._find_free_runners(stage, candidates, count)
+        if runner_ids is None and self._mostly_free():
+            runner_ids = packing.best_fit(stage, candidates, count)
+        if runner_ids and stage.step.gang and len(runner_ids) < count:
+            return None
+        return runner_ids
+
     def _mostly_free(self) -> bool:
         """Return whether more than half of the fleet's accelerators are free."""
         candidates = self.candidates_by_id.values()
@@ -677,7 +690,7 @@
         candidates = self._eligible(stage)
         count = len(stage.waiting())
         domain = packing.emptiest_domain(stage, candidates, count)
-        if not domain:
+        if not domain or not self._turns.reservations.admit(stage.key, self.wall_ms):
             return
         self._reserved += 1
         kept = 0
@@ -685,9 +698,40 @@
             if kept >= count:
                 break
             kept += candidate.runner.capacity.count_fitting(stage.demand, count - kept)
+            self._reserved_room[candidate.runner.id] = candidate.free.copy()
             candidate.free.lower_to(Capacity(0, 0, 0))
         self._available_by_service_label.clear()
 
+    def _release_reserved(self) -> bool:
+        """Give reserved room back if most of the fleet is free.
+
+        A gang that does not fit then waits for particular runners, which other work need not do.
+
+        :return: whether any was given back.
+        """
+        if not self._reserved_room:
+            return False
+        free, total = Capacity(0, 0, 0), Capacity(0, 0, 0)
+        for runner_id, candidate in self.candidates_by_id.items():
+            free.subtract(self._reserved_room.get(runner_id, candidate.free), -1)
+            total.subtract(candidate.runner.capacity, -1)
+        if not _is_mostly_free(free, total):
+            return False
+        for runner_id, room in self._reserved_room.items():
+            self.candidates_by_id[runner_id].free = room
+        self._reserved_room = {}
+        self._available_by_service_label.clear()
+        return True
+
+
+def _is_mostly_free(free: Capacity, total: Capacity) -> bool:
+    """Return whether at least half of each resource is free."""
+    return (
+        2 * free.accelerators >= total.accelerators
+        and 2 * free.cpu_millis >= total.cpu_millis
+        and 2 * free.memory_mb >= total.memory_mb
+    )
+
 
 def is_all_or_nothing(stage: Stage) -> bool:
     """Return whether a stage can only start with all of its tasks at once."""
--- a/tests/test_fleet_unplaceable.py
+++ b/tests/test_fleet_unplaceable.py
@@ -21,7 +21,7 @@
 
 from carawayroute.fleet import scheduler
 from carawayroute.fleet.scheduler import PassTurns, SchedulingPass, StopCost
-from carawayroute.fleet.turns import Turns
+from carawayroute.fleet.turns import RESERVATION_MS, ReservationTurns, Turns
 from carawayroute_standins.fleet.judge import starts
 
 ID = "{:016x}"
@@ -231,6 +231,58 @@
     assert passes_until(SMALL, 8, turns, job_table, candidates) > 1
 
 
+# ------------------------------------------------------------------ reservations
+
+
+def reserved_fleet():
+    """Return jobs and runners of which a gang asks for all; a lasting task keeps one of them."""
+    gang = job(ID.format(1), [step(4, 8, gang=True)], URGENT, OWNER)
+    lasting = job(ID.format(2), [step(1, 1, long_running=True)], NORMAL, OTHER)
+    small = job(SMALL, [step(1, 1, estimate_ms=9_000)], BATCH, OTHER, accepted_ms=9_000)
+    job_table = job_table_of(gang, lasting, small)
+    candidates = [candidate(f"w{n}", "r1-0", free=8 if n else 7) for n in range(4)]
+    assign(job_table.jobs_by_id[lasting.id].stage(0, 0), {0: "w0"})
+    return job_table, candidates
+
+
+def test_idle_job_uses_reserved_room_while_most_of_the_fleet_is_free():
+    """A gang that could not be served held a reservation of all runners for good."""
+    job_table, candidates = reserved_fleet()
+    options = {"wall_ms": 12_000.0, "stoppable": False}
+    assert planning(job_table, candidates, **options).run() == []
+    idle = {"idle_jobs": {ID.format(1), SMALL}, **options}
+    job_table, candidates = reserved_fleet()
+    assert placed_jobs(planning(job_table, candidates, **idle).run()) == [SMALL]
+
+
+def test_reserved_room_is_kept_from_idle_jobs_on_a_loaded_fleet():
+    job_table, candidates = reserved_fleet()
+    for one in candidates:
+        one.free.cpu_millis //= 3
+    options = {"wall_ms": 12_000.0, "stoppable": False, "idle_jobs": {ID.format(1), SMALL}}
+    assert planning(job_table, candidates, **options).run() == []
+
+
+def test_gang_that_is_not_placed_gives_up_its_reservation():
+    job_table, candidates = reserved_fleet()
+    turns = PassTurns()
+    placed_ms = []
+    for wall_ms in range(12_000, 12_000 + int(4 * RESERVATION_MS), 1_000):
+        _, candidates = reserved_fleet()
+        one = planning(job_table, candidates, float(wall_ms), stoppable=False, turns=turns)
+        if SMALL in placed_jobs(one.run()):
+            placed_ms.append(wall_ms - 12_000)
+    assert placed_ms[0] == RESERVATION_MS
+    assert 2 * RESERVATION_MS not in placed_ms
+
+
+def test_reservations_of_other_gangs_are_forgotten_in_time():
+    turns = ReservationTurns()
+    assert turns.admit(("a", 0, 0), 0.0)
+    assert turns.admit(("b", 0, 0), 10.0 * RESERVATION_MS)
+    assert len(turns._since_ms_by_stage) == 1
+
+
 # ------------------------------------------------------------------ in the fleet
 
 
