Count jobs that no runner can take last within their team's guarantee

A team whose urgent job waited for a runner that had left could not reclaim its guaranteed accelerators from borrowed work: the job counted against the guarantee in order of acceptance, though it used nothing of it.

Jobs that the runners could not hold if they were empty are counted after all others of their team. A job that waits for room is counted as before, so that a stream of small jobs does not take the guarantee from a large one.

--- a/packages/library/carawayroute/fleet/packing.py
+++ b/packages/library/carawayroute/fleet/packing.py
@@ -84,6 +84,10 @@
         # The largest amount of each resource on one runner, and that of all runners.
         self._bounds: dict[tuple[str, str], tuple[Capacity, Capacity]] = {}
 
+    def may_hold(self, job: pb.Job) -> bool:
+        """Return whether each step of a job may fit."""
+        return all(self.may_hold_step(job.service, step) for step in job.steps)
+
     def may_hold_step(self, service: str, step: pb.Step) -> bool:
         """Return whether a task of a step may fit, of a gang all tasks at once."""
         largest, total = self._bounds_of(service, step.label)
--- a/packages/library/carawayroute/fleet/ranking.py
+++ b/packages/library/carawayroute/fleet/ranking.py
@@ -5,6 +5,8 @@
 time. The score grows with waiting time, so that no accepted job starves.
 """
 
+from collections.abc import Callable
+
 from carawayroute.fleet.jobs import Job, JobTable, Stage
 from carawayroute.fleet.types import Capacity, Configuration
 from carawayroute_schema import records_pb2 as pb
@@ -113,16 +115,21 @@
     return 1.0 + max(0.0, wall_ms - job.record.accepted_ms) / AGING_MS
 
 
-def urgent_within_guarantees(jobs: list[Job], configuration: Configuration) -> set[str]:
+def urgent_within_guarantees(
+    jobs: list[Job],
+    configuration: Configuration,
+    can_run: Callable[[Job], bool] = lambda job: True,
+) -> set[str]:
     """Return the ids of the urgent jobs that fit in the guaranteed accelerators of their teams.
 
-    Jobs are counted in order of acceptance.
+    Jobs are counted in order of acceptance, those that no runner can take after all others.
+
+    :param can_run: returns whether the runners could take a job if they were empty.
     """
     used_by_team: dict[str, int] = {}
     urgent_job_ids = set()
-    for job in sorted(jobs, key=lambda one: (one.record.accepted_ms, one.id)):
-        if job.record.priority != URGENT_PRIORITY or job.closed:
-            continue
+    urgent = [job for job in jobs if job.record.priority == URGENT_PRIORITY and not job.closed]
+    for job in sorted(urgent, key=lambda one: (not can_run(one), one.record.accepted_ms, one.id)):
         team = configuration.teams_by_name.get(job.record.team)
         if team is None:
             continue
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -134,7 +134,9 @@
         self.stop_cost = stop_cost
         self._empty_room = packing.EmptyRoom((*candidates, *avoided))
         self.guaranteed_jobs = ranking.urgent_within_guarantees(
-            list(job_table.open_by_id.values()), configuration
+            list(job_table.open_by_id.values()),
+            configuration,
+            lambda job: self._empty_room.may_hold(job.record),
         )
         self.job_values = job_values or ranking.JobValues(
             ranking.DominantShare(median_capacity(candidates))
--- a/tests/test_fleet_unplaceable.py
+++ b/tests/test_fleet_unplaceable.py
@@ -231,6 +231,22 @@
     assert passes_until(SMALL, 8, turns, job_table, candidates) > 1
 
 
+def test_job_that_no_runner_can_take_leaves_the_guarantee_to_others():
+    """A team's guarantee was used up by a job that waited for a runner that had left."""
+    away = job(ID.format(1), [step(4, 8, label=RACK)], URGENT, OWNER)
+    present = job(SMALL, [step(1, 8)], URGENT, OWNER, accepted_ms=50)
+    borrowed = job(ID.format(2), [step(4, 8)], BATCH, OTHER)
+    job_table = job_table_of(away, present, borrowed)
+    candidates = racks()[:-1]
+    for one in candidates:
+        one.free.accelerators = 0
+    stage = job_table.jobs_by_id[borrowed.id].stage(0, 0)
+    assign(stage, {index: one.runner.id for index, one in enumerate(candidates)})
+    (placement,) = planning(job_table, candidates).run()
+    assert placement.stage.job.id == SMALL
+    assert placement.guaranteed
+
+
 # ------------------------------------------------------------------ reservations
 
 
