Leave work that waits for particular runners out of the backlog

The planner announces with its heartbeats how much of the open work it could not place for another reason than the fleet's load: steps that the empty fleet could not hold, steps for a label while there is room without it, and all that waits while at least half of each resource is free; with what depends on them. Admission takes it off the backlog, but for jobs that ask for a label themselves, which may have to wait behind that work. planner_status has the number of such steps (stuck).

--- a/packages/library/carawayroute/fleet/admission.py
+++ b/packages/library/carawayroute/fleet/admission.py
@@ -2,12 +2,16 @@
 
 During a burst, a job whose expected end lies past that limit is rejected on submission, with a
 retry-after time by which the backlog should have shrunk. Rejected jobs reserve no capacity.
+
+Load pattern: some jobs wait for a rack whose runners are away or taken by long tasks. Other jobs
+have the rest of the fleet to themselves, and would be rejected beside it if that work counted.
 """
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
 
 from carawayroute.fleet import ranking
-from carawayroute.fleet.jobs import JobTable
+from carawayroute.fleet.jobs import Job, JobTable, Stage
 from carawayroute_schema import records_pb2 as pb
 
 # Share of the accelerators that is in use while tasks of all sizes wait.
@@ -36,27 +40,39 @@
 
     :param job_table: the jobs known to this instance.
     :param accelerators: returns the number of accelerators of the fleet, 0 while it is unknown.
+    :param stuck_work: returns the part of the open work that waits for particular runners, by
+        priority, in accelerator-milliseconds (:func:`stuck_work`).
     """
 
-    __slots__ = ("_accelerators", "job_table")
+    __slots__ = ("_accelerators", "_stuck_work", "job_table")
 
-    def __init__(self, job_table: JobTable, accelerators: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        job_table: JobTable,
+        accelerators: Callable[[], int],
+        stuck_work: Callable[[], Mapping[int, int]] = dict,
+    ) -> None:
         self.job_table = job_table
         self._accelerators = accelerators
+        self._stuck_work = stuck_work
 
-    def backlog_ms(self, priority: int) -> float:
+    def backlog_ms(self, priority: int, stuck_work: Mapping[int, int] | None = None) -> float:
         """Return the time in ms that the fleet needs for the open work up to a priority.
 
         :param priority: lower numbers are more urgent and are included.
+        :param stuck_work: work that does not count, by priority.
         """
         work = 0.0
         for job in self.job_table.open_by_id.values():
             if job.closed or job.record.priority > priority:
                 continue
             for number, step in enumerate(job.record.steps):
-                stage = job.stages_by_key.get((0, number))
-                left = step.count if stage is None else step.count - sum(stage.done)
-                work += left * max(1, step.accelerators) * step.estimate_ms
+                work += _work(step, _count_left(job, number))
+        for level, amount in (stuck_work or {}).items():
+            if level <= priority:
+                work -= amount
+        # Some of it may have ended since it was counted.
+        work = max(0.0, work)
         return work / (max(1, self._accelerators()) * PACKING_EFFICIENCY)
 
     def decide(self, job: pb.Job, critical_path_ms: float) -> AdmissionDecision:
@@ -66,7 +82,9 @@
         """
         if not self._accelerators():
             return AdmissionDecision(True)
-        wait_ms = self.backlog_ms(job.priority)
+        # Jobs that ask for particular runners may have to wait for them behind such work.
+        stuck_work = {} if any(step.label for step in job.steps) else self._stuck_work()
+        wait_ms = self.backlog_ms(job.priority, stuck_work)
         allowed_ms = ranking.LATE_FACTOR * (job.stretch * critical_path_ms + job.target_ms)
         if wait_ms + critical_path_ms <= allowed_ms:
             return AdmissionDecision(True)
@@ -74,3 +92,44 @@
             MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms + critical_path_ms - allowed_ms)
         )
         return AdmissionDecision(False, "backlog", retry_ms)
+
+
+def stuck_work(stages: Iterable[Stage]) -> dict[int, int]:
+    """Return the work that cannot go on while some stages cannot be placed.
+
+    Like the backlog, it contains the first occurrence of scheduled jobs only.
+
+    :param stages: stages that wait for particular runners.
+    :return: accelerator-milliseconds by priority.
+    """
+    steps_by_job: dict[str, set[int]] = {}
+    jobs_by_id: dict[str, Job] = {}
+    for stage in stages:
+        if stage.occurrence == 0:
+            jobs_by_id[stage.job.id] = stage.job
+            steps_by_job.setdefault(stage.job.id, set()).add(stage.number)
+    work: Counter[int] = Counter()
+    for job_id, job in jobs_by_id.items():
+        stuck = steps_by_job[job_id]
+        for number, step in enumerate(job.record.steps):
+            if number in stuck:
+                count = len(job.stage(0, number).waiting())
+            elif stuck.intersection(step.depends_on):
+                stuck.add(number)
+                count = _count_left(job, number)
+            else:
+                continue
+            work[job.record.priority] += _work(step, count)
+    return dict(work)
+
+
+def _count_left(job: Job, number: int) -> int:
+    """Return the number of tasks of a step that are not done, in the first occurrence."""
+    stage = job.stages_by_key.get((0, number))
+    count: int = job.record.steps[number].count
+    return count if stage is None else count - sum(stage.done)
+
+
+def _work(step: pb.Step, count: int) -> int:
+    """Return the work of tasks of a step, in accelerator-milliseconds."""
+    return count * max(1, step.accelerators) * step.estimate_ms
--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 
 import structlog
@@ -34,8 +34,9 @@
 MAX_CLAIM_LAG_MS = 1_100
 CHECK_INTERVAL_MS = 50
 MAX_RESIGN_ATTEMPTS = 5
-# Largest number that the record can hold.
+# Largest numbers that the record can hold.
 MAX_ACCELERATORS = 2**32 - 1
+MAX_WORK = 2**64 - 1
 
 log = structlog.get_logger()
 
@@ -110,6 +111,7 @@
         self.requests = 0
         self.term = 0
         self.accelerators = 0
+        self.stuck_work: Mapping[int, int] = {}
         self.candidate = True
         self.changed = asyncio.Event()
         self.unreadable_records = 0
@@ -123,6 +125,10 @@
         """Return the newest record of the topic, ``None`` before it is read."""
         return self._newest
 
+    def stuck_work_of_fleet(self) -> Mapping[int, int]:
+        """Return the open work that waits for particular runners, as the planner announced it."""
+        return self._newest.stuck_work if self._newest is not None else {}
+
     def fleet_accelerators(self) -> int:
         """Return the number of accelerators that the planner reaches, 0 while it is unknown."""
         return self._newest.accelerators if self._newest is not None else 0
@@ -362,6 +368,8 @@
     async def _append(self, leader: pb.Leader) -> None:
         leader.address = self._address
         leader.accelerators = min(self.accelerators, MAX_ACCELERATORS)
+        for priority, work in self.stuck_work.items():
+            leader.stuck_work[priority] = min(work, MAX_WORK)
         leader.unconfirmed_lease_ms = self._limits.unconfirmed_ms
         # Until this record is stored, more such starts may follow.
         leader.unrecorded = (
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Mapping
 
 import structlog
 from google.protobuf.message import DecodeError
@@ -246,7 +247,11 @@
         self.writer = LogWriter(
             self.store, clock, JOBS_TOPIC, process_name, give_up_ms=settings.job_retention_ms
         )
-        self.admission = AdmissionController(self.job_table, self.leadership.fleet_accelerators)
+        self.admission = AdmissionController(
+            self.job_table,
+            self.leadership.fleet_accelerators,
+            self.leadership.stuck_work_of_fleet,
+        )
         self.service = EntryService(
             settings.instance,
             clock,
@@ -562,7 +567,7 @@
             lambda: self.configuration,
             self._make_runners_follower,
             self.leadership.step_down,
-            self._set_accelerators,
+            self._announce_fleet,
             self.leadership.confirm,
             self.leadership.lease_left_ms,
             self._earlier_leases_expired_ms,
@@ -600,8 +605,10 @@
         except DecodeError as error:
             log.warning("record_unreadable", key=LOST_RUNNERS_KEY, error=str(error))
 
-    def _set_accelerators(self, accelerators: int) -> None:
+    def _announce_fleet(self, accelerators: int, stuck_work: Mapping[int, int]) -> None:
+        """Send what the planner knows of the fleet with the next heartbeat."""
         self.leadership.accelerators = accelerators
+        self.leadership.stuck_work = stuck_work
 
     async def _stop_planner(self) -> None:
         planner, task = self.planner, self._planner_task
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from functools import partial
 
 import structlog
@@ -11,7 +11,7 @@
 from carawayroute.clock import Clock
 from carawayroute.estimates import RunTimeEstimator
 from carawayroute.exceptions import CarawayrouteError
-from carawayroute.fleet import isolation, ranking, standing
+from carawayroute.fleet import admission, isolation, ranking, standing
 from carawayroute.fleet.crashes import CrashLedger, is_start_crash, note_running
 from carawayroute.fleet.departures import Departures
 from carawayroute.fleet.exceptions import (
@@ -168,7 +168,8 @@
     :param configuration: returns the current configuration, None until it is loaded.
     :param make_runners_follower: creates the follower of the platform's list of runners.
     :param on_term_lost: called with the planner's term when the planner is fenced or ends.
-    :param on_capacity: called with the number of accelerators of the usable runners.
+    :param on_capacity: called with the number of accelerators of the usable runners and the open
+        work, by priority, that waits for particular runners.
     :param confirm_term: returns once a heartbeat that begins after the call has ended, and not at
         all if the term is lost.
     :param lease_left_ms: returns for how long leases may last that are granted now.
@@ -202,7 +203,7 @@
         configuration: Callable[[], Configuration | None],
         make_runners_follower: Callable[["Planner"], TopicFollower],
         on_term_lost: Callable[[int], None],
-        on_capacity: Callable[[int], None],
+        on_capacity: Callable[[int, Mapping[int, int]], None],
         confirm_term: Callable[[], Awaitable[None]],
         lease_left_ms: Callable[[], float],
         earlier_leases_expired_ms: Callable[[], float],
@@ -259,6 +260,7 @@
         self._idle_since_by_job: dict[str, float] = {}
         self._failed_passes = 0
         self._pass_turns = PassTurns()
+        self._stuck_stages: list[Stage] = []
         self._storing_known_runners: frozenset[str] = frozenset()
         self._known_runners_ms = -math.inf
         self.standing = standing.StandingJobs()
@@ -1148,7 +1150,8 @@
         self._avoid_stalled()
         candidates, avoided = self._candidates()
         self._on_capacity(
-            sum(candidate.runner.capacity.accelerators for candidate in (*candidates, *avoided))
+            sum(candidate.runner.capacity.accelerators for candidate in (*candidates, *avoided)),
+            admission.stuck_work(self._stuck_stages),
         )
         if self._job_values is None and candidates:
             self._job_values = ranking.JobValues(ranking.DominantShare(median_capacity(candidates)))
@@ -1164,7 +1167,7 @@
         preempting = started_ms - self._preempted_ms >= PREEMPTION_INTERVAL_MS
         if preempting:
             self._preempted_ms = started_ms
-        placements = SchedulingPass(
+        scheduling = SchedulingPass(
             self.job_table,
             configuration,
             candidates,
@@ -1178,7 +1181,9 @@
             stages,
             preempting,
             self._pass_turns,
-        ).run()
+        )
+        placements = scheduling.run()
+        self._stuck_stages = scheduling.stuck_stages()
         took_ms = self._clock.now_ms() - started_ms
         if self._pass_turns.stages.skipped:
             # Others get their turn in the next pass.
@@ -1274,6 +1279,7 @@
             jobs=len(self.job_table.open_by_id),
             waiting=len(waiting),
             skipped=self._pass_turns.stages.skipped,
+            stuck=len(self._stuck_stages),
             first_waiting=waiting[:STATUS_LIST_LIMIT],
             runs=len(self.runs_by_key),
             withdrawn=sum(1 for run in self.runs_by_key.values() if run.withdrawn),
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -149,6 +149,7 @@
         # Demands for which no room was found, with the gain for which work could be stopped.
         self._unmet: dict[tuple, float] = {}
         self._search_put_off = False
+        self._unplaced: list[Stage] = []
         self._reserved = 0
         self._reserved_room: dict[str, Capacity] = {}
         self._backlog_share = 0.0
@@ -193,10 +194,52 @@
                 continue
             if not self._search_put_off:
                 self._note_unmet(demand, gain)
+            self._unplaced.append(stage)
             if self._needs_reservation(stage):
                 self._reserve(stage)
         return placements
 
+    def stuck_stages(self) -> list[Stage]:
+        """Return stages that the run could not place for another reason than the fleet's load.
+
+        They wait for particular runners, or for more than the runners hold.
+        """
+        if not self._unplaced:
+            return []
+        if _is_mostly_free(*self._free_and_total()):
+            return self._unplaced
+        # Stages often have the same demand.
+        fits_by_demand: dict[tuple, bool] = {}
+        return [
+            stage
+            for stage in self._unplaced
+            if not self._may_ever_fit(stage)
+            or stage.step.label
+            and self._fits_elsewhere(stage, fits_by_demand)
+        ]
+
+    def _fits_elsewhere(self, stage: Stage, fits_by_demand: dict[tuple, bool]) -> bool:
+        """Return whether there is room for a stage on runners without the label it asks for."""
+        service, demand = stage.job.record.service, stage.demand
+        needed = stage.step.count if stage.step.gang else 1
+        key = (service, demand.cpu_millis, demand.memory_mb, demand.accelerators, needed)
+        if key not in fits_by_demand:
+            fitting = sum(
+                candidate.free.count_fitting(demand, needed)
+                for candidate in self.candidates
+                if candidate.runner.service == service
+            )
+            fits_by_demand[key] = fitting >= needed
+        return fits_by_demand[key]
+
+    def _free_and_total(self) -> tuple[Capacity, Capacity]:
+        """Return what is free, reserved or not, and what there is of each resource."""
+        free, total = Capacity(0, 0, 0), Capacity(0, 0, 0)
+        for runner_id, candidate in self.candidates_by_id.items():
+            free.subtract(self._reserved_room.get(runner_id, candidate.free), -1)
+            total.subtract(candidate.runner.capacity, -1)
+        return free, total
+
     def _demand(self, stage: Stage) -> tuple | None:
         """Return what decides whether a stage can be placed, ``None`` if more than that does.
 
@@ -713,11 +756,7 @@
         """
         if not self._reserved_room:
             return False
-        free, total = Capacity(0, 0, 0), Capacity(0, 0, 0)
-        for runner_id, candidate in self.candidates_by_id.items():
-            free.subtract(self._reserved_room.get(runner_id, candidate.free), -1)
-            total.subtract(candidate.runner.capacity, -1)
-        if not _is_mostly_free(free, total):
+        if not _is_mostly_free(*self._free_and_total()):
             return False
         for runner_id, room in self._reserved_room.items():
             self.candidates_by_id[runner_id].free = room
