Do not take a run as missing from a report that lists only some ends

A runner lists 500 ends at a time. While the store is away nothing is acknowledged, so that later ends are not listed; the planner took each run that a report lists neither as running nor as ended as lost, and started its task again. The ends that were listed later had to be withheld, and the runner was of no use from then on.

A report now says whether it lists all ends (fewer than 500, platform/runners.py). Only then is a run that it lacks given up; others keep their room until the list goes on. If the list can never go on, as the first end on it must not be acknowledged, they are given up as before: their ends can never be noted.

The same conclusion is closed elsewhere: the next planner stops looking for starts without a record only once each runner has listed all ends, and runs of a process that was replaced are not ended by a report that was cut off. Runners whose ends and running tasks together may outgrow a report get no start without a record, and no work once an end is withheld; both looked at the listed ends only.

--- a/packages/daemon/carawayrouted/platform/runners.py
+++ b/packages/daemon/carawayrouted/platform/runners.py
@@ -45,6 +45,8 @@
 MAX_LABELS = 64
 MAX_CHECKPOINT_BYTES = 16_384
 MAX_END_NUMBER = 2**53
+# A runner lists this many ends at a time; the others follow once these are acknowledged.
+MAX_LISTED_ENDS = 500
 
 Decoded = TypeVar("Decoded")
 
@@ -92,11 +94,13 @@
     :raises FormatError: it is malformed or has a value out of range.
     """
     fields = decode_object(body)
+    ended = [_ended_task(row) for row in fields.items("finished")]
     return RunnerReport(
         _clock_ms(fields),
         fields.whole("born", 0, MAX_TIME_MS, default=0),
         [_running_task(row) for row in fields.items("running")],
-        [_ended_task(row) for row in fields.items("finished")],
+        ended,
+        lists_all_ends=len(ended) < MAX_LISTED_ENDS,
     )
 
 
--- a/packages/library/carawayroute/fleet/links.py
+++ b/packages/library/carawayroute/fleet/links.py
@@ -64,6 +64,7 @@
     :ivar acknowledged: number of the last end that is stored, acknowledged with the next poll.
     :ivar last_handled: number of the last end that the planner has processed.
     :ivar listed_ends: number of ends in the last report.
+    :ivar lists_all_ends: whether the last report listed all ends that are not acknowledged.
     :ivar report_gap_ms: time between the last two reports, -1 before the second one.
     :ivar unmatched_ends: numbers of unacknowledged ends that matched no run known to the planner.
     :ivar last_alive_ms: time of the last sign of life of the runner's process, an answer or the
@@ -117,6 +118,7 @@
         self.last_report_ms: float | None = None
         self.last_alive_ms: float | None = None
         self.listed_ends = 0
+        self.lists_all_ends = False
         self.report_gap_ms = -1.0
         self.reachable = False
         self.acknowledged = 0
@@ -172,6 +174,14 @@
         """Return the number of processed ends that are not acknowledged."""
         return self.last_handled - self.acknowledged
 
+    @property
+    def withholds_all_ends(self) -> bool:
+        """Return whether no further end of the process can be acknowledged.
+
+        Ends that do not fit in its reports are never listed then.
+        """
+        return min(self.withheld, default=math.inf) <= self.acknowledged + 1
+
     def report_age_ms(self) -> float:
         """Return the time since the last report, -1 if there was none."""
         return -1.0 if self.last_report_ms is None else self._clock.now_ms() - self.last_report_ms
@@ -355,6 +365,8 @@
         if restarted:
             self._on_process_ended(self, report, sent_ms)
         self.last_alive_ms = self.last_report_ms
+        self.listed_ends = len(report.ended)
+        self.lists_all_ends = report.lists_all_ends
         self._on_report(self, report, sent_ms)
 
     def _note_break(self, error: RunnerError, due_ms: float) -> None:
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -105,7 +105,8 @@
 CRASH_PROOF_WAIT_MS = 30_000
 # Evidence of a run's end that leaves open whether its runner's process has ended.
 UNPROVED_EVIDENCE = ("lease expired", "runner removed", "runner unknown")
-# A report shows up to 500 ends; a runner that cannot be acknowledged gets no work near that number.
+# A report shows up to 500 ends. A runner that cannot be acknowledged gets no work once its ends and
+# the tasks on it come near that number.
 MAX_UNACKNOWLEDGED_ENDS = 400
 
 # A placement that waits for its record is checked this often for a start without it.
@@ -457,7 +458,10 @@
         runs_by_key = {
             key: run
             for key, run in self._runs_by_runner.get(link.runner.id, {}).items()
-            if report is None or not run.starts_after(sent_ms) and not report.shows(*key)
+            if report is None
+            or report.lists_all_ends
+            and not run.starts_after(sent_ms)
+            and not report.shows(*key)
         }
         if link.runner.draining:
             self.crashes.process_left(link.runner.id)
@@ -671,7 +675,6 @@
         :param sent_ms: time at which the poll was sent.
         """
         self._reported.set()
-        link.listed_ends = len(report.ended)
         self.lost_runners.note_report(link.runner.id)
         self.runner_health.note_process(link.runner.id, report.boot_ms)
         self.crashes.process_reported(link.runner.id, link.runner.address, report.boot_ms)
@@ -682,14 +685,22 @@
         if last > link.last_handled:
             link.last_handled = last
             self._tasks.start(self._store_ends(link, last, report), f"ends of {link.runner.id}")
-        listed = {(item.task, item.run) for item in report.running}
-        listed.update((ended.task, ended.run) for ended in report.ended)
         self._stray_runs.note_report(
             link.runner.id,
             (item for item in report.running if not self._runs_on(link, item)),
         )
         for item in report.running:
             self._apply_running(link, item, report.clock_ms)
+        if report.lists_all_ends or link.withholds_all_ends:
+            self._give_up_missing(link, report, sent_ms)
+
+    def _give_up_missing(self, link: RunnerLink, report: RunnerReport, sent_ms: float) -> None:
+        """End the runs that a report should list and does not.
+
+        :param report: lists all ends, or all that can be listed until the process ends. In the
+            latter case the end of a run may never be known.
+        """
+        listed = {(item.task, item.run) for item in (*report.running, *report.ended)}
         for key, run in list(self._runs_by_runner.get(link.runner.id, {}).items()):
             if key in listed:
                 continue
@@ -1067,7 +1078,7 @@
             for link in self.links_by_id.values()
             if link.usable
             and not link.runner.draining
-            and not (link.withheld and link.unacknowledged_ends > MAX_UNACKNOWLEDGED_ENDS)
+            and not (link.withheld and self._may_outgrow_reports(link))
             and self._knows_capacity(link.runner)
         }
         candidates: list[Candidate] = []
@@ -1221,9 +1232,14 @@
             self._tasks.start(self._writer.write(records), "purge jobs")
 
     def _has_reported(self, runner_id: str) -> bool:
-        """Return whether a runner has reported in this term, or its process has ended."""
+        """Return whether a runner has reported all of its runs in this term, or has ended."""
         link = self.links_by_id.get(runner_id)
-        return link is not None and (link.process_ended or link.last_report_ms is not None)
+        return link is not None and (link.process_ended or link.lists_all_ends)
+
+    def _may_outgrow_reports(self, link: RunnerLink) -> bool:
+        """Return whether a runner may have more unacknowledged ends than its reports can list."""
+        runs = self._runs_by_runner.get(link.runner.id, ())
+        return link.unacknowledged_ends + len(runs) > MAX_UNACKNOWLEDGED_ENDS
 
     def _store_known_runners(self, now_ms: float) -> None:
         """Store which runners may get work before it is stored, when they have changed."""
@@ -1486,7 +1502,7 @@
         with many ends would not show them all to the next planner at once.
         """
         link = self.links_by_id.get(runner_id)
-        if link is None or link.unacknowledged_ends > MAX_UNACKNOWLEDGED_ENDS:
+        if link is None or self._may_outgrow_reports(link):
             return False
         return self._guards_capacity(link.runner)
 
--- a/packages/library/carawayroute/fleet/types.py
+++ b/packages/library/carawayroute/fleet/types.py
@@ -295,17 +295,26 @@
 
     :param clock_ms: the runner's own clock.
     :param boot_ms: wall-clock time at which the runner process started, 0 if unknown.
+    :param ended: ends that are not acknowledged, the earliest first.
+    :param lists_all_ends: whether there are no others. Only then a run that the report does not
+        list is known not to have ended.
     """
 
-    __slots__ = ("boot_ms", "clock_ms", "ended", "running")
+    __slots__ = ("boot_ms", "clock_ms", "ended", "lists_all_ends", "running")
 
     def __init__(
-        self, clock_ms: int, boot_ms: int, running: list[RunningTask], ended: list[EndedTask]
+        self,
+        clock_ms: int,
+        boot_ms: int,
+        running: list[RunningTask],
+        ended: list[EndedTask],
+        lists_all_ends: bool = True,
     ) -> None:
         self.clock_ms = clock_ms
         self.boot_ms = boot_ms
         self.running = running
         self.ended = ended
+        self.lists_all_ends = lists_all_ends
 
     def shows(self, task: str, run: int) -> bool:
         """Return whether the report lists a run as running or ended."""
--- a/packages/standins/carawayroute_standins/fleet/taskrunner.py
+++ b/packages/standins/carawayroute_standins/fleet/taskrunner.py
@@ -22,6 +22,7 @@
 # New connections to its address are reset until this time after the crash, then refused.
 REFUSING_AFTER_MS = 330
 NO_ANSWER_TIMEOUT_MS = 500
+MAX_LISTED_ENDS = 500
 TICK_MS = 20
 # Modes in which no process runs.
 ENDED_MODES = ("dead", "gone", "crashed")
@@ -111,6 +112,7 @@
         fails at once).
     :ivar capacity: the capacity in force, which the listing may not show yet.
     :ivar on_deadly_task: called after a task has crashed the process.
+    :ivar most_listed_ends: number of ends that a report lists at most, the earliest ones.
     :ivar lost_starts: number of next starts whose answer is lost.
     :ivar late_start_ms: delay in ms before a start whose answer is lost takes effect.
     """
@@ -142,6 +144,7 @@
         self._failures_by_task: dict[str, int] = {}
         self._ended_event = asyncio.Event()
         self.on_deadly_task: Callable[[TaskRunner], None] = lambda runner: None
+        self.most_listed_ends = MAX_LISTED_ENDS
         self.lost_starts = 0
         self.late_start_ms = 0
         self._processes = 0
@@ -372,7 +375,14 @@
             RunningTask(run.task_name, run.number, run.checkpoint, run.percent)
             for run in self._runs.values()
         ]
-        return RunnerReport(self.clock_ms(), self.boot_ms, running, list(self._ended))
+        listed = self._ended[: self.most_listed_ends]
+        return RunnerReport(
+            self.clock_ms(),
+            self.boot_ms,
+            running,
+            listed,
+            lists_all_ends=len(listed) < self.most_listed_ends,
+        )
 
     async def start(
         self,
