Take the jobs of the older interface in turns as well

The older interface's planner looked at the first 500 jobs of its queue in each pass, and counted those whose launch had failed lately and is not repeated yet.

The turns move to carawayroute.turns, which both planners use; jobs that back off take none.

--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -9,8 +9,9 @@
 from carawayroute.fleet.jobs import JobTable, Stage
 from carawayroute.fleet.packing import Candidate
 from carawayroute.fleet.preemption import Victim
-from carawayroute.fleet.turns import ReservationTurns, Turns
+from carawayroute.fleet.reservations import ReservationTurns
 from carawayroute.fleet.types import Capacity, Configuration
+from carawayroute.turns import Turns
 
 # Stages for which a pass searches room. Others whose demand was found unmet are passed over.
 MAX_STAGES_PER_PASS = 400
--- a/packages/library/carawayroute/planner.py
+++ b/packages/library/carawayroute/planner.py
@@ -18,6 +18,7 @@
 from carawayroute.queue import PlacementPass, QueueEntry, order_queue
 from carawayroute.state import Job
 from carawayroute.terms import LeaderElection
+from carawayroute.turns import Turns
 from carawayroute.types import Attempt, FencingToken, Instance
 from carawayroute_schema import carawayroute_pb2 as pb
 
@@ -32,7 +33,8 @@
 IMPOSSIBLE_SHAPE_TIMEOUT_MS = 60_000
 # Placement runs at least this often, since expiries such as deadlines or backoffs signal no change.
 PLACEMENT_RETRY_INTERVAL_MS = 2_000
-# Bounds one placement pass, so that a long queue does not delay lease renewals and reports.
+# Bounds one placement pass, so that a long queue does not delay lease renewals and reports. Jobs
+# that are left out come first in a later pass.
 MAX_JOBS_PER_PASS = 500
 
 log = structlog.get_logger()
@@ -100,6 +102,7 @@
         self._reported_by_attempt: dict[str, dict[str, Attempt]] = {}
         self._finishing: set[str] = set()
         self._impossible_since_ms: dict[str, float] = {}
+        self._turns = Turns(MAX_JOBS_PER_PASS)
         self._last_change: tuple[int, str] = (-1, "")
         self._changed = asyncio.Event()
         self._last_placement_ms = float("-inf")
@@ -496,9 +499,12 @@
         waiting = self._waiting_jobs()
         queue = order_queue(waiting, self.fleet, weight_by_team, self.clock.wall_ms())
         placement_pass = PlacementPass(self.fleet, self.run_times, self.health, now_ms)
-        for entry in queue[:MAX_JOBS_PER_PASS]:
+        self._turns.begin_pass()
+        for entry in queue:
             if self.gang_controller.is_backing_off(entry.accepted.job_id):
                 continue
+            if not self._turns.admit(entry.accepted.job_id):
+                continue
             decision = placement_pass.plan(entry)
             if isinstance(decision, NotPlaced):
                 self.wait_reason_by_job[entry.accepted.job_id] = decision.reason
--- a/tests/test_fleet_unplaceable.py
+++ b/tests/test_fleet_unplaceable.py
@@ -20,8 +20,9 @@
 )
 
 from carawayroute.fleet import scheduler
+from carawayroute.fleet.reservations import RESERVATION_MS, ReservationTurns
 from carawayroute.fleet.scheduler import PassTurns, SchedulingPass, StopCost
-from carawayroute.fleet.turns import RESERVATION_MS, ReservationTurns, Turns
+from carawayroute.turns import Turns
 from carawayroute_standins.fleet.judge import starts
 
 ID = "{:016x}"
