Reject no job for work that runs while most of the fleet is free

In a trial with real processes 9 of 9 small urgent jobs were refused with 429 beside 11 of 12 empty runners, although the jobs that waited for the twelfth were off the backlog: the one task of 30 s that ran there counted as a queue of 3.1 s for the whole fleet, and a job of 0.5 s may wait 2.7 s.

While at least half of each resource is free, nothing that the planner knows of keeps other work waiting, so all of it is off the backlog; what is accepted after its last heartbeat counts. The announcement is named after that.

--- a/packages/library/carawayroute/fleet/admission.py
+++ b/packages/library/carawayroute/fleet/admission.py
@@ -4,7 +4,8 @@
 retry-after time by which the backlog should have shrunk. Rejected jobs reserve no capacity.
 
 Load pattern: some jobs wait for a rack whose runners are away or taken by long tasks. Other jobs
-have the rest of the fleet to themselves, and would be rejected beside it if that work counted.
+have the rest of the fleet to themselves, and would be rejected beside it if that work counted. The
+planner tells how much of the open work keeps no other work waiting.
 """
 
 from collections import Counter
@@ -40,27 +41,27 @@
 
     :param job_table: the jobs known to this instance.
     :param accelerators: returns the number of accelerators of the fleet, 0 while it is unknown.
-    :param stuck_work: returns the part of the open work that waits for particular runners, by
-        priority, in accelerator-milliseconds (:func:`stuck_work`).
+    :param harmless_work: returns the part of the open work that keeps no other work waiting, by
+        priority, in accelerator-milliseconds.
     """
 
-    __slots__ = ("_accelerators", "_stuck_work", "job_table")
+    __slots__ = ("_accelerators", "_harmless_work", "job_table")
 
     def __init__(
         self,
         job_table: JobTable,
         accelerators: Callable[[], int],
-        stuck_work: Callable[[], Mapping[int, int]] = dict,
+        harmless_work: Callable[[], Mapping[int, int]] = dict,
     ) -> None:
         self.job_table = job_table
         self._accelerators = accelerators
-        self._stuck_work = stuck_work
+        self._harmless_work = harmless_work
 
-    def backlog_ms(self, priority: int, stuck_work: Mapping[int, int] | None = None) -> float:
+    def backlog_ms(self, priority: int, harmless_work: Mapping[int, int] | None = None) -> float:
         """Return the time in ms that the fleet needs for the open work up to a priority.
 
         :param priority: lower numbers are more urgent and are included.
-        :param stuck_work: work that does not count, by priority.
+        :param harmless_work: work that does not count, by priority.
         """
         work = 0.0
         for job in self.job_table.open_by_id.values():
@@ -68,7 +69,7 @@
                 continue
             for number, step in enumerate(job.record.steps):
                 work += _work(step, _count_left(job, number))
-        for level, amount in (stuck_work or {}).items():
+        for level, amount in (harmless_work or {}).items():
             if level <= priority:
                 work -= amount
         # Some of it may have ended since it was counted.
@@ -83,8 +84,8 @@
         if not self._accelerators():
             return AdmissionDecision(True)
         # Jobs that ask for particular runners may have to wait for them behind such work.
-        stuck_work = {} if any(step.label for step in job.steps) else self._stuck_work()
-        wait_ms = self.backlog_ms(job.priority, stuck_work)
+        harmless_work = {} if any(step.label for step in job.steps) else self._harmless_work()
+        wait_ms = self.backlog_ms(job.priority, harmless_work)
         allowed_ms = ranking.LATE_FACTOR * (job.stretch * critical_path_ms + job.target_ms)
         if wait_ms + critical_path_ms <= allowed_ms:
             return AdmissionDecision(True)
@@ -123,6 +124,18 @@
     return dict(work)
 
 
+def open_work(jobs: Iterable[Job]) -> dict[int, int]:
+    """Return the work of open jobs, like the backlog of their first occurrences only.
+
+    :return: accelerator-milliseconds by priority.
+    """
+    work: Counter[int] = Counter()
+    for job in jobs:
+        for number, step in enumerate(job.record.steps):
+            work[job.record.priority] += _work(step, _count_left(job, number))
+    return dict(work)
+
+
 def _count_left(job: Job, number: int) -> int:
     """Return the number of tasks of a step that are not done, in the first occurrence."""
     stage = job.stages_by_key.get((0, number))
--- a/packages/library/carawayroute/fleet/leadership.py
+++ b/packages/library/carawayroute/fleet/leadership.py
@@ -111,7 +111,7 @@
         self.requests = 0
         self.term = 0
         self.accelerators = 0
-        self.stuck_work: Mapping[int, int] = {}
+        self.harmless_work: Mapping[int, int] = {}
         self.candidate = True
         self.changed = asyncio.Event()
         self.unreadable_records = 0
@@ -125,9 +125,9 @@
         """Return the newest record of the topic, ``None`` before it is read."""
         return self._newest
 
-    def stuck_work_of_fleet(self) -> Mapping[int, int]:
-        """Return the open work that waits for particular runners, as the planner announced it."""
-        return self._newest.stuck_work if self._newest is not None else {}
+    def harmless_work_of_fleet(self) -> Mapping[int, int]:
+        """Return the open work that keeps no other work waiting, as the planner announced it."""
+        return self._newest.harmless_work if self._newest is not None else {}
 
     def fleet_accelerators(self) -> int:
         """Return the number of accelerators that the planner reaches, 0 while it is unknown."""
@@ -368,8 +368,8 @@
     async def _append(self, leader: pb.Leader) -> None:
         leader.address = self._address
         leader.accelerators = min(self.accelerators, MAX_ACCELERATORS)
-        for priority, work in self.stuck_work.items():
-            leader.stuck_work[priority] = min(work, MAX_WORK)
+        for priority, work in self.harmless_work.items():
+            leader.harmless_work[priority] = min(work, MAX_WORK)
         leader.unconfirmed_lease_ms = self._limits.unconfirmed_ms
         # Until this record is stored, more such starts may follow.
         leader.unrecorded = (
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -250,7 +250,7 @@
         self.admission = AdmissionController(
             self.job_table,
             self.leadership.fleet_accelerators,
-            self.leadership.stuck_work_of_fleet,
+            self.leadership.harmless_work_of_fleet,
         )
         self.service = EntryService(
             settings.instance,
@@ -605,10 +605,10 @@
         except DecodeError as error:
             log.warning("record_unreadable", key=LOST_RUNNERS_KEY, error=str(error))
 
-    def _announce_fleet(self, accelerators: int, stuck_work: Mapping[int, int]) -> None:
+    def _announce_fleet(self, accelerators: int, harmless_work: Mapping[int, int]) -> None:
         """Send what the planner knows of the fleet with the next heartbeat."""
         self.leadership.accelerators = accelerators
-        self.leadership.stuck_work = stuck_work
+        self.leadership.harmless_work = harmless_work
 
     async def _stop_planner(self) -> None:
         planner, task = self.planner, self._planner_task
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -170,7 +170,7 @@
     :param make_runners_follower: creates the follower of the platform's list of runners.
     :param on_term_lost: called with the planner's term when the planner is fenced or ends.
     :param on_capacity: called with the number of accelerators of the usable runners and the open
-        work, by priority, that waits for particular runners.
+        work, by priority, that keeps no other work waiting.
     :param confirm_term: returns once a heartbeat that begins after the call has ended, and not at
         all if the term is lost.
     :param lease_left_ms: returns for how long leases may last that are granted now.
@@ -262,6 +262,7 @@
         self._failed_passes = 0
         self._pass_turns = PassTurns()
         self._stuck_stages: list[Stage] = []
+        self._harmless_work: Mapping[int, int] = {}
         self._storing_known_runners: frozenset[str] = frozenset()
         self._known_runners_ms = -math.inf
         self.standing = standing.StandingJobs()
@@ -1162,7 +1163,7 @@
         candidates, avoided = self._candidates()
         self._on_capacity(
             sum(candidate.runner.capacity.accelerators for candidate in (*candidates, *avoided)),
-            admission.stuck_work(self._stuck_stages),
+            self._harmless_work,
         )
         if self._job_values is None and candidates:
             self._job_values = ranking.JobValues(ranking.DominantShare(median_capacity(candidates)))
@@ -1195,6 +1196,10 @@
         )
         placements = scheduling.run()
         self._stuck_stages = scheduling.stuck_stages()
+        if scheduling.mostly_free():
+            self._harmless_work = admission.open_work(self.job_table.open_by_id.values())
+        else:
+            self._harmless_work = admission.stuck_work(self._stuck_stages)
         took_ms = self._clock.now_ms() - started_ms
         if self._pass_turns.stages.skipped:
             # Others get their turn in the next pass.
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -205,9 +205,7 @@
 
         They wait for particular runners, or for more than the runners hold.
         """
-        if not self._unplaced:
-            return []
-        if _is_mostly_free(*self._free_and_total()):
+        if not self._unplaced or self.mostly_free():
             return self._unplaced
         # Stages often have the same demand.
         fits_by_demand: dict[tuple, bool] = {}
@@ -233,13 +231,17 @@
             fits_by_demand[key] = fitting >= needed
         return fits_by_demand[key]
 
-    def _free_and_total(self) -> tuple[Capacity, Capacity]:
-        """Return what is free, reserved or not, and what there is of each resource."""
+    def mostly_free(self) -> bool:
+        """Return whether at least half of each resource is free, reserved or not."""
         free, total = Capacity(0, 0, 0), Capacity(0, 0, 0)
         for runner_id, candidate in self.candidates_by_id.items():
             free.subtract(self._reserved_room.get(runner_id, candidate.free), -1)
             total.subtract(candidate.runner.capacity, -1)
-        return free, total
+        return (
+            2 * free.accelerators >= total.accelerators
+            and 2 * free.cpu_millis >= total.cpu_millis
+            and 2 * free.memory_mb >= total.memory_mb
+        )
 
     def _demand(self, stage: Stage) -> tuple | None:
         """Return what decides whether a stage can be placed, ``None`` if more than that does.
@@ -556,14 +558,14 @@
         self, stage: Stage, candidates: list[Candidate], count: int
     ) -> list[str] | None:
         runner_ids = self._find_free_runners(stage, candidates, count)
-        if runner_ids is None and self._mostly_free():
+        if runner_ids is None and self._accelerators_mostly_free():
             runner_ids = packing.best_fit(stage, candidates, count)
         if runner_ids and stage.step.gang and len(runner_ids) < count:
             return None
         return runner_ids
 
-    def _mostly_free(self) -> bool:
-        """Return whether more than half of the fleet's accelerators are free."""
+    def _accelerators_mostly_free(self) -> bool:
+        """Return whether more than half of the fleet's unreserved accelerators are free."""
         candidates = self.candidates_by_id.values()
         free = sum(candidate.free.accelerators for candidate in candidates)
         return 2 * free > sum(candidate.runner.capacity.accelerators for candidate in candidates)
@@ -757,7 +759,7 @@
         """
         if not self._reserved_room:
             return False
-        if not _is_mostly_free(*self._free_and_total()):
+        if not self.mostly_free():
             return False
         for runner_id, room in self._reserved_room.items():
             self.candidates_by_id[runner_id].free = room
@@ -766,15 +768,6 @@
         return True
 
 
-def _is_mostly_free(free: Capacity, total: Capacity) -> bool:
-    """Return whether at least half of each resource is free."""
-    return (
-        2 * free.accelerators >= total.accelerators
-        and 2 * free.cpu_millis >= total.cpu_millis
-        and 2 * free.memory_mb >= total.memory_mb
-    )
-
-
 def is_all_or_nothing(stage: Stage) -> bool:
     """Return whether a stage can only start with all of its tasks at once."""
     return stage.step.gang
--- a/tests/test_fleet_admission.py
+++ b/tests/test_fleet_admission.py
@@ -15,10 +15,11 @@
     step,
 )
 
-from carawayroute.fleet.admission import AdmissionController, stuck_work
+from carawayroute.fleet.admission import AdmissionController, open_work, stuck_work
 from carawayroute.fleet.entry import NotAcceptedError
-from carawayroute.fleet.jobs import JobTable
+from carawayroute.fleet.jobs import JOB_KEY, JobTable
 from carawayroute.fleet.scheduler import SchedulingPass, StopCost
+from carawayroute_standins.fleet.judge import starts
 
 ID = "{:016x}"
 RACK = "r1-1"
@@ -110,6 +111,24 @@
     }
 
 
+def test_jobs_are_accepted_beside_long_tasks_on_a_fleet_that_is_mostly_free():
+    """A task of 30 s on one of many runners counted as a queue of 4 s for all jobs."""
+    job_table = job_table_of(job(ID.format(1), [step(1, 8, estimate_ms=30_000)], URGENT, OWNER))
+    assign(job_table.jobs_by_id[ID.format(1)].stage(0, 0), {0: "last"})
+    small = job(ID.format(9), queue=URGENT, team=OTHER)
+    small.steps[0].estimate_ms = 500
+    assert not AdmissionController(job_table, lambda: 56).decide(small, 500.0).accepted
+    work = open_work(job_table.open_by_id.values())
+    assert AdmissionController(job_table, lambda: 56, lambda: work).decide(small, 500.0).accepted
+    # What is accepted after the planner's announcement counts.
+    for number in range(2, 5):
+        one = job(ID.format(number), [step(8, 8, estimate_ms=30_000)], URGENT, OWNER)
+        job_table.apply(number, JOB_KEY + one.id, one.SerializeToString(), 0.0)
+    assert (
+        not AdmissionController(job_table, lambda: 56, lambda: work).decide(small, 500.0).accepted
+    )
+
+
 def test_steps_that_depend_on_stuck_ones_are_stuck():
     steps = [
         step(4, 2, label=RACK, estimate_ms=100),
@@ -176,6 +195,28 @@
     run_scenario(scenario)
 
 
+def test_callers_are_accepted_while_one_urgent_task_runs_and_others_wait_for_its_runner():
+    """The running task alone was a backlog beyond what a small job may wait."""
+
+    async def scenario(fleet):
+        name = next(iter(fleet.runners_by_id))
+        runner = fleet.runners_by_id[name]
+        runner.listed.labels = frozenset({*runner.listed.labels, "lonely"})
+        fleet.list(name)
+        await fleet.clock.sleep_ms(500)
+        wall_ms = int(fleet.clock.wall_ms())
+        steps = [step(2, 8, label="lonely", estimate_ms=30_000)]
+        first = job(ID.format(1), steps, URGENT, OWNER, run_ms=30_000, accepted_ms=wall_ms)
+        await fleet.submit(first, URGENT, OWNER)
+        await fleet.wait_until(lambda: starts(fleet.journal, first.id), 4_000, "a start")
+        one = job(ID.format(2), queue=URGENT, team=OTHER, accepted_ms=wall_ms)
+        one.steps[0].estimate_ms = 500
+        await submit_until_accepted(fleet, one, URGENT, OTHER)
+        await fleet.wait_state(one.id, "completed", 5_000)
+
+    run_scenario(scenario)
+
+
 async def submit_until_accepted(fleet, one, queue, team, most_ms=2_500):
     """Submit a job, and again for a while if it is rejected."""
     until_ms = fleet.clock.now_ms() + most_ms
