Begin the turns of a pass that finds no runner

Found by reading: a pass without runners returned before its turns began, so that what the pass before had left out seemed left out again, and the planner would run one pass after the other until a runner answered. test_pass_without_runners_leaves_nothing_out fails on the commit before, and holds.

--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -165,6 +165,8 @@
 
     def run(self) -> list[Placement]:
         """Return the placements of this pass, highest rank first."""
+        self._turns.stages.begin_pass()
+        self._turns.victim_searches.begin_pass()
         if not self.candidates_by_id:
             return []
         stages = self._stages
@@ -177,8 +179,6 @@
         waiting = [stage for stage in stages if self._is_waiting(stage)]
         self._backlog_share = self._share_of_fleet(waiting)
         waiting.sort(key=self._rank)
-        self._turns.stages.begin_pass()
-        self._turns.victim_searches.begin_pass()
         placements = []
         for stage in waiting:
             demand = self._demand(stage)
--- a/tests/test_fleet_unplaceable.py
+++ b/tests/test_fleet_unplaceable.py
@@ -201,6 +201,17 @@
         assert turns.skipped == 0
 
 
+def test_pass_without_runners_leaves_nothing_out():
+    """The planner would run one pass after the other, to give turns to what was left out."""
+    jobs = labelled(500, lambda n: step(1, 0, memory_mb=1_000 + n, label=RACK))
+    job_table = job_table_of(*jobs)
+    turns = PassTurns()
+    planning(job_table, racks(free=0), turns=turns).run()
+    assert turns.stages.skipped == 100
+    planning(job_table, [], turns=turns).run()
+    assert turns.stages.skipped == 0
+
+
 def test_stage_that_is_gone_gives_up_its_turn():
     turns = Turns(4)
     keys = [("a", 0, number) for number in range(8)]
