Judge each service by its own runners for what keeps no other work waiting

Found by reading: with two services, one full and one empty, most of all runners could be free, and the work that waits for the full one was off the backlog; callers of the full service would have been accepted without limit. Each service is judged by itself now, for reserved room as well.

--- a/packages/library/carawayroute/fleet/admission.py
+++ b/packages/library/carawayroute/fleet/admission.py
@@ -9,7 +9,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from carawayroute.fleet import ranking
 from carawayroute.fleet.jobs import Job, JobTable, Stage
@@ -95,6 +95,23 @@
         return AdmissionDecision(False, "backlog", retry_ms)
 
 
+def harmless_work(
+    jobs: Iterable[Job], free_services: Collection[str], stuck: Iterable[Stage]
+) -> dict[int, int]:
+    """Return the open work that keeps no other work waiting.
+
+    :param jobs: all open jobs.
+    :param free_services: services whose runners are mostly free.
+    :param stuck: stages that wait for particular runners.
+    :return: accelerator-milliseconds by priority.
+    """
+    work = Counter(open_work(job for job in jobs if job.record.service in free_services))
+    work.update(
+        stuck_work(stage for stage in stuck if stage.job.record.service not in free_services)
+    )
+    return dict(work)
+
+
 def stuck_work(stages: Iterable[Stage]) -> dict[int, int]:
     """Return the work that cannot go on while some stages cannot be placed.
 
--- a/packages/library/carawayroute/fleet/node.py
+++ b/packages/library/carawayroute/fleet/node.py
@@ -618,6 +618,7 @@
         await asyncio.wait([task])
         self.planner = None
         self._planner_task = None
+        self.leadership.harmless_work = {}
         self.jobs_follower.set_read_interval(STANDBY_READ_INTERVAL_MS)
         # Discard decisions that were not stored.
         self.job_table.reset()
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -1196,10 +1196,11 @@
         )
         placements = scheduling.run()
         self._stuck_stages = scheduling.stuck_stages()
-        if scheduling.mostly_free():
-            self._harmless_work = admission.open_work(self.job_table.open_by_id.values())
-        else:
-            self._harmless_work = admission.stuck_work(self._stuck_stages)
+        self._harmless_work = admission.harmless_work(
+            self.job_table.open_by_id.values(),
+            scheduling.mostly_free_services(),
+            self._stuck_stages,
+        )
         took_ms = self._clock.now_ms() - started_ms
         if self._pass_turns.stages.skipped:
             # Others get their turn in the next pass.
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -205,14 +205,16 @@
 
         They wait for particular runners, or for more than the runners hold.
         """
-        if not self._unplaced or self.mostly_free():
-            return self._unplaced
+        if not self._unplaced:
+            return []
+        free_services = self.mostly_free_services()
         # Stages often have the same demand.
         fits_by_demand: dict[tuple, bool] = {}
         return [
             stage
             for stage in self._unplaced
-            if not self._may_ever_fit(stage)
+            if stage.job.record.service in free_services
+            or not self._may_ever_fit(stage)
             or stage.step.label
             and self._fits_elsewhere(stage, fits_by_demand)
         ]
@@ -231,17 +233,22 @@
             fits_by_demand[key] = fitting >= needed
         return fits_by_demand[key]
 
-    def mostly_free(self) -> bool:
-        """Return whether at least half of each resource is free, reserved or not."""
-        free, total = Capacity(0, 0, 0), Capacity(0, 0, 0)
+    def mostly_free_services(self) -> set[str]:
+        """Return the services of which at least half of each resource is free, reserved or not."""
+        sums_by_service: dict[str, tuple[Capacity, Capacity]] = {}
         for runner_id, candidate in self.candidates_by_id.items():
+            free, total = sums_by_service.setdefault(
+                candidate.runner.service, (Capacity(0, 0, 0), Capacity(0, 0, 0))
+            )
             free.subtract(self._reserved_room.get(runner_id, candidate.free), -1)
             total.subtract(candidate.runner.capacity, -1)
-        return (
-            2 * free.accelerators >= total.accelerators
+        return {
+            service
+            for service, (free, total) in sums_by_service.items()
+            if 2 * free.accelerators >= total.accelerators
             and 2 * free.cpu_millis >= total.cpu_millis
             and 2 * free.memory_mb >= total.memory_mb
-        )
+        }
 
     def _demand(self, stage: Stage) -> tuple | None:
         """Return what decides whether a stage can be placed, ``None`` if more than that does.
@@ -547,7 +554,7 @@
         ]
         indices = stage.waiting()
         runner_ids = self._find_for_idle(stage, candidates, len(indices))
-        if not runner_ids and self._release_reserved():
+        if not runner_ids and self._release_reserved(stage.job.record.service):
             runner_ids = self._find_for_idle(stage, candidates, len(indices))
         if not runner_ids:
             return None
@@ -750,16 +757,15 @@
             candidate.free.lower_to(Capacity(0, 0, 0))
         self._available_by_service_label.clear()
 
-    def _release_reserved(self) -> bool:
-        """Give reserved room back if most of the fleet is free.
+    def _release_reserved(self, service: str) -> bool:
+        """Give reserved room back if it belongs to a service of which most is free.
 
         A gang that does not fit then waits for particular runners, which other work need not do.
 
         :return: whether any was given back.
         """
-        if not self._reserved_room:
-            return False
-        if not self.mostly_free():
+        services = {self.candidates_by_id[one].runner.service for one in self._reserved_room}
+        if services != {service} or service not in self.mostly_free_services():
             return False
         for runner_id, room in self._reserved_room.items():
             self.candidates_by_id[runner_id].free = room
--- a/tests/test_fleet_admission.py
+++ b/tests/test_fleet_admission.py
@@ -15,7 +15,7 @@
     step,
 )
 
-from carawayroute.fleet.admission import AdmissionController, open_work, stuck_work
+from carawayroute.fleet.admission import AdmissionController, harmless_work, open_work, stuck_work
 from carawayroute.fleet.entry import NotAcceptedError
 from carawayroute.fleet.jobs import JOB_KEY, JobTable
 from carawayroute.fleet.scheduler import SchedulingPass, StopCost
@@ -25,9 +25,9 @@
 RACK = "r1-1"
 
 
-def stuck_after_pass(job_table: JobTable, candidates) -> list[str]:
-    """Return the jobs that a pass finds stuck."""
-    one = SchedulingPass(
+def scheduling(job_table: JobTable, candidates) -> SchedulingPass:
+    """Return a scheduling pass that cannot stop anything."""
+    return SchedulingPass(
         job_table,
         configuration(),
         candidates,
@@ -35,6 +35,11 @@
         lambda stage: stage.step.estimate_ms,
         lambda stage, index: StopCost(0.0, stoppable=False),
     )
+
+
+def stuck_after_pass(job_table: JobTable, candidates) -> list[str]:
+    """Return the jobs that a pass finds stuck."""
+    one = scheduling(job_table, candidates)
     one.run()
     return [stage.job.id for stage in one.stuck_stages()]
 
@@ -129,6 +134,23 @@
     )
 
 
+def test_work_of_a_full_service_counts_beside_another_that_is_free():
+    other = job(ID.format(1), [step(2, 8, estimate_ms=30_000)], URGENT, OWNER)
+    other.service = "other"
+    job_table = job_table_of(*backlog()[1:2], other)
+    stages = [one.stage(0, 0) for one in job_table.jobs_by_id.values()]
+    jobs = job_table.open_by_id.values()
+    assert harmless_work(jobs, {"other"}, []) == {0: 2 * 8 * 30_000}
+    assert harmless_work(jobs, {"render"}, stages) == {0: 10 * 8 * 30_000}
+    assert harmless_work(jobs, (), []) == {}
+    runners = fleet_of(8, 8)
+    for one in runners[:6]:
+        one.runner.service = "other"
+    runners[6].free.accelerators = 0
+    found = scheduling(job_table, runners)
+    assert found.mostly_free_services() == {"other"}
+
+
 def test_steps_that_depend_on_stuck_ones_are_stuck():
     steps = [
         step(4, 2, label=RACK, estimate_ms=100),
