--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -13,6 +13,7 @@
 from carawayroute.fleet.node import FleetNode
 from carawayroute.fleet.packing import Candidate
 from carawayroute.fleet.ports import KeyedRecord
+from carawayroute.fleet.scheduler import SchedulingPass, StopCost
 from carawayroute.fleet.types import Capacity, Configuration, Queue, Runner, Team
 from carawayroute_schema import records_pb2 as pb
 from carawayroute_standins.fleet.judge import find_violations
@@ -104,6 +105,28 @@
     return Candidate(runner, Capacity(64_000, 256_000, left))
 
 
+def scheduling_pass(
+    job_table: JobTable,
+    candidates: list[Candidate],
+    wall_ms: float = 100.0,
+    stoppable: bool = True,
+    **options,
+) -> SchedulingPass:
+    """Return a scheduling pass in which stopping a run loses no work.
+
+    :param stoppable: whether runs may be stopped at all.
+    """
+    return SchedulingPass(
+        job_table,
+        configuration(),
+        candidates,
+        wall_ms,
+        lambda stage: stage.step.estimate_ms,
+        lambda stage, index: StopCost(0.0, stoppable),
+        **options,
+    )
+
+
 def configuration_bytes(
     version: int = 1, guaranteed: int = 32, routes: int = 0, guarding: bool = True
 ) -> bytes:
--- a/tests/test_fleet_admission.py
+++ b/tests/test_fleet_admission.py
@@ -8,38 +8,25 @@
     URGENT,
     assign,
     candidate,
-    configuration,
     job,
     job_table_of,
     run_scenario,
+    scheduling_pass,
     step,
 )
 
 from carawayroute.fleet.admission import AdmissionController, harmless_work, open_work, stuck_work
 from carawayroute.fleet.entry import NotAcceptedError
 from carawayroute.fleet.jobs import JOB_KEY, JobTable
-from carawayroute.fleet.scheduler import SchedulingPass, StopCost
 from carawayroute_standins.fleet.judge import starts
 
 ID = "{:016x}"
 RACK = "r1-1"
 
 
-def scheduling(job_table: JobTable, candidates) -> SchedulingPass:
-    """Return a scheduling pass that cannot stop anything."""
-    return SchedulingPass(
-        job_table,
-        configuration(),
-        candidates,
-        100.0,
-        lambda stage: stage.step.estimate_ms,
-        lambda stage, index: StopCost(0.0, stoppable=False),
-    )
-
-
 def stuck_after_pass(job_table: JobTable, candidates) -> list[str]:
     """Return the jobs that a pass finds stuck."""
-    one = scheduling(job_table, candidates)
+    one = scheduling_pass(job_table, candidates, stoppable=False)
     one.run()
     return [stage.job.id for stage in one.stuck_stages()]
 
@@ -147,7 +134,7 @@
     for one in runners[:6]:
         one.runner.service = "other"
     runners[6].free.accelerators = 0
-    found = scheduling(job_table, runners)
+    found = scheduling_pass(job_table, runners, stoppable=False)
     assert found.mostly_free_services() == {"other"}
 
 
@@ -186,11 +173,7 @@
     """Nine of nine urgent jobs of another team were refused with 11 of 12 runners empty."""
 
     async def scenario(fleet):
-        name = next(iter(fleet.runners_by_id))
-        runner = fleet.runners_by_id[name]
-        runner.listed.labels = frozenset({*runner.listed.labels, "lonely"})
-        fleet.list(name)
-        await fleet.clock.sleep_ms(500)
+        await label_one_runner(fleet)
         wall_ms = int(fleet.clock.wall_ms())
         long = job(
             ID.format(100),
@@ -221,11 +204,7 @@
     """The running task alone was a backlog beyond what a small job may wait."""
 
     async def scenario(fleet):
-        name = next(iter(fleet.runners_by_id))
-        runner = fleet.runners_by_id[name]
-        runner.listed.labels = frozenset({*runner.listed.labels, "lonely"})
-        fleet.list(name)
-        await fleet.clock.sleep_ms(500)
+        await label_one_runner(fleet)
         wall_ms = int(fleet.clock.wall_ms())
         steps = [step(2, 8, label="lonely", estimate_ms=30_000)]
         first = job(ID.format(1), steps, URGENT, OWNER, run_ms=30_000, accepted_ms=wall_ms)
@@ -239,6 +218,15 @@
     run_scenario(scenario)
 
 
+async def label_one_runner(fleet):
+    """Give one runner a label that no other has."""
+    name = next(iter(fleet.runners_by_id))
+    runner = fleet.runners_by_id[name]
+    runner.listed.labels = frozenset({*runner.listed.labels, "lonely"})
+    fleet.list(name)
+    await fleet.clock.sleep_ms(500)
+
+
 async def submit_until_accepted(fleet, one, queue, team, most_ms=2_500):
     """Submit a job, and again for a while if it is rejected."""
     until_ms = fleet.clock.now_ms() + most_ms
--- a/tests/test_fleet_unplaceable.py
+++ b/tests/test_fleet_unplaceable.py
@@ -12,16 +12,16 @@
     URGENT,
     assign,
     candidate,
-    configuration,
     job,
     job_table_of,
     run_scenario,
+    scheduling_pass,
     step,
 )
 
 from carawayroute.fleet import scheduler
 from carawayroute.fleet.reservations import RESERVATION_MS, ReservationTurns
-from carawayroute.fleet.scheduler import PassTurns, SchedulingPass, StopCost
+from carawayroute.fleet.scheduler import PassTurns
 from carawayroute.turns import Turns
 from carawayroute_standins.fleet.judge import starts
 
@@ -30,19 +30,6 @@
 RACK = "r1-1"
 
 
-def planning(job_table, candidates, wall_ms=100.0, stoppable=True, **options):
-    """Return a scheduling pass."""
-    return SchedulingPass(
-        job_table,
-        configuration(),
-        candidates,
-        wall_ms,
-        lambda stage: stage.step.estimate_ms,
-        lambda stage, index: StopCost(0.0, stoppable),
-        **options,
-    )
-
-
 def placed_jobs(placements):
     """Return the ids of the jobs that were placed."""
     return [placement.stage.job.id for placement in placements]
@@ -51,7 +38,7 @@
 def passes_until(job_id, most, turns, *arguments, **options):
     """Return the number of passes until a job is placed."""
     for number in range(1, most + 1):
-        if job_id in placed_jobs(planning(*arguments, turns=turns, **options).run()):
+        if job_id in placed_jobs(scheduling_pass(*arguments, turns=turns, **options).run()):
             return number
     pytest.fail(f"{job_id} was not placed in {most} passes")
 
@@ -84,7 +71,7 @@
     """Urgent work whose runner had left or was full kept all other work from starting (LOST)."""
     candidates = racks(free=0) if label_held else racks()[:-1]
     job_table = job_table_of(*labelled(count), small_job())
-    assert placed_jobs(planning(job_table, candidates).run()) == [SMALL]
+    assert placed_jobs(scheduling_pass(job_table, candidates).run()) == [SMALL]
 
 
 @pytest.mark.parametrize(
@@ -115,7 +102,7 @@
 )
 def test_work_starts_at_once_behind_work_that_the_empty_fleet_cannot_hold(demand):
     job_table = job_table_of(*labelled(5_000, demand), small_job())
-    assert placed_jobs(planning(job_table, racks()).run()) == [SMALL]
+    assert placed_jobs(scheduling_pass(job_table, racks()).run()) == [SMALL]
 
 
 def test_work_starts_behind_stages_at_their_limit_per_runner():
@@ -135,8 +122,8 @@
     job_table = job_table_of(*jobs)
     turns = PassTurns()
     for _ in range(5):
-        assert planning(job_table, racks(free=0), turns=turns).run() == []
-    assert placed_jobs(planning(job_table, racks(), turns=turns).run())[0] == ID.format(1)
+        assert scheduling_pass(job_table, racks(free=0), turns=turns).run() == []
+    assert placed_jobs(scheduling_pass(job_table, racks(), turns=turns).run())[0] == ID.format(1)
 
 
 def test_verdict_on_a_demand_holds_for_no_other():
@@ -149,28 +136,18 @@
         random.shuffle(steps)
         jobs = [job(ID.format(n), [one], NORMAL, OTHER) for n, one in enumerate(steps)]
         candidates = [candidate(f"w{n}", "r1-0") for n in range(12)]
-        placed = placed_jobs(planning(job_table_of(*jobs), candidates).run())
+        placed = placed_jobs(scheduling_pass(job_table_of(*jobs), candidates).run())
         assert set(placed) == {ID.format(n) for n, one in enumerate(steps) if one in fitting}
 
 
-def test_unplaceable_work_of_one_demand_costs_little():
+def test_unplaceable_work_of_few_demands_costs_little(monkeypatch):
     """A pass over 10,000 stages of few demands searches room for each demand once."""
     searches = []
 
-    class Counting(SchedulingPass):
-        def _place(self, stage):
-            searches.append(stage.key)
-            return super()._place(stage)
-
     job_table = job_table_of(*labelled(10_000, lambda n: step(1, n % 4, label=RACK)))
-    one = Counting(
-        job_table,
-        configuration(),
-        racks()[:-1],
-        100.0,
-        lambda stage: stage.step.estimate_ms,
-        lambda stage, index: StopCost(0.0, True),
-    )
+    one = scheduling_pass(job_table, racks()[:-1])
+    place = one._place
+    monkeypatch.setattr(one, "_place", lambda stage: searches.append(stage.key) or place(stage))
     started_s = time.process_time()
     assert one.run() == []
     # Some of them are within the guarantee.
@@ -206,9 +183,9 @@
     jobs = labelled(500, lambda n: step(1, 0, memory_mb=1_000 + n, label=RACK))
     job_table = job_table_of(*jobs)
     turns = PassTurns()
-    planning(job_table, racks(free=0), turns=turns).run()
+    scheduling_pass(job_table, racks(free=0), turns=turns).run()
     assert turns.stages.skipped == 100
-    planning(job_table, [], turns=turns).run()
+    scheduling_pass(job_table, [], turns=turns).run()
     assert turns.stages.skipped == 0
 
 
@@ -254,7 +231,7 @@
         one.free.accelerators = 0
     stage = job_table.jobs_by_id[borrowed.id].stage(0, 0)
     assign(stage, {index: one.runner.id for index, one in enumerate(candidates)})
-    (placement,) = planning(job_table, candidates).run()
+    (placement,) = scheduling_pass(job_table, candidates).run()
     assert placement.stage.job.id == SMALL
     assert placement.guaranteed
 
@@ -277,10 +254,10 @@
     """A gang that could not be served held a reservation of all runners for good."""
     job_table, candidates = reserved_fleet()
     options = {"wall_ms": 12_000.0, "stoppable": False}
-    assert planning(job_table, candidates, **options).run() == []
+    assert scheduling_pass(job_table, candidates, **options).run() == []
     idle = {"idle_jobs": {ID.format(1), SMALL}, **options}
     job_table, candidates = reserved_fleet()
-    assert placed_jobs(planning(job_table, candidates, **idle).run()) == [SMALL]
+    assert placed_jobs(scheduling_pass(job_table, candidates, **idle).run()) == [SMALL]
 
 
 def test_reserved_room_is_kept_from_idle_jobs_on_a_loaded_fleet():
@@ -288,7 +265,7 @@
     for one in candidates:
         one.free.cpu_millis //= 3
     options = {"wall_ms": 12_000.0, "stoppable": False, "idle_jobs": {ID.format(1), SMALL}}
-    assert planning(job_table, candidates, **options).run() == []
+    assert scheduling_pass(job_table, candidates, **options).run() == []
 
 
 def test_gang_that_is_not_placed_gives_up_its_reservation():
@@ -297,7 +274,7 @@
     placed_ms = []
     for wall_ms in range(12_000, 12_000 + int(4 * RESERVATION_MS), 1_000):
         _, candidates = reserved_fleet()
-        one = planning(job_table, candidates, float(wall_ms), stoppable=False, turns=turns)
+        one = scheduling_pass(job_table, candidates, float(wall_ms), stoppable=False, turns=turns)
         if SMALL in placed_jobs(one.run()):
             placed_ms.append(wall_ms - 12_000)
     assert placed_ms[0] == RESERVATION_MS
