Count work that waits beside free runners as a queue, unless it is known to be stuck

Work that waits beside free runners shows that something holds work back, and it will hold new work back as well. Running work is off the backlog only for services of which none but stuck steps wait: those that no empty runner holds, and those that ask for a label or a limit per runner while there is room without it.

Two tests fail on the commit before, and hold: test_work_that_waits_beside_free_runners_for_an_unknown_reason_counts and test_free_service_of_which_only_stuck_work_waits_has_no_queue.

--- a/packages/library/carawayroute/fleet/admission.py
+++ b/packages/library/carawayroute/fleet/admission.py
@@ -101,7 +101,7 @@
     """Return the open work that keeps no other work waiting.
 
     :param jobs: all open jobs.
-    :param free_services: services whose runners are mostly free.
+    :param free_services: services whose runners are mostly free and that have no queue.
     :param stuck: stages that wait for particular runners.
     :return: accelerator-milliseconds by priority.
     """
--- a/packages/library/carawayroute/fleet/planner.py
+++ b/packages/library/carawayroute/fleet/planner.py
@@ -1198,7 +1198,7 @@
         self._stuck_stages = scheduling.stuck_stages()
         self._harmless_work = admission.harmless_work(
             self.job_table.open_by_id.values(),
-            scheduling.mostly_free_services(),
+            scheduling.services_without_queue(),
             self._stuck_stages,
         )
         took_ms = self._clock.now_ms() - started_ms
--- a/packages/library/carawayroute/fleet/scheduler.py
+++ b/packages/library/carawayroute/fleet/scheduler.py
@@ -201,26 +201,22 @@
         return placements
 
     def stuck_stages(self) -> list[Stage]:
-        """Return stages that the run could not place for another reason than the fleet's load.
+        """Return stages that the run could not place for a reason that holds for no other work.
 
         They wait for particular runners, or for more than the runners hold.
         """
-        if not self._unplaced:
-            return []
-        free_services = self.mostly_free_services()
         # Stages often have the same demand.
         fits_by_demand: dict[tuple, bool] = {}
         return [
             stage
             for stage in self._unplaced
-            if stage.job.record.service in free_services
-            or not self._may_ever_fit(stage)
-            or stage.step.label
+            if not self._may_ever_fit(stage)
+            or (stage.step.label or stage.step.most_per_runner)
             and self._fits_elsewhere(stage, fits_by_demand)
         ]
 
     def _fits_elsewhere(self, stage: Stage, fits_by_demand: dict[tuple, bool]) -> bool:
-        """Return whether there is room for a stage on runners without the label it asks for."""
+        """Return whether a stage has room but for the label or the limit per runner it asks for."""
         service, demand = stage.job.record.service, stage.demand
         needed = stage.step.count if stage.step.gang else 1
         key = (service, demand.cpu_millis, demand.memory_mb, demand.accelerators, needed)
@@ -233,6 +229,16 @@
             fits_by_demand[key] = fitting >= needed
         return fits_by_demand[key]
 
+    def services_without_queue(self) -> set[str]:
+        """Return the services that are mostly free and of which only stuck stages wait.
+
+        Unplaced work beside free runners shows that something else holds work back, such as tasks
+        that are suspected of crashing runners, and would hold new work back as well.
+        """
+        stuck = {stage.key for stage in self.stuck_stages()}
+        queued = {stage.job.record.service for stage in self._unplaced if stage.key not in stuck}
+        return self.mostly_free_services() - queued
+
     def mostly_free_services(self) -> set[str]:
         """Return the services of which at least half of each resource is free, reserved or not."""
         sums_by_service: dict[str, tuple[Capacity, Capacity]] = {}
--- a/tests/test_fleet_admission.py
+++ b/tests/test_fleet_admission.py
@@ -138,6 +138,38 @@
     assert found.mostly_free_services() == {"other"}
 
 
+def test_work_that_waits_beside_free_runners_for_an_unknown_reason_counts():
+    """Suspects of crashing runners waited beside restarted runners, and no job was rejected."""
+    jobs = [job(ID.format(n), [step(1, 1)], URGENT, OTHER) for n in range(1, 40)]
+    job_table = job_table_of(*jobs)
+    for one in jobs:
+        stage = job_table.jobs_by_id[one.id].stage(0, 0)
+        stage.crashes[0], stage.start_crashes[0] = 2, 2
+    candidates = fleet_of(8, 8)
+    for restarted in candidates:
+        restarted.steady = False
+    found = scheduling_pass(job_table, candidates, stoppable=False)
+    assert found.run() == []
+    assert found.stuck_stages() == []
+    assert found.mostly_free_services() == {"render"}
+    assert found.services_without_queue() == set()
+
+
+def test_free_service_of_which_only_stuck_work_waits_has_no_queue():
+    found = scheduling_pass(job_table_of(*backlog()), fleet_of(8, 0), stoppable=False)
+    found.run()
+    assert found.services_without_queue() == {"render"}
+
+
+def test_work_at_its_limit_per_runner_is_stuck_beside_room():
+    one = job(ID.format(1), [step(8, 1, most_per_runner=1)], URGENT, OTHER)
+    job_table = job_table_of(one)
+    candidates = fleet_of(8, 8)
+    stage = job_table.jobs_by_id[one.id].stage(0, 0)
+    assign(stage, dict(enumerate(one.runner.id for one in candidates)))
+    assert stuck_after_pass(job_table, candidates) == [one.id]
+
+
 def test_steps_that_depend_on_stuck_ones_are_stuck():
     steps = [
         step(4, 2, label=RACK, estimate_ms=100),
