Tests: the builder of scheduling passes serves the older tests too

The tests of capacity and isolation set up the same pass by hand that fleet_builders.scheduling_pass makes.

--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -14,6 +14,7 @@
     job,
     job_table_of,
     run_scenario,
+    scheduling_pass,
     step,
 )
 
@@ -25,17 +26,9 @@
 ONE_RUNNER = {"racks": 1, "runners_per_rack": 1}
 
 
-def plan(job_table, candidates, wall_ms=100.0, **options):
+def plan(job_table, candidates, **options):
     """Return the placements of one scheduling pass."""
-    return SchedulingPass(
-        job_table,
-        configuration(),
-        candidates,
-        wall_ms,
-        lambda stage: stage.step.estimate_ms,
-        lambda stage, index: StopCost(0.0, stoppable=True),
-        **options,
-    ).run()
+    return scheduling_pass(job_table, candidates, **options).run()
 
 
 def shrunk(name, accelerators, used=0, rack="r1-0"):
--- a/tests/test_fleet_isolation.py
+++ b/tests/test_fleet_isolation.py
@@ -9,10 +9,10 @@
     URGENT,
     assign,
     candidate,
-    configuration,
     job,
     job_table_of,
     run_scenario,
+    scheduling_pass,
     step,
 )
 from replacement_builders import DeadlyTasks
@@ -24,7 +24,7 @@
 from carawayroute.fleet.crashes import MAX_START_CRASHES
 from carawayroute.fleet.isolation import ISOLATED_SHARE, MAX_WAIT_MS, Isolation, SuspectWaits
 from carawayroute.fleet.runner_health import FIRST_REPORTS_MS, STEADY_MS, RunnerHealth
-from carawayroute.fleet.scheduler import HEADROOM_SHARE, SchedulingPass, StopCost
+from carawayroute.fleet.scheduler import HEADROOM_SHARE
 from carawayroute_standins.fleet.judge import starts
 
 ID = "{:016x}"
@@ -42,15 +42,8 @@
 
 def plan(job_table, candidates, closed=(), overdue=()):
     """Return the placements of one scheduling pass."""
-    return SchedulingPass(
-        job_table,
-        configuration(),
-        candidates,
-        100.0,
-        lambda stage: stage.step.estimate_ms,
-        lambda stage, index: StopCost(0.0, stoppable=True),
-        suspects=Isolation(candidates, closed, overdue),
-    ).run()
+    suspects = Isolation(candidates, closed, overdue)
+    return scheduling_pass(job_table, candidates, suspects=suspects).run()
 
 
 def runners_by_task(placements):
